Add design, protocols and the core types

Cause: the repository is empty; parts that are built side by side need one agreed set of modules, messages and rules. Change: design page with the alternatives that were considered, protocol page for the platform and the endpoints, glossary, typed errors, store and peer interfaces, and the pure shard state of the ledger.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,22 @@
+GO ?= go
+BIN := bin
+PACKAGES := ./...
+
+.PHONY: all build test lint demo bench faults clean
+
+all: lint test
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/... ./standins/cmd/...
+
+test:
+	$(GO) test -count=1 -timeout 8m $(PACKAGES)
+
+lint:
+	@unformatted="$$(gofmt -l $$(git ls-files --cached --others --exclude-standard '*.go'))"; \
+	if [ -n "$$unformatted" ]; then echo "gofmt: run gofmt -w on:"; echo "$$unformatted"; exit 1; fi
+	$(GO) vet $(PACKAGES)
+	$(GO) tool staticcheck $(PACKAGES)
+
+clean:
+	rm -rf $(BIN) tmp
--- /dev/null
+++ b/pkg/failure/failure.go
@@ -0,0 +1,155 @@
+package failure
+
+import (
+	"fmt"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind is a stable name for a class of errors. Kinds are part of the API.
+type Kind string
+
+// Kinds of errors.
+const (
+	// Invalid means that the request or the file is malformed.
+	Invalid Kind = "invalid"
+	// Unauthorized means that the credential is missing or wrong.
+	Unauthorized Kind = "unauthorized"
+	// NotFound means that the named object does not exist.
+	NotFound Kind = "not-found"
+	// Conflict means that a compare-and-swap or a command lost to another one.
+	Conflict Kind = "conflict"
+	// BudgetExhausted means that the budget has too little left for the request.
+	BudgetExhausted Kind = "budget-exhausted"
+	// Limited means that a rate, concurrency or queue limit was reached.
+	Limited Kind = "limited"
+	// Quarantined means that the request crashed endpoints before.
+	Quarantined Kind = "quarantined"
+	// NoEndpoint means that no endpoint of the service accepts work.
+	NoEndpoint Kind = "no-endpoint"
+	// Unavailable means that a peer or the store could not be reached, and that
+	// the call had no effect.
+	Unavailable Kind = "unavailable"
+	// Uncertain means that a call may or may not have taken effect.
+	Uncertain Kind = "uncertain"
+	// NotOwner means that the instance does not own the shard.
+	NotOwner Kind = "not-owner"
+	// Fenced means that a newer epoch or fencing number exists.
+	Fenced Kind = "fenced"
+	// Format means that a stored value or message has an unknown format version.
+	Format Kind = "format"
+	// OutcomeUnknown means that the request may have run before and its result is lost.
+	OutcomeUnknown Kind = "outcome-unknown"
+	// AlreadyAnswered means that the request ran and its answer is not kept in full.
+	AlreadyAnswered Kind = "already-answered"
+	// Truncated means that a stream ended before its terminal marker.
+	Truncated Kind = "truncated"
+	// EndpointFailed means that the endpoint reported an error or died.
+	EndpointFailed Kind = "endpoint-failed"
+	// Timeout means that the deadline passed.
+	Timeout Kind = "timeout"
+	// NotReady means that the instance has no configuration yet or is stopping.
+	NotReady Kind = "not-ready"
+	// Internal means a fault in this program.
+	Internal Kind = "internal"
+)
+
+// Outcome tells a caller what became of its request.
+type Outcome string
+
+// Outcomes of a request. The empty outcome is used where no request is concerned.
+const (
+	// NotRun means that the request did not run and cannot run later.
+	NotRun Outcome = "not-run"
+	// Unknown means that the request may have run.
+	Unknown Outcome = "unknown"
+	// Answered means that the request ran to its end.
+	Answered Outcome = "answered"
+)
+
+// Error is a typed error.
+type Error struct {
+	Kind    Kind    `cbor:"1,keyasint" json:"kind"`
+	Message string  `cbor:"2,keyasint" json:"message"`
+	Remedy  string  `cbor:"3,keyasint,omitempty" json:"remedy,omitempty"`
+	Outcome Outcome `cbor:"4,keyasint,omitempty" json:"outcome,omitempty"`
+}
+
+var _ error = (*Error)(nil)
+
+// Error returns the message, followed by the remedy.
+func (e *Error) Error() string {
+	if e.Remedy == "" {
+		return fmt.Sprintf("%s: %s", e.Kind, e.Message)
+	}
+	return fmt.Sprintf("%s: %s; %s", e.Kind, e.Message, e.Remedy)
+}
+
+// WithOutcome returns a copy of e with the given outcome.
+func (e *Error) WithOutcome(o Outcome) *Error {
+	c := *e
+	c.Outcome = o
+	return &c
+}
+
+// New returns a typed error. The remedy says what the reader can do.
+func New(kind Kind, remedy, format string, args ...any) *Error {
+	return &Error{Kind: kind, Message: fmt.Sprintf(format, args...), Remedy: remedy}
+}
+
+// KindOf returns the kind of the first typed error in the chain of err, and
+// Internal for an error without one. It returns "" for nil.
+func KindOf(err error) Kind {
+	if err == nil {
+		return ""
+	}
+	return From(err).Kind
+}
+
+// Is reports whether err is of the given kind.
+func Is(err error, kind Kind) bool { return err != nil && KindOf(err) == kind }
+
+// From returns the first typed error in the chain of err. An error without one
+// becomes Internal, and nil stays nil.
+func From(err error) *Error {
+	if err == nil {
+		return nil
+	}
+	var typed *Error
+	if errors.As(err, &typed) {
+		return typed
+	}
+	return &Error{Kind: Internal, Message: err.Error(), Remedy: "report this message to the maintainers"}
+}
+
+var statusByKind = map[Kind]int{
+	Invalid:         http.StatusBadRequest,
+	Unauthorized:    http.StatusUnauthorized,
+	NotFound:        http.StatusNotFound,
+	Conflict:        http.StatusConflict,
+	BudgetExhausted: http.StatusPaymentRequired,
+	Limited:         http.StatusTooManyRequests,
+	Quarantined:     http.StatusUnprocessableEntity,
+	NoEndpoint:      http.StatusServiceUnavailable,
+	Unavailable:     http.StatusServiceUnavailable,
+	Uncertain:       http.StatusServiceUnavailable,
+	NotOwner:        http.StatusServiceUnavailable,
+	Fenced:          http.StatusConflict,
+	Format:          http.StatusInternalServerError,
+	OutcomeUnknown:  http.StatusConflict,
+	AlreadyAnswered: http.StatusConflict,
+	Truncated:       http.StatusBadGateway,
+	EndpointFailed:  http.StatusBadGateway,
+	Timeout:         http.StatusGatewayTimeout,
+	NotReady:        http.StatusServiceUnavailable,
+	Internal:        http.StatusInternalServerError,
+}
+
+// Status returns the HTTP status code that belongs to kind.
+func Status(kind Kind) int {
+	if s, ok := statusByKind[kind]; ok {
+		return s
+	}
+	return http.StatusInternalServerError
+}
--- /dev/null
+++ b/pkg/ledger/budget.go
@@ -0,0 +1,197 @@
+package ledger
+
+import (
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+)
+
+// FormatVersion is the version of the stored forms of this package.
+const FormatVersion = 1
+
+// maxAppliedCommands bounds the command ids kept for duplicate detection:
+// 4,096 ids of 40 bytes stay well below the 1 MB limit of a stored value.
+const maxAppliedCommands = 4096
+
+// BudgetRecord is the record of a budget in the platform store. Its invariant
+// is Unassigned() >= 0, so the sum of all rights never exceeds what was paid.
+type BudgetRecord struct {
+	Format int `cbor:"1,keyasint" json:"format"`
+	// Paid is the sum of all top-ups.
+	Paid     Tokens     `cbor:"2,keyasint" json:"paid"`
+	Applied  []Applied  `cbor:"3,keyasint" json:"applied"`
+	Grants   []Grant    `cbor:"4,keyasint" json:"grants"`
+	Stranded []Stranded `cbor:"5,keyasint" json:"stranded"`
+}
+
+// Applied is a command that changed the record.
+type Applied struct {
+	Command string `cbor:"1,keyasint" json:"command"`
+	Amount  Tokens `cbor:"2,keyasint" json:"amount"`
+}
+
+// Grant is the right of one shard to charge the budget.
+type Grant struct {
+	Shard ShardID `cbor:"1,keyasint" json:"shard"`
+	Epoch uint64  `cbor:"2,keyasint" json:"epoch"`
+	// Granted is all that the shard may ever charge, including past charges.
+	Granted Tokens `cbor:"3,keyasint" json:"granted"`
+	// Charged is what the shard had charged when it last wrote the record.
+	Charged Tokens `cbor:"4,keyasint" json:"charged"`
+}
+
+// Stranded is a grant whose epoch was lost. It counts as spent in full.
+type Stranded struct {
+	Shard ShardID `cbor:"1,keyasint" json:"shard"`
+	Epoch uint64  `cbor:"2,keyasint" json:"epoch"`
+	// Amount is the granted amount less what operators reclaimed.
+	Amount Tokens `cbor:"3,keyasint" json:"amount"`
+	// Charged is what is known to have been spent of it.
+	Charged Tokens `cbor:"4,keyasint" json:"charged"`
+}
+
+// DecodeBudget reads a stored record. Empty data is a budget without payments.
+func DecodeBudget(data []byte) (*BudgetRecord, error) {
+	if len(data) == 0 {
+		return &BudgetRecord{Format: FormatVersion}, nil
+	}
+	r := &BudgetRecord{}
+	if err := cbor.Unmarshal(data, r); err != nil {
+		return nil, failure.New(failure.Format, "restore the record from the platform's backup", "budget record cannot be decoded: %v", err)
+	}
+	if r.Format != FormatVersion {
+		return nil, failure.New(failure.Format, "upgrade this instance to the release that wrote the record",
+			"budget record has format %d, this release reads format %d", r.Format, FormatVersion)
+	}
+	return r, nil
+}
+
+// Encode returns the stored form.
+func (r *BudgetRecord) Encode() ([]byte, error) { return cbor.Marshal(r) }
+
+// Unassigned returns what no shard holds a right to.
+func (r *BudgetRecord) Unassigned() Tokens {
+	left := r.Paid
+	for _, g := range r.Grants {
+		left -= g.Granted
+	}
+	for _, s := range r.Stranded {
+		left -= s.Amount
+	}
+	return left
+}
+
+// Charged returns what is known to have been spent, without stranded rights.
+func (r *BudgetRecord) Charged() Tokens {
+	var sum Tokens
+	for _, g := range r.Grants {
+		sum += g.Charged
+	}
+	for _, s := range r.Stranded {
+		sum += s.Charged
+	}
+	return sum
+}
+
+// HasApplied reports whether the command has changed the record already.
+func (r *BudgetRecord) HasApplied(command string) bool {
+	return slices.ContainsFunc(r.Applied, func(a Applied) bool { return a.Command == command })
+}
+
+// TopUp adds amount under a command id. It reports whether the record changed:
+// a repeated command changes nothing.
+func (r *BudgetRecord) TopUp(command string, amount Tokens) (bool, error) {
+	if amount <= 0 || amount > MaxTokens {
+		return false, failure.New(failure.Invalid, "give an amount between 1 and 2^42 tokens", "top-up of %d tokens is out of range", amount)
+	}
+	if r.HasApplied(command) {
+		return false, nil
+	}
+	r.Paid += amount
+	r.noteApplied(command, amount)
+	return true, nil
+}
+
+func (r *BudgetRecord) noteApplied(command string, amount Tokens) {
+	r.Applied = append(r.Applied, Applied{command, amount})
+	if extra := len(r.Applied) - maxAppliedCommands; extra > 0 {
+		r.Applied = slices.Delete(r.Applied, 0, extra)
+	}
+}
+
+// Reclaim returns amount of a stranded grant to the budget under a command id.
+// The operator states by it that the instances of that epoch are gone.
+func (r *BudgetRecord) Reclaim(command string, shard ShardID, epoch uint64, amount Tokens) (bool, error) {
+	if r.HasApplied(command) {
+		return false, nil
+	}
+	i := slices.IndexFunc(r.Stranded, func(s Stranded) bool { return s.Shard == shard && s.Epoch == epoch })
+	if i < 0 {
+		return false, failure.New(failure.NotFound, "list the stranded grants with the query stranded",
+			"shard %s has no stranded grant of epoch %d", shard, epoch)
+	}
+	s := &r.Stranded[i]
+	if amount <= 0 || amount > s.Amount-s.Charged {
+		return false, failure.New(failure.Invalid, "give an amount within the stranded rest",
+			"cannot reclaim %d tokens, the grant has %d that are not known to be spent", amount, s.Amount-s.Charged)
+	}
+	s.Amount -= amount
+	r.noteApplied(command, amount)
+	return true, nil
+}
+
+// GrantOf returns the grant of a shard, and a zero grant if there is none.
+func (r *BudgetRecord) GrantOf(shard ShardID) Grant {
+	for _, g := range r.Grants {
+		if g.Shard == shard {
+			return g
+		}
+	}
+	return Grant{Shard: shard}
+}
+
+// SetGrant replaces the shard's grant and fails with failure.BudgetExhausted if
+// the rights would exceed what was paid.
+func (r *BudgetRecord) SetGrant(g Grant) error {
+	before := r.GrantOf(g.Shard)
+	if grow := g.Granted - before.Granted; grow > 0 && grow > r.Unassigned() {
+		return failure.New(failure.BudgetExhausted, "top the budget up", "budget has %d tokens left to grant, %d were asked for", r.Unassigned(), grow)
+	}
+	i := slices.IndexFunc(r.Grants, func(o Grant) bool { return o.Shard == g.Shard })
+	if i < 0 {
+		r.Grants = append(r.Grants, g)
+		return nil
+	}
+	r.Grants[i] = g
+	return nil
+}
+
+// Strand moves the shard's grant to the stranded ones if its epoch is at most
+// lostThrough. It reports whether the record changed.
+func (r *BudgetRecord) Strand(shard ShardID, lostThrough uint64) bool {
+	i := slices.IndexFunc(r.Grants, func(g Grant) bool { return g.Shard == shard && g.Epoch <= lostThrough })
+	if i < 0 {
+		return false
+	}
+	g := r.Grants[i]
+	r.Grants = slices.Delete(r.Grants, i, i+1)
+	if g.Granted > 0 {
+		r.addStranded(Stranded{Shard: shard, Epoch: g.Epoch, Amount: g.Granted, Charged: g.Charged})
+	}
+	return true
+}
+
+// addStranded merges with an entry of the same epoch: a fenced owner that wakes
+// up may write its grant once more after the first one was stranded.
+func (r *BudgetRecord) addStranded(s Stranded) {
+	for i := range r.Stranded {
+		if r.Stranded[i].Shard == s.Shard && r.Stranded[i].Epoch == s.Epoch {
+			r.Stranded[i].Amount += s.Amount
+			r.Stranded[i].Charged += s.Charged
+			return
+		}
+	}
+	r.Stranded = append(r.Stranded, s)
+}
--- /dev/null
+++ b/pkg/ledger/plan.go
@@ -0,0 +1,305 @@
+package ledger
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+)
+
+// PlanReserve decides on a request. A nil mutation means that the state does
+// not change. The reply may be sent only after the state up to its current
+// index, including the returned mutation, is held by the backup.
+func (s *State) PlanReserve(req ReserveRequest, now time.Time) (ReserveReply, *Mutation, error) {
+	id, err := s.checkReserve(req)
+	if err != nil {
+		return ReserveReply{}, nil, err
+	}
+	if rec := s.records[req.ID]; rec != nil {
+		reply, m := s.planRepeat(rec, req, now)
+		return reply, m, nil
+	}
+	if reason := s.mayHaveRun(id, req.Repeatable, now); reason != "" {
+		return ReserveReply{Decision: OutcomeUnknown, Reason: reason}, nil, nil
+	}
+	reply, m := s.planAttempt(nil, req, id.Mint, now)
+	return reply, m, nil
+}
+
+func (s *State) checkReserve(req ReserveRequest) (RequestID, error) {
+	id, err := ParseRequestID(req.ID)
+	if err != nil {
+		return id, err
+	}
+	if id.Shard != s.shard {
+		return id, failure.New(failure.NotOwner, "send the request to the owner of shard "+id.Shard.String(),
+			"request %s does not belong to shard %s", req.ID, s.shard)
+	}
+	if id.Epoch > s.epoch {
+		return id, failure.New(failure.NotOwner, "read the shard map again and retry",
+			"request %s was issued in epoch %d, this replica of shard %s is in epoch %d", req.ID, id.Epoch, s.shard, s.epoch)
+	}
+	if req.Amount < 0 || req.Amount > MaxTokens {
+		return id, failure.New(failure.Invalid, "ask for at most 2^42 tokens", "reservation of %d tokens is out of range", req.Amount)
+	}
+	return id, nil
+}
+
+// mayHaveRun returns why a request without a record may have run before, or "".
+func (s *State) mayHaveRun(id RequestID, repeatable bool, now time.Time) string {
+	class := retentionClass(repeatable)
+	if id.Kind == CallerKey {
+		if s.lostAt != 0 && now.UnixMilli()-s.lostAt < s.retentionOf(class).Milliseconds() {
+			return fmt.Sprintf("the records of shard %s up to epoch %d were lost", s.shard, s.lostThrough)
+		}
+		return ""
+	}
+	if id.Epoch <= s.lostThrough {
+		return fmt.Sprintf("the id was issued in epoch %d of shard %s, whose records were lost", id.Epoch, s.shard)
+	}
+	if id.Mint <= s.purged[class] {
+		return "the id is older than the retention window"
+	}
+	return ""
+}
+
+func (s *State) planRepeat(rec *Record, req ReserveRequest, now time.Time) (ReserveReply, *Mutation) {
+	if rec.Budget != req.Budget || rec.Service != req.Service || !bytes.Equal(rec.Fingerprint, req.Fingerprint) {
+		return ReserveReply{Decision: Mismatch, Reason: "the id was used before for a request with another content, service or budget"}, nil
+	}
+	switch rec.State {
+	case StateRunning:
+		return s.planRepeatRunning(rec, req, now)
+	case StateAnswered:
+		if rec.Answer == nil {
+			return ReserveReply{Decision: AnswerDropped, Charged: rec.Charged}, nil
+		}
+		return ReserveReply{Decision: Answered, Answer: rec.Answer, Charged: rec.Charged}, nil
+	case StateNotRun:
+		return s.planAfterNotRun(rec, req, now)
+	case StatePartial, StateUnknown:
+		if rec.Repeatable {
+			return s.planAttempt(rec, req, rec.Mint, now)
+		}
+	}
+	return ReserveReply{Decision: OutcomeUnknown, Reason: "an earlier attempt may have run"}, nil
+}
+
+func (s *State) planRepeatRunning(rec *Record, req ReserveRequest, now time.Time) (ReserveReply, *Mutation) {
+	sameCall := rec.Dispatcher == req.Dispatcher && rec.Call == req.Call
+	if sameCall {
+		return ReserveReply{Decision: Admitted, Attempt: rec.Attempt}, nil
+	}
+	if req.DispatcherGone == "" || req.DispatcherGone != rec.Dispatcher {
+		return ReserveReply{Decision: Running, Attempt: rec.Attempt,
+			Dispatcher: rec.Dispatcher, DispatcherAddress: rec.DispatcherAddress}, nil
+	}
+	if rec.Repeatable {
+		return s.planAttempt(rec, req, rec.Mint, now)
+	}
+	m := s.settled(rec, StateUnknown, rec.Reserved, nil, now)
+	return ReserveReply{Decision: OutcomeUnknown, Reason: "the instance that ran the request is gone"}, m
+}
+
+// planAfterNotRun admits a repeat of a request that was recorded as not run. The
+// dispatcher compares SinceNotRun with the age of its request, so a call that
+// was in flight when the caller was told "not run" is not run after all.
+func (s *State) planAfterNotRun(rec *Record, req ReserveRequest, now time.Time) (ReserveReply, *Mutation) {
+	if rec.Dispatcher == req.Dispatcher && rec.Call == req.Call {
+		return ReserveReply{Decision: Refused}, nil
+	}
+	reply, m := s.planAttempt(rec, req, rec.Mint, now)
+	since := now.UnixMilli() - rec.At
+	if rec.Epoch != s.epoch {
+		since = now.UnixMilli() - s.epochAt
+	}
+	reply.AfterNotRun = true
+	reply.SinceNotRun = time.Duration(max(since, 0)) * time.Millisecond
+	return reply, m
+}
+
+// planAttempt admits a new attempt of a request. What an earlier attempt has
+// reserved or been charged is replaced, so the request is billed once.
+func (s *State) planAttempt(prev *Record, req ReserveRequest, mint int64, now time.Time) (ReserveReply, *Mutation) {
+	if req.Refuse {
+		return ReserveReply{Decision: Refused}, s.refused(prev, req, mint, now)
+	}
+	available := s.Right(req.Budget).Available()
+	next := Record{
+		ID: req.ID, Budget: req.Budget, Service: req.Service, Fingerprint: req.Fingerprint,
+		Repeatable: req.Repeatable, KeepAnswer: req.KeepAnswer, State: StateRunning, Attempt: 1,
+		Dispatcher: req.Dispatcher, DispatcherAddress: req.DispatcherAddress, Call: req.Call,
+		Reserved: req.Amount, At: now.UnixMilli(), Mint: mint, Epoch: s.epoch,
+	}
+	if prev != nil {
+		available += prev.Reserved + prev.Charged
+		next.Attempt = prev.Attempt + 1
+	}
+	if req.Amount > available {
+		return ReserveReply{Decision: Exhausted,
+			Reason: fmt.Sprintf("the shard holds rights for %d tokens, the request may cost %d", max(available, 0), req.Amount)}, nil
+	}
+	return ReserveReply{Decision: Admitted, Attempt: next.Attempt}, &Mutation{Op: OpRecord, Record: &next}
+}
+
+// refused returns the mutation that records a request as not run, or nil when
+// an earlier attempt left a record that says more.
+func (s *State) refused(prev *Record, req ReserveRequest, mint int64, now time.Time) *Mutation {
+	next := Record{
+		ID: req.ID, Budget: req.Budget, Service: req.Service, Fingerprint: req.Fingerprint,
+		Repeatable: req.Repeatable, KeepAnswer: req.KeepAnswer, State: StateNotRun, Attempt: 1,
+		Dispatcher: req.Dispatcher, DispatcherAddress: req.DispatcherAddress, Call: req.Call,
+		At: now.UnixMilli(), Mint: mint, Epoch: s.epoch,
+	}
+	if prev != nil {
+		if prev.State != StateNotRun {
+			return nil
+		}
+		next.Attempt = prev.Attempt + 1
+	}
+	return &Mutation{Op: OpRecord, Record: &next}
+}
+
+// PlanSettle ends an attempt. A report of an attempt that has been replaced
+// changes nothing.
+func (s *State) PlanSettle(req SettleRequest, now time.Time) (SettleReply, *Mutation, error) {
+	rec := s.records[req.ID]
+	if rec == nil {
+		return SettleReply{}, nil, failure.New(failure.NotFound, "drop the report; the epoch of the request was lost or its record has expired",
+			"shard %s has no record of request %s", s.shard, req.ID)
+	}
+	if !rec.namedBy(req) {
+		return SettleReply{Charged: rec.Charged, Stale: true}, nil, nil
+	}
+	if rec.State != StateRunning && rec.State != StateUnknown {
+		return SettleReply{Charged: rec.Charged}, nil, nil
+	}
+	m, err := s.planEnd(rec, req, now)
+	if err != nil || m == nil {
+		return SettleReply{Charged: rec.Charged}, nil, err
+	}
+	return SettleReply{Charged: m.Record.Charged}, m, nil
+}
+
+func (r *Record) namedBy(req SettleRequest) bool {
+	if req.Attempt != 0 {
+		return req.Attempt == r.Attempt
+	}
+	return req.End == EndNotRun && req.Dispatcher == r.Dispatcher && req.Call == r.Call
+}
+
+func (s *State) planEnd(rec *Record, req SettleRequest, now time.Time) (*Mutation, error) {
+	held := rec.Reserved + rec.Charged // the reservation, running or charged as unknown
+	switch req.End {
+	case EndComplete:
+		return s.settled(rec, StateAnswered, clamp(req.Charge, held), keptAnswer(rec, req.Answer), now), nil
+	case EndPartial:
+		return s.settled(rec, StatePartial, clamp(req.Charge, held), nil, now), nil
+	case EndNotRun:
+		return s.settled(rec, StateNotRun, 0, nil, now), nil
+	case EndUnknown:
+		if rec.State == StateUnknown {
+			return nil, nil
+		}
+		return s.settled(rec, StateUnknown, held, nil, now), nil
+	}
+	return nil, failure.New(failure.Invalid, "run the same release on all instances", "unknown end %d in a settle request", req.End)
+}
+
+func clamp(charge, held Tokens) Tokens { return max(0, min(charge, held)) }
+
+func keptAnswer(rec *Record, a *StoredAnswer) *StoredAnswer {
+	if !rec.KeepAnswer || a == nil || len(a.Body) > MaxStoredAnswerBytes {
+		return nil
+	}
+	return a
+}
+
+func (s *State) settled(rec *Record, state RecordState, charge Tokens, answer *StoredAnswer, now time.Time) *Mutation {
+	next := *rec
+	next.State, next.Charged, next.Reserved, next.Answer = state, charge, 0, answer
+	next.At, next.Epoch = now.UnixMilli(), s.epoch
+	return &Mutation{Op: OpRecord, Record: &next}
+}
+
+// PlanGranted mirrors the grant that a read of the budget record showed at the
+// given version. It returns nil when nothing changes.
+func (s *State) PlanGranted(b BudgetKey, granted Tokens, version uint64) *Mutation {
+	r := s.Right(b)
+	returning := r.Returning && version <= r.ReturnVersion
+	if r.Granted == granted && r.Returning == returning {
+		return nil
+	}
+	r.Granted = granted
+	r.Returning = returning
+	if !returning {
+		r.ReturnTo, r.ReturnVersion = 0, 0
+	}
+	return &Mutation{Op: OpRight, Budget: b, Right: &r}
+}
+
+// PlanReturn lowers what the shard uses of a grant before the lower grant is
+// written to the store with a swap that expects version. It returns nil when
+// nothing can be returned.
+func (s *State) PlanReturn(b BudgetKey, to Tokens, version uint64) *Mutation {
+	r := s.Right(b)
+	to = max(to, r.Charged+r.Reserved)
+	if to >= r.Granted || r.Returning {
+		return nil
+	}
+	r.Returning, r.ReturnTo, r.ReturnVersion = true, to, version
+	return &Mutation{Op: OpRight, Budget: b, Right: &r}
+}
+
+// PlanExpire drops up to limit records whose retention has passed, and turns
+// running ones that were started before abandoned into unknown ones.
+func (s *State) PlanExpire(now time.Time, abandoned time.Time, limit int) []*Mutation {
+	var out []*Mutation
+	if ids := s.expired(now, limit); len(ids) > 0 {
+		out = append(out, &Mutation{Op: OpExpire, IDs: ids})
+	}
+	for _, rec := range s.records {
+		if len(out) >= limit {
+			break
+		}
+		if rec.State == StateRunning && rec.At < abandoned.UnixMilli() {
+			out = append(out, s.settled(rec, StateUnknown, rec.Reserved, nil, now))
+		}
+	}
+	return out
+}
+
+func (s *State) expired(now time.Time, limit int) []string {
+	var ids []string
+	for class := range s.ended {
+		before := now.Add(-s.retentionOf(class)).UnixMilli()
+		for _, e := range s.ended[class] {
+			if e.At > before || len(ids) >= limit {
+				break
+			}
+			ids = append(ids, e.ID)
+		}
+	}
+	return ids
+}
+
+// PlanSeal puts up to limit bill lines into the next segment, or returns nil
+// when there are none.
+func (s *State) PlanSeal(limit int) *Mutation {
+	if len(s.unsealed) == 0 {
+		return nil
+	}
+	return &Mutation{Op: OpSeal, Count: min(limit, len(s.unsealed))}
+}
+
+// PlanConfirmed drops a segment that the store holds.
+func (s *State) PlanConfirmed(seg Segment) *Mutation {
+	return &Mutation{Op: OpConfirmed, Epoch: seg.Epoch, Seq: seg.Seq}
+}
+
+// PlanEpoch moves the shard to a newer epoch. lost says that the state of the
+// previous epoch was lost and that this state starts empty.
+func (s *State) PlanEpoch(epoch, lostThrough uint64, now time.Time) *Mutation {
+	return &Mutation{Op: OpEpoch, Epoch: epoch, LostThrough: lostThrough, At: now.UnixMilli()}
+}
