Add ledger shards: ownership, replication, takeover, rights and bills

Cause: budgets and request records need one owner per failure domain that survives the loss of an instance without a store call per request.

--- /dev/null
+++ b/pkg/grant/policy.go
@@ -0,0 +1,113 @@
+package grant
+
+import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+// Policy holds the parameters of the grant policy.
+type Policy struct {
+	// Horizon is how long a shard should be able to serve its recent demand
+	// without the store.
+	Horizon time.Duration
+	// Domains is the number of failure domains that may draw on a budget.
+	Domains int
+	// StandingDivisor sets the share of the unassigned rest that a shard takes
+	// without any known demand: 1/(StandingDivisor*Domains).
+	StandingDivisor int
+}
+
+// Defaults of the policy.
+const (
+	// DefaultHorizon covers a partition of 10 minutes and the time to notice it.
+	DefaultHorizon = 11 * time.Minute
+	// DefaultStandingDivisor leaves three quarters of a new budget unassigned
+	// when every domain has asked once.
+	DefaultStandingDivisor = 4
+	// refillPoint is the part of the target below which a shard asks again. It
+	// keeps a shard from calling the store for each request.
+	refillPoint = 0.8
+	// idleFactor is how many targets a shard may hold before it gives back.
+	idleFactor = 2
+	// restFraction is the largest part of the unassigned rest that one grant
+	// may take beyond the immediate need, so that grants shrink near exhaustion.
+	restFraction = 2
+)
+
+// Default returns the policy for a number of failure domains.
+func Default(domains int) Policy {
+	return Policy{Horizon: DefaultHorizon, Domains: max(domains, 1), StandingDivisor: DefaultStandingDivisor}
+}
+
+// View is what the policy knows about one budget at one shard.
+type View struct {
+	// Unassigned is what no shard holds, at the last read of the record.
+	Unassigned ledger.Tokens
+	// Available is what the shard can still reserve.
+	Available ledger.Tokens
+	// Rate is the recent demand in tokens per second.
+	Rate float64
+}
+
+// Target returns the rights that the shard should hold for its recent demand.
+func (p Policy) Target(v View) ledger.Tokens {
+	standing := (v.Unassigned + max(v.Available, 0)) / ledger.Tokens(p.StandingDivisor*p.Domains)
+	return max(ledger.Tokens(v.Rate*p.Horizon.Seconds()), standing)
+}
+
+// NeedsRefill reports whether the shard should ask before it runs out.
+func (p Policy) NeedsRefill(v View) bool {
+	demand := v.Rate * p.Horizon.Seconds()
+	return float64(v.Available) < demand*refillPoint
+}
+
+// Ask returns how much to ask for when need tokens are wanted at once. The
+// result is at most v.Unassigned; it is less than need when the budget has no
+// more.
+func (p Policy) Ask(v View, need ledger.Tokens) ledger.Tokens {
+	short := max(need-max(v.Available, 0), 0)
+	if short >= v.Unassigned {
+		return max(v.Unassigned, 0)
+	}
+	more := p.Target(v) - max(v.Available, 0) - short
+	spare := (v.Unassigned - short) / restFraction
+	return short + min(max(more, 0), spare)
+}
+
+// Return returns how much an idle shard should give back, or 0.
+func (p Policy) Return(v View) ledger.Tokens {
+	target := p.Target(v)
+	if v.Available <= idleFactor*target {
+		return 0
+	}
+	return v.Available - target
+}
+
+// Recall returns how much a shard gives back when another domain has run out
+// and asks for it. It keeps keepFor of its own demand.
+func (p Policy) Recall(v View, keepFor time.Duration) ledger.Tokens {
+	keep := ledger.Tokens(v.Rate * keepFor.Seconds())
+	return max(v.Available-keep, 0)
+}
+
+// Rate is an exponentially weighted average of demand.
+type Rate struct {
+	perSecond float64
+	at        time.Time
+}
+
+// rateHalfLife is long enough that one large request does not double a grant.
+const rateHalfLife = 2 * time.Minute
+
+// Add notes that tokens were reserved at now.
+func (r *Rate) Add(tokens ledger.Tokens, now time.Time) {
+	r.decay(now)
+	r.perSecond += float64(tokens) * decayPerSecond
+}
+
+// PerSecond returns the average at now in tokens per second.
+func (r *Rate) PerSecond(now time.Time) float64 {
+	r.decay(now)
+	return r.perSecond
+}
--- a/pkg/ledger/mutation.go
+++ b/pkg/ledger/mutation.go
@@ -107,7 +107,7 @@
 
 func (s *State) applyRight(b BudgetKey, next *Right) {
 	r := s.right(b)
-	r.Granted = next.Granted
+	r.Granted, r.Version = next.Granted, next.Version
 	r.Returning, r.ReturnTo, r.ReturnVersion = next.Returning, next.ReturnTo, next.ReturnVersion
 }
 
--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -224,15 +224,17 @@
 }
 
 // PlanGranted mirrors the grant that a read of the budget record showed at the
-// given version. It returns nil when nothing changes.
+// given version. It returns nil when nothing changes or when the read is stale.
 func (s *State) PlanGranted(b BudgetKey, granted Tokens, version uint64) *Mutation {
 	r := s.Right(b)
+	if version < r.Version {
+		return nil
+	}
 	returning := r.Returning && version <= r.ReturnVersion
 	if r.Granted == granted && r.Returning == returning {
 		return nil
 	}
-	r.Granted = granted
-	r.Returning = returning
+	r.Granted, r.Version, r.Returning = granted, version, returning
 	if !returning {
 		r.ReturnTo, r.ReturnVersion = 0, 0
 	}
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -42,6 +42,9 @@
 	Returning     bool   `cbor:"4,keyasint,omitempty"`
 	ReturnTo      Tokens `cbor:"5,keyasint,omitempty"`
 	ReturnVersion uint64 `cbor:"6,keyasint,omitempty"`
+	// Version is the highest version of the budget record that was mirrored. A
+	// read that shows a lower one is stale and must not raise Granted again.
+	Version uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // Available returns what can still be reserved.
--- /dev/null
+++ b/pkg/shard/handlers.go
@@ -0,0 +1,158 @@
+package shard
+
+import (
+	"context"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+// Register registers the handlers of calls from other instances.
+func (m *Manager) Register(reg peer.Registrar) {
+	handle(reg, MethodReserve, m.Reserve)
+	handle(reg, MethodSettle, m.Settle)
+	handle(reg, MethodLookup, func(ctx context.Context, req lookupRequest) (ledger.RequestStatus, error) {
+		return m.Lookup(ctx, req.ID)
+	})
+	handle(reg, MethodRecall, m.recall)
+	handleControl(reg, m, MethodInstall, m.onInstall)
+	handleControl(reg, m, MethodReplicate, m.onReplicate)
+	handleControl(reg, m, MethodFence, m.onFence)
+	handleControl(reg, m, MethodRelease, m.onRelease)
+	handleControl(reg, m, MethodHandover, m.onHandover)
+	handle(reg, MethodMapFetch, m.onMapFetch)
+}
+
+// handle registers a typed handler.
+func handle[Q, A any](reg peer.Registrar, method peer.Method, fn func(context.Context, Q) (A, error)) {
+	reg.Handle(method, func(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
+		var req Q
+		if err := cbor.Unmarshal(body, &req); err != nil {
+			return nil, failure.New(failure.Format, "run the same release on all instances", "message %s cannot be decoded: %v", method, err)
+		}
+		return fn(ctx, req)
+	})
+}
+
+// handleControl registers a handler that runs on the control goroutine.
+func handleControl[Q, A any](reg peer.Registrar, m *Manager, method peer.Method, fn func(Q) (A, error)) {
+	handle(reg, method, func(ctx context.Context, req Q) (A, error) {
+		return await(ctx, m, func(answer func(A, error)) { answer(fn(req)) })
+	})
+}
+
+func errFenced(r *replica, epoch uint64) error {
+	return failure.New(failure.Fenced, "read the shard map again", "shard %s refuses messages of epoch %d", r.id(), epoch)
+}
+
+func (m *Manager) onInstall(req installRequest) (replicateReply, error) {
+	r := m.replica(req.Shard)
+	older := req.Epoch < r.epoch || (req.Epoch == r.epoch && req.Session <= r.session)
+	serving := r.role == roleOwner || r.role == roleHandingOver
+	if older || serving || req.Epoch < m.epochOf(req.Shard) {
+		return replicateReply{}, errFenced(r, req.Epoch)
+	}
+	state, err := ledger.Restore(req.Snapshot, m.opts.Retention)
+	if err != nil {
+		return replicateReply{}, err
+	}
+	r.role, r.state, r.epoch, r.session = roleBackup, state, req.Epoch, req.Session
+	return replicateReply{Index: state.Index()}, nil
+}
+
+// epochOf returns the epoch of a shard in the newest known map.
+func (m *Manager) epochOf(shard int) uint64 {
+	if m.current == nil || shard < 0 || shard >= len(m.current.Shards) {
+		return 0
+	}
+	return m.current.Shards[shard].Epoch
+}
+
+func (m *Manager) onReplicate(req replicateRequest) (replicateReply, error) {
+	r := m.replica(req.Shard)
+	if r.role != roleBackup || r.epoch != req.Epoch || r.session != req.Session {
+		return replicateReply{}, errFenced(r, req.Epoch)
+	}
+	for _, mutation := range req.Mutations {
+		if err := r.state.Apply(mutation); err != nil {
+			return replicateReply{}, err
+		}
+	}
+	return replicateReply{Index: r.state.Index()}, nil
+}
+
+// onFence gives the state of an epoch to its next owner. After that this replica
+// neither serves nor acknowledges the epoch.
+func (m *Manager) onFence(req fenceRequest) (fenceReply, error) {
+	r := m.replica(req.Shard)
+	if req.Target != m.opts.Self.Incarnation {
+		return fenceReply{}, nil
+	}
+	switch r.role {
+	case roleHandingOver:
+		return fenceReply{}, failure.New(failure.Unavailable, "ask the backup or repeat the call", "shard %s is being handed over", r.id())
+	case roleOwner:
+		if req.Epoch < r.epoch {
+			return fenceReply{}, nil
+		}
+		r.epoch = req.Epoch
+		r.fence()
+	case roleBackup:
+		if req.Epoch != r.epoch {
+			return fenceReply{}, nil
+		}
+		r.fence()
+	case roleFenced:
+		if req.Epoch != r.epoch {
+			return fenceReply{}, nil
+		}
+	default:
+		return fenceReply{}, nil
+	}
+	snapshot, err := r.state.Snapshot()
+	return fenceReply{HasState: err == nil, Snapshot: snapshot}, err
+}
+
+// onRelease lets the owner go on alone: its backup has dropped its copy and will
+// never hand it over.
+func (m *Manager) onRelease(req releaseRequest) (replicateReply, error) {
+	r := m.replica(req.Shard)
+	if r.role != roleOwner && r.role != roleHandingOver {
+		return replicateReply{}, r.errNotOwner()
+	}
+	l := r.linkTo(peer.Identity{Incarnation: req.Backup})
+	if l != nil && l.epoch == req.Epoch {
+		r.dropLink(l.to)
+	}
+	return replicateReply{}, nil
+}
+
+// onHandover makes the backup the owner within the same epoch.
+func (m *Manager) onHandover(req handoverRequest) (replicateReply, error) {
+	r := m.replica(req.Shard)
+	if r.role == roleOwner && r.epoch == req.Epoch && r.session == req.Session {
+		return replicateReply{Index: r.state.Index()}, nil
+	}
+	if r.role != roleBackup || r.epoch != req.Epoch || r.session != req.Session {
+		return replicateReply{}, errFenced(r, req.Epoch)
+	}
+	if r.state.Index() != req.Index {
+		return replicateReply{}, failure.New(failure.Conflict, "send the missing mutations first",
+			"shard %s is at index %d, the handover is at %d", r.id(), r.state.Index(), req.Index)
+	}
+	r.serve(r.state, r.epoch)
+	m.metrics.handovers.Inc()
+	return replicateReply{Index: req.Index}, nil
+}
+
+func (m *Manager) onMapFetch(_ context.Context, req mapFetchRequest) (mapFetchReply, error) {
+	current, version := m.MapView()
+	if current == nil || req.Domain != m.opts.Self.Domain {
+		return mapFetchReply{}, nil
+	}
+	data, err := current.Encode()
+	return mapFetchReply{Version: version, Map: data}, err
+}
--- /dev/null
+++ b/pkg/shard/messages.go
@@ -0,0 +1,100 @@
+package shard
+
+import (
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+// Methods of calls between instances.
+const (
+	MethodReserve   peer.Method = "ledger.reserve"
+	MethodSettle    peer.Method = "ledger.settle"
+	MethodLookup    peer.Method = "ledger.lookup"
+	MethodReplicate peer.Method = "ledger.replicate"
+	MethodInstall   peer.Method = "ledger.install"
+	MethodFence     peer.Method = "ledger.fence"
+	MethodRelease   peer.Method = "ledger.release"
+	MethodHandover  peer.Method = "ledger.handover"
+	MethodRecall    peer.Method = "ledger.recall"
+	MethodMapFetch  peer.Method = "shardmap.fetch"
+)
+
+// installRequest gives a replica the whole state of a shard.
+type installRequest struct {
+	Shard int    `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Session grows with each install by the same owner, so that late messages
+	// of an earlier session are refused.
+	Session  uint64 `cbor:"3,keyasint"`
+	Snapshot []byte `cbor:"4,keyasint"`
+}
+
+// replicateRequest carries mutations in order.
+type replicateRequest struct {
+	Shard     int                `cbor:"1,keyasint"`
+	Epoch     uint64             `cbor:"2,keyasint"`
+	Session   uint64             `cbor:"3,keyasint"`
+	Mutations []*ledger.Mutation `cbor:"4,keyasint"`
+}
+
+// replicateReply acknowledges all mutations up to Index.
+type replicateReply struct {
+	Index uint64 `cbor:"1,keyasint"`
+}
+
+// fenceRequest asks for the state of an epoch and forbids it from then on.
+type fenceRequest struct {
+	Shard int    `cbor:"1,keyasint"`
+	Epoch uint64 `cbor:"2,keyasint"`
+	// Target is the incarnation that the shard map names; another incarnation
+	// at the same address holds no state.
+	Target string `cbor:"3,keyasint"`
+}
+
+// fenceReply carries the state, if the replica holds it.
+type fenceReply struct {
+	HasState bool   `cbor:"1,keyasint"`
+	Snapshot []byte `cbor:"2,keyasint,omitempty"`
+}
+
+// releaseRequest tells the owner that its backup has dropped its copy for good.
+type releaseRequest struct {
+	Shard  int    `cbor:"1,keyasint"`
+	Epoch  uint64 `cbor:"2,keyasint"`
+	Backup string `cbor:"3,keyasint"`
+}
+
+// handoverRequest makes the backup the owner within the same epoch.
+type handoverRequest struct {
+	Shard   int    `cbor:"1,keyasint"`
+	Epoch   uint64 `cbor:"2,keyasint"`
+	Session uint64 `cbor:"3,keyasint"`
+	Index   uint64 `cbor:"4,keyasint"`
+}
+
+// recallRequest asks a shard of another domain to return idle rights.
+type recallRequest struct {
+	Shard  ledger.ShardID   `cbor:"1,keyasint"`
+	Budget ledger.BudgetKey `cbor:"2,keyasint"`
+}
+
+// recallReply tells how much was returned to the budget.
+type recallReply struct {
+	Returned ledger.Tokens `cbor:"1,keyasint"`
+}
+
+// lookupRequest asks for the public view of a request.
+type lookupRequest struct {
+	ID string `cbor:"1,keyasint"`
+}
+
+// mapFetchRequest asks for the newest shard map that an instance knows.
+type mapFetchRequest struct {
+	Domain string `cbor:"1,keyasint"`
+}
+
+// mapFetchReply carries a shard map; Version 0 means that none is known.
+type mapFetchReply struct {
+	Version uint64 `cbor:"1,keyasint"`
+	Map     []byte `cbor:"2,keyasint,omitempty"`
+}
--- /dev/null
+++ b/pkg/shard/replica.go
@@ -0,0 +1,230 @@
+package shard
+
+import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+// role is what a replica does for its shard.
+type role int
+
+const (
+	// roleNone: holds no state.
+	roleNone role = iota
+	// roleBackup: applies the owner's mutations.
+	roleBackup
+	// roleOwner: serves the shard.
+	roleOwner
+	// roleHandingOver: was owner, waits for the backup to become owner.
+	roleHandingOver
+	// roleFenced: refuses its epoch, keeps the state for the next owner.
+	roleFenced
+)
+
+// replica is this instance's part in one shard. It belongs to the control
+// goroutine.
+type replica struct {
+	m     *Manager
+	shard int
+	role  role
+	// epoch that the state is valid for. For a backup that is not named yet it
+	// is the epoch in which it will be named.
+	epoch   uint64
+	session uint64
+	state   *ledger.State
+
+	// Owner only.
+	links   []*link
+	waiters []waiter
+	demand  map[ledger.BudgetKey]*demand
+	sealing bool
+	sealAt  time.Time
+	review  time.Time
+
+	// Takeover: the epoch that this instance claimed, and what it learned about
+	// the epoch before.
+	claimed uint64
+	fencing bool
+	fenced  *fenceResult
+}
+
+// waiter runs when the state up to index is held by all links, or with an error
+// when the replica stops being the owner.
+type waiter struct {
+	index uint64
+	fn    func(error)
+}
+
+// demand is what the owner knows about the use of one budget.
+type demand struct {
+	rate       grant.Rate
+	unassigned ledger.Tokens
+	busy       bool
+	waiting    []func()
+	need       ledger.Tokens
+	emptyUntil time.Time
+	// askedAt is the time of the last call to the store for this budget.
+	askedAt time.Time
+}
+
+func (m *Manager) replica(shard int) *replica {
+	r := m.replicas[shard]
+	if r == nil {
+		r = &replica{m: m, shard: shard}
+		m.replicas[shard] = r
+	}
+	return r
+}
+
+func (r *replica) id() ledger.ShardID {
+	return ledger.ShardID{Domain: r.m.opts.Self.Domain, Shard: r.shard}
+}
+
+func (r *replica) errNotOwner() error {
+	return failure.New(failure.NotOwner, "read the shard map again and retry", "instance %s does not own shard %s", r.m.opts.Self.Instance, r.id())
+}
+
+// serve makes the replica the owner with the given state.
+func (r *replica) serve(state *ledger.State, epoch uint64) {
+	r.role, r.state, r.epoch = roleOwner, state, epoch
+	r.fencing, r.fenced = false, nil
+	r.links, r.demand = nil, map[ledger.BudgetKey]*demand{}
+	r.sealAt = r.m.now().Add(r.m.opts.Timing.SealInterval)
+	r.review = r.m.now().Add(r.m.opts.Timing.ReviewInterval)
+}
+
+// fence stops the replica from serving or acknowledging. The state is kept for
+// the owner of a later epoch.
+func (r *replica) fence() {
+	r.role = roleFenced
+	r.dropLinks()
+	r.failWaiters(r.errNotOwner())
+}
+
+// drop forgets the state.
+func (r *replica) drop() {
+	r.role, r.state = roleNone, nil
+	r.dropLinks()
+	r.failWaiters(r.errNotOwner())
+}
+
+func (r *replica) failWaiters(err error) {
+	waiters := r.waiters
+	r.waiters = nil
+	for _, w := range waiters {
+		w.fn(err)
+	}
+	for _, d := range r.demand {
+		d.wake()
+	}
+}
+
+func (d *demand) wake() {
+	waiting := d.waiting
+	d.waiting = nil
+	for _, fn := range waiting {
+		fn()
+	}
+}
+
+// commit applies a mutation and queues it for the links.
+func (r *replica) commit(mutation *ledger.Mutation) {
+	if mutation == nil {
+		return
+	}
+	r.state.Commit(mutation)
+	for _, l := range r.links {
+		l.enqueue(mutation)
+	}
+}
+
+// whenHeld runs fn once all links hold the current state.
+func (r *replica) whenHeld(fn func(error)) {
+	index := r.state.Index()
+	if r.held() >= index {
+		fn(nil)
+		return
+	}
+	r.waiters = append(r.waiters, waiter{index, fn})
+}
+
+// held returns the index up to which all required links have acknowledged.
+func (r *replica) held() uint64 {
+	held := r.state.Index()
+	for _, l := range r.links {
+		if l.required() {
+			held = min(held, l.acked)
+		}
+	}
+	return held
+}
+
+func (r *replica) releaseWaiters() {
+	held := r.held()
+	n := 0
+	for n < len(r.waiters) && r.waiters[n].index <= held {
+		n++
+	}
+	ready := r.waiters[:n]
+	r.waiters = r.waiters[n:]
+	for _, w := range ready {
+		w.fn(nil)
+	}
+}
+
+func (r *replica) dropLinks() {
+	for _, l := range r.links {
+		l.closed = true
+	}
+	r.links = nil
+}
+
+// dropLink removes the link to an instance; waiters may become ready by it.
+func (r *replica) dropLink(id peer.Identity) {
+	for i, l := range r.links {
+		if same(l.to, id) {
+			l.closed = true
+			r.links = append(r.links[:i:i], r.links[i+1:]...)
+			r.releaseWaiters()
+			return
+		}
+	}
+}
+
+func (r *replica) linkTo(id peer.Identity) *link {
+	for _, l := range r.links {
+		if same(l.to, id) {
+			return l
+		}
+	}
+	return nil
+}
+
+// housekeeping runs at each tick.
+func (r *replica) housekeeping(now time.Time) {
+	if r.role != roleOwner {
+		return
+	}
+	r.expire(now)
+	if !now.Before(r.sealAt) {
+		r.sealAt = now.Add(r.m.opts.Timing.SealInterval)
+		r.seal()
+	}
+	if !now.Before(r.review) {
+		r.review = now.Add(r.m.opts.Timing.ReviewInterval)
+		r.reviewRights(now)
+	}
+}
+
+// expireBatch bounds the records that one tick drops, so that a tick stays short.
+const expireBatch = 1000
+
+func (r *replica) expire(now time.Time) {
+	for _, mutation := range r.state.PlanExpire(now, now.Add(-r.m.opts.Timing.AbandonAfter), expireBatch) {
+		r.commit(mutation)
+	}
+}
--- /dev/null
+++ b/pkg/shard/serve.go
@@ -0,0 +1,187 @@
+package shard
+
+import (
+	"context"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+// result carries the answer of the control goroutine to a waiting caller.
+type result[T any] struct {
+	value T
+	err   error
+}
+
+// await posts fn, which must call the given function exactly once, and waits
+// for that call. The answer may come after ctx has ended, so the error then is
+// failure.Uncertain.
+func await[T any](ctx context.Context, m *Manager, fn func(answer func(T, error))) (T, error) {
+	ch := make(chan result[T], 1)
+	var zero T
+	if !m.post(func() { fn(func(v T, err error) { ch <- result[T]{v, err} }) }) {
+		return zero, errStopped()
+	}
+	select {
+	case r := <-ch:
+		return r.value, r.err
+	case <-ctx.Done():
+		return zero, failure.New(failure.Uncertain, "repeat the call with the same request id", "the owner of the shard did not answer in time")
+	case <-m.done:
+		return zero, failure.New(failure.Uncertain, "repeat the call with the same request id", "the owner of the shard is stopping")
+	}
+}
+
+// owned returns the replica of a shard that this instance serves.
+func (m *Manager) owned(id ledger.ShardID) (*replica, error) {
+	r := m.replicas[id.Shard]
+	if id.Domain != m.opts.Self.Domain || r == nil || r.role != roleOwner {
+		return nil, (&replica{m: m, shard: id.Shard}).errNotOwner()
+	}
+	return r, nil
+}
+
+// Reserve admits a request at the shard that its id names. It fails with
+// failure.NotOwner when this instance does not serve the shard.
+func (m *Manager) Reserve(ctx context.Context, req ledger.ReserveRequest) (ledger.ReserveReply, error) {
+	id, err := ledger.ParseRequestID(req.ID)
+	if err != nil {
+		return ledger.ReserveReply{}, err
+	}
+	return await(ctx, m, func(answer func(ledger.ReserveReply, error)) {
+		r, err := m.owned(id.Shard)
+		if err != nil {
+			answer(ledger.ReserveReply{}, err)
+			return
+		}
+		r.reserve(req, false, answer)
+	})
+}
+
+func (r *replica) reserve(req ledger.ReserveRequest, asked bool, answer func(ledger.ReserveReply, error)) {
+	if r.role != roleOwner {
+		answer(ledger.ReserveReply{}, r.errNotOwner())
+		return
+	}
+	now := r.m.now()
+	reply, mutation, err := r.state.PlanReserve(req, now)
+	if err != nil {
+		answer(reply, err)
+		return
+	}
+	if reply.Decision == ledger.Exhausted && !asked {
+		r.askFor(req.Budget, req.Amount, func() { r.reserve(req, true, answer) })
+		return
+	}
+	if reply.Decision == ledger.Exhausted && req.KeepAnswer {
+		reply, mutation = r.refuseExhausted(req, reply)
+	}
+	if reply.Decision == ledger.Admitted && mutation != nil {
+		r.demandOf(req.Budget).rate.Add(req.Amount, now)
+	}
+	r.m.metrics.decisions.WithLabelValues(decisionName(reply.Decision)).Inc()
+	r.commit(mutation)
+	r.whenHeld(func(err error) { answer(reply, err) })
+}
+
+// refuseExhausted records that the request did not run, because its caller will
+// be told so and another attempt may still be on its way.
+func (r *replica) refuseExhausted(req ledger.ReserveRequest, reply ledger.ReserveReply) (ledger.ReserveReply, *ledger.Mutation) {
+	req.Refuse = true
+	refused, mutation, err := r.state.PlanReserve(req, r.m.now())
+	if err != nil || refused.Decision != ledger.Refused {
+		return reply, nil
+	}
+	return reply, mutation
+}
+
+// Settle ends an attempt at the shard that its id names.
+func (m *Manager) Settle(ctx context.Context, req ledger.SettleRequest) (ledger.SettleReply, error) {
+	id, err := ledger.ParseRequestID(req.ID)
+	if err != nil {
+		return ledger.SettleReply{}, err
+	}
+	return await(ctx, m, func(answer func(ledger.SettleReply, error)) {
+		r, err := m.owned(id.Shard)
+		if err != nil {
+			answer(ledger.SettleReply{}, err)
+			return
+		}
+		reply, mutation, err := r.state.PlanSettle(req, m.now())
+		if err != nil {
+			answer(reply, err)
+			return
+		}
+		r.commit(mutation)
+		r.whenHeld(func(err error) { answer(reply, err) })
+	})
+}
+
+// Lookup returns the public view of a request.
+func (m *Manager) Lookup(ctx context.Context, id string) (ledger.RequestStatus, error) {
+	parsed, err := ledger.ParseRequestID(id)
+	if err != nil {
+		return ledger.RequestStatus{}, err
+	}
+	return await(ctx, m, func(answer func(ledger.RequestStatus, error)) {
+		r, err := m.owned(parsed.Shard)
+		if err != nil {
+			answer(ledger.RequestStatus{}, err)
+			return
+		}
+		status, ok := r.state.Lookup(id)
+		if !ok {
+			answer(status, failure.New(failure.NotFound, "check the id; records are kept for the retention window only", "shard %s has no record of request %s", r.id(), id))
+			return
+		}
+		r.whenHeld(func(err error) { answer(status, err) })
+	})
+}
+
+// Status is a summary of the shards that this instance serves.
+type Status struct {
+	Owned   int                    `cbor:"1,keyasint" json:"owned"`
+	Backups int                    `cbor:"2,keyasint" json:"backups"`
+	Budgets int                    `cbor:"3,keyasint" json:"budgets"`
+	Records int                    `cbor:"4,keyasint" json:"records"`
+	Running []ledger.RequestStatus `cbor:"5,keyasint" json:"running"`
+	// Charged are the exact charges of the budgets on the owned shards.
+	Charged []BudgetCharge `cbor:"6,keyasint" json:"charged"`
+}
+
+// BudgetCharge is what one shard has charged to a budget.
+type BudgetCharge struct {
+	Budget   ledger.BudgetKey `cbor:"1,keyasint" json:"budget"`
+	Shard    ledger.ShardID   `cbor:"2,keyasint" json:"shard"`
+	Granted  ledger.Tokens    `cbor:"3,keyasint" json:"granted"`
+	Charged  ledger.Tokens    `cbor:"4,keyasint" json:"charged"`
+	Reserved ledger.Tokens    `cbor:"5,keyasint" json:"reserved"`
+}
+
+// Status returns the summary.
+func (m *Manager) Status(ctx context.Context) (Status, error) {
+	return await(ctx, m, func(answer func(Status, error)) {
+		var s Status
+		for _, r := range m.replicas {
+			r.addTo(&s)
+		}
+		answer(s, nil)
+	})
+}
+
+func (r *replica) addTo(s *Status) {
+	switch r.role {
+	case roleBackup:
+		s.Backups++
+	case roleOwner:
+		s.Owned++
+		budgets, records := r.state.Sizes()
+		s.Budgets += budgets
+		s.Records += records
+		s.Running = append(s.Running, r.state.Running()...)
+		for _, b := range r.state.Budgets() {
+			right := r.state.Right(b)
+			s.Charged = append(s.Charged, BudgetCharge{b, r.id(), right.Granted, right.Charged, right.Reserved})
+		}
+	}
+}
