Test shards under faults; fix two stuck ownership states

Cause: the fault matrix left a shard without an owner when a backup died right after it accepted a handover, and when a handover never reached a dead backup. Change: an owner that handed over claims the shard again when the backup is dead; a handover that was never delivered is taken back; other instances may fence a stopping owner without a live backup.

--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -78,7 +78,7 @@
 	if r.role != roleOwner || l == nil || l.gone || l.epoch != r.epoch || r.busy() {
 		return false
 	}
-	r.role = roleHandingOver
+	r.role, r.handoverSent = roleHandingOver, false
 	r.whenHeld(func(err error) {
 		if err == nil {
 			r.sendHandover(l)
@@ -109,7 +109,14 @@
 			r.drop()
 		case failure.Conflict, failure.Fenced, failure.NotOwner, failure.Format:
 			r.role = roleOwner // refused for good, so the backup did not become owner
+		case failure.Unavailable:
+			if !r.handoverSent {
+				r.role = roleOwner
+				return
+			}
+			r.retryHandover(l)
 		default:
+			r.handoverSent = true
 			r.retryHandover(l)
 		}
 	})
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -93,13 +93,15 @@
 	switch {
 	case same(e.Owner, self) && e.Pending != nil:
 		return r.finishTakeover(e)
+	case same(e.Owner, self) && r.role == roleOwner:
+		return m.assignBackup(r, e, loads)
 	case same(e.Owner, self):
-		return r.role == roleOwner && m.assignBackup(r, e, loads)
+		return r.handedOver(*e) && m.claim(r, e, loads)
 	case r.role == roleOwner:
 		// The previous owner handed the shard over within its epoch.
 		*e = Entry{Epoch: e.Epoch + 1, Owner: self, LostThrough: e.LostThrough}
 		return true
-	case assigned(e.Owner) && m.opts.Members.IsLive(e.Owner.Incarnation):
+	case m.ownerStays(*e):
 		return false
 	case !same(m.candidate(*e, loads), self):
 		return false
@@ -107,6 +109,21 @@
 	return m.claim(r, e, loads)
 }
 
+// handedOver reports whether this instance gave the shard away within the epoch
+// to a backup that died before it wrote the map.
+func (r *replica) handedOver(e Entry) bool {
+	return r.role == roleNone && r.epoch == e.Epoch && assigned(e.Backup) && !r.m.opts.Members.IsLive(e.Backup.Incarnation)
+}
+
+// ownerStays reports whether the shard is left to its owner. A stopping owner
+// without a live backup cannot hand over by itself, so another instance fences it.
+func (m *Manager) ownerStays(e Entry) bool {
+	if !assigned(e.Owner) || !m.opts.Members.IsLive(e.Owner.Incarnation) {
+		return false
+	}
+	return !m.opts.Members.IsDraining(e.Owner.Incarnation) || m.opts.Members.IsLive(e.Backup.Incarnation)
+}
+
 // candidate returns the instance that takes over a shard without live owner: the
 // backup, which holds the state, or else the least loaded instance.
 func (m *Manager) candidate(e Entry, loads []load) peer.Identity {
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -44,6 +44,8 @@
 	sealing bool
 	sealAt  time.Time
 	review  time.Time
+	// handoverSent is true when a handover may have reached the backup.
+	handoverSent bool
 
 	// Takeover: the epoch that this instance claimed, and what it learned about
 	// the epoch before.
--- /dev/null
+++ b/pkg/shard/shard_test.go
@@ -0,0 +1,211 @@
+package shard
+
+import (
+	"testing"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+// boot starts three instances in one domain with a paid budget and waits until
+// each shard has an owner and a backup.
+func boot(w *world, paid ledger.Tokens) {
+	if err := w.topUp("first", paid); err != nil {
+		w.t.Fatal(err)
+	}
+	for _, name := range []string{"a1", "a2", "a3"} {
+		w.start(name, testDomainA)
+	}
+	w.settle(15 * time.Second)
+	if w.ownerOf(testDomainA) == nil || w.backupOf(testDomainA) == nil {
+		w.t.Fatal("shard has no owner or no backup after 15 s")
+	}
+}
+
+// expect sends a request and compares what its caller is told.
+func (n *node) expect(req request, want string) {
+	n.w.t.Helper()
+	got := n.send(req, 30*time.Second)
+	n.w.mu.Lock()
+	n.w.told[req.id] = got
+	n.w.mu.Unlock()
+	if got != want {
+		n.w.t.Errorf("request %s: caller was told %q, want %q", req.id, got, want)
+	}
+}
+
+// Guards against requests that are lost, run twice or billed twice when nothing fails.
+func TestServesFromEachInstance(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 10_000)
+		for _, n := range w.nodes {
+			req := n.newRequest(100, 60)
+			n.expect(req, "answered")
+			n.expect(req, "answered")
+		}
+		w.settle(20 * time.Second)
+		if got := len(w.bills()); got != 3 {
+			t.Errorf("%d bill lines, want 3", got)
+		}
+	})
+}
+
+// Guards against spending more than was paid, and against refusing the last tokens.
+func TestSpendsBudgetToTheEnd(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 1_000)
+		n := w.nodes["a1"]
+		for range 10 {
+			n.expect(n.newRequest(100, 100), "answered")
+		}
+		n.expect(n.newRequest(1, 1), "not-run")
+		if err := w.topUp("second", 50); err != nil {
+			t.Fatal(err)
+		}
+		w.settle(time.Second)
+		n.expect(n.newRequest(50, 50), "answered")
+	})
+}
+
+// Guards against losing requests or rights when the owner is killed.
+func TestTakeoverAfterOwnerKilled(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 10_000)
+		owner := w.ownerOf(testDomainA)
+		n := w.other(testDomainA, owner)
+		first := n.newRequest(100, 60)
+		n.expect(first, "answered")
+		owner.kill()
+		n.expect(first, "answered")
+		n.expect(n.newRequest(100, 60), "answered")
+		w.settle(20 * time.Second)
+		if got := len(w.bills()); got != 2 {
+			t.Errorf("%d bill lines, want 2", got)
+		}
+		if len(w.budget().Stranded) != 0 {
+			t.Errorf("rights were stranded although the backup was alive: %+v", w.budget().Stranded)
+		}
+	})
+}
+
+// Guards against an owner that was paused past its replacement and spends on.
+func TestPausedOwnerIsFenced(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 1_000)
+		owner := w.ownerOf(testDomainA)
+		n := w.other(testDomainA, owner)
+		n.expect(n.newRequest(100, 100), "answered")
+		owner.pause()
+		owner.setLive(false)
+		for range 9 {
+			n.expect(n.newRequest(100, 100), "answered")
+		}
+		owner.resume()
+		owner.setLive(true)
+		w.settle(5 * time.Second)
+		owner.expect(owner.newRequest(100, 100), "not-run")
+	})
+}
+
+// Guards against reusing rights or ids of an epoch that was lost with both replicas.
+func TestBothReplicasLost(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 10_000)
+		owner, backup := w.ownerOf(testDomainA), w.backupOf(testDomainA)
+		n := w.other(testDomainA, owner, backup)
+		done, unused := n.newRequest(100, 60), n.newRequest(100, 60)
+		n.expect(done, "answered")
+		owner.kill()
+		backup.kill()
+		w.settle(30 * time.Second)
+		if got := n.send(done, 5*time.Second); got != "unknown" {
+			t.Errorf("repeat of a request of the lost epoch was told %q, want unknown", got)
+		}
+		if got := n.send(unused, 5*time.Second); got != "unknown" {
+			t.Errorf("id of the lost epoch was told %q, want unknown", got)
+		}
+		n.expect(n.newRequest(100, 60), "answered")
+		if len(w.budget().Stranded) != 1 {
+			t.Errorf("stranded %+v, want one entry", w.budget().Stranded)
+		}
+	})
+}
+
+// Guards against cutting requests or losing records on a graceful stop, with and
+// without the store.
+func TestGracefulStop(t *testing.T) {
+	for _, tt := range []struct {
+		desc string
+		down bool
+	}{{"store up", false}, {"store down", true}} {
+		t.Run(tt.desc, func(t *testing.T) {
+			runWorld(t, func(w *world) {
+				boot(w, 10_000)
+				owner := w.ownerOf(testDomainA)
+				n := w.other(testDomainA, owner)
+				first := n.newRequest(100, 60)
+				n.expect(first, "answered")
+				w.store.Down(tt.down)
+				owner.setDraining()
+				if err := owner.manager.Drain(w.ctx); err != nil {
+					t.Fatal(err)
+				}
+				owner.kill()
+				n.expect(first, "answered")
+				n.expect(n.newRequest(100, 60), "answered")
+				w.store.Down(false)
+				w.settle(30 * time.Second)
+				n.expect(n.newRequest(100, 60), "answered")
+				w.settle(20 * time.Second)
+				if got := len(w.bills()); got != 3 {
+					t.Errorf("%d bill lines, want 3", got)
+				}
+			})
+		})
+	}
+}
+
+// Guards against an owner that goes on without its backup while the map still
+// names that backup.
+func TestBackupKilled(t *testing.T) {
+	for _, tt := range []struct {
+		desc, want string
+		down       bool
+	}{{"store up", "answered", false}, {"store down", "unknown", true}} {
+		t.Run(tt.desc, func(t *testing.T) {
+			runWorld(t, func(w *world) {
+				boot(w, 10_000)
+				owner, backup := w.ownerOf(testDomainA), w.backupOf(testDomainA)
+				owner.expect(owner.newRequest(100, 60), "answered")
+				w.store.Down(tt.down)
+				backup.kill()
+				owner.expect(owner.newRequest(100, 60), tt.want)
+				w.store.Down(false)
+				w.settle(30 * time.Second)
+				owner.expect(owner.newRequest(100, 60), "answered")
+				if w.backupOf(testDomainA) == nil {
+					t.Error("no new backup after 30 s")
+				}
+			})
+		})
+	}
+}
+
+// Guards against refusing a request while another domain holds idle rights.
+func TestRecallFromOtherDomain(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 1_000)
+		for _, name := range []string{"b1", "b2"} {
+			w.start(name, testDomainB)
+		}
+		w.settle(15 * time.Second)
+		a, b := w.nodes["a1"], w.nodes["b1"]
+		b.expect(b.newRequest(10, 10), "answered")
+		for range 9 {
+			a.expect(a.newRequest(100, 100), "answered")
+		}
+		w.settle(time.Minute)
+		a.expect(a.newRequest(90, 90), "answered")
+		a.expect(a.newRequest(1, 1), "not-run")
+	})
+}
