--- /dev/null
+++ b/pkg/platform/http_test.go
@@ -0,0 +1,68 @@
+package platform_test
+
+import (
+	"net/http/httptest"
+	"testing"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/goleak"
+
+	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
+	standin "github.com/clementinerack/clementinerack/standins/platform"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func newClient(t *testing.T) (*standin.Server, *platform.HTTPClient) {
+	t.Helper()
+	handler, err := standin.New()
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := httptest.NewServer(handler)
+	client, err := platform.NewHTTPClient(platform.HTTPOptions{
+		Address: server.Listener.Addr().String(), ClientID: platformtest.FaultClient,
+	}, prometheus.NewRegistry())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		client.Close()
+		handler.Close()
+		server.Close()
+	})
+	return handler, client
+}
+
+// Guards against a client and a stand-in that deviate from the in-memory store.
+func TestHTTPContract(t *testing.T) {
+	platformtest.TestStore(t, func(t *testing.T) platform.Store {
+		_, client := newClient(t)
+		return client
+	})
+	platformtest.TestFaults(t, func(t *testing.T) (*platformtest.Fake, platform.Store) {
+		server, client := newClient(t)
+		return server.Store(), client
+	})
+}
+
+// Guards against registrations that get lost on the way to the list.
+func TestInstances(t *testing.T) {
+	_, c := newClient(t)
+	ctx := t.Context()
+	entry := platform.Instance{ID: "i 1", Service: "s", Domain: "d", Address: "127.0.0.1:1", State: platform.Leaving}
+	for _, err := range []error{
+		c.Register(ctx, entry), c.Register(ctx, platform.Instance{ID: "i2"}), c.Deregister(ctx, "i2"), c.Deregister(ctx, "absent"),
+	} {
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	for service, want := range map[string]int{"": 1, "s": 1, "other": 0} {
+		list, err := c.Instances(ctx, service)
+		if err != nil || len(list) != want || (want == 1 && list[0] != entry) {
+			t.Errorf("service %q: %v, %v", service, list, err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/platform/platformtest/contract.go
@@ -0,0 +1,259 @@
+package platformtest
+
+import (
+	"bytes"
+	"context"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/platform"
+)
+
+// pollPause is the pause between looks at a condition that must come true.
+const pollPause = time.Millisecond
+
+// TestStore checks the contract of platform.Store on a healthy store. newStore
+// returns an empty store for each test.
+func TestStore(t *testing.T, newStore func(t *testing.T) platform.Store) {
+	for _, tc := range []struct {
+		desc string
+		test func(t *testing.T, s platform.Store)
+	}{
+		{"swap", testSwap},
+		{"bad input", testBadInput},
+		{"one of several racing swaps wins", testRace},
+		{"watch", testWatch},
+		{"lease", testLease},
+		{"ended context", testEndedContext},
+	} {
+		t.Run(tc.desc, func(t *testing.T) { tc.test(t, newStore(t)) })
+	}
+}
+
+// testSwap guards against a write over another version and a mangled key or value.
+func testSwap(t *testing.T, s platform.Store) {
+	ctx, key := t.Context(), "budgets/work space/100%/a?b#c=d&é"
+	if r, err := s.Get(ctx, key); err != nil || r.Version != 0 || r.Key != key {
+		t.Fatalf("absent key: %+v, %v", r, err)
+	}
+	large := bytes.Repeat([]byte{0, 255}, platform.MaxValueBytes/2)
+	for _, step := range []struct {
+		desc    string
+		expect  uint64
+		value   []byte
+		want    failure.Kind
+		version uint64
+	}{
+		{"absent key with another version", 1, []byte("x"), failure.Conflict, 0},
+		{"create", 0, []byte("one"), "", 1},
+		{"create again", 0, []byte("x"), failure.Conflict, 1},
+		{"replace with the largest value", 1, large, "", 2},
+		{"old version", 1, []byte("x"), failure.Conflict, 2},
+		{"future version", 3, []byte("x"), failure.Conflict, 2},
+		{"empty value", 2, []byte{}, "", 3},
+	} {
+		before, _ := s.Get(ctx, key)
+		version, err := s.CompareAndSwap(ctx, key, step.expect, step.value)
+		wantKind(t, step.desc, err, step.want)
+		want := step.value
+		if step.want != "" {
+			want = before.Value
+		} else if version != step.version {
+			t.Errorf("%s: new version %d, want %d", step.desc, version, step.version)
+		}
+		if r, err := s.Get(ctx, key); err != nil || r.Version != step.version || !bytes.Equal(r.Value, want) {
+			t.Errorf("%s: read back version %d with %d bytes, %v", step.desc, r.Version, len(r.Value), err)
+		}
+	}
+}
+
+// testBadInput guards against input that the store could take for something else.
+func testBadInput(t *testing.T, s platform.Store) {
+	ctx := t.Context()
+	for _, key := range []string{"", "/a", "a/", "a//b", "a/../b", "."} {
+		_, err := s.Get(ctx, key)
+		wantKind(t, "get "+key, err, failure.Invalid)
+		_, err = s.CompareAndSwap(ctx, key, 0, nil)
+		wantKind(t, "swap "+key, err, failure.Invalid)
+	}
+	_, err := s.CompareAndSwap(ctx, "k", 0, make([]byte, platform.MaxValueBytes+1))
+	wantKind(t, "oversize value", err, failure.Invalid)
+	_, err = s.AcquireLease(ctx, "l", "", time.Second)
+	wantKind(t, "lease without holder", err, failure.Invalid)
+	_, err = s.AcquireLease(ctx, "l", "a", 0)
+	wantKind(t, "lease without time to live", err, failure.Invalid)
+}
+
+// testRace guards against two swaps of the same version that both succeed.
+func testRace(t *testing.T, s platform.Store) {
+	errs := make([]error, 8)
+	var wg sync.WaitGroup
+	for i := range errs {
+		wg.Go(func() { _, errs[i] = s.CompareAndSwap(t.Context(), "k", 0, []byte{byte(i)}) })
+	}
+	wg.Wait()
+	r, err := s.Get(t.Context(), "k")
+	if err != nil || r.Version != 1 || len(r.Value) != 1 {
+		t.Fatalf("after the race: %+v, %v", r, err)
+	}
+	for i, err := range errs {
+		want := failure.Conflict
+		if i == int(r.Value[0]) {
+			want = ""
+		}
+		wantKind(t, "racing swap", err, want)
+	}
+}
+
+// testWatch guards against a watch that misses a write before or after its start.
+func testWatch(t *testing.T, s platform.Store) {
+	ctx := t.Context()
+	seen := make(chan platform.Record, 2)
+	go func() {
+		defer close(seen)
+		for after := range uint64(2) {
+			r, err := s.Watch(ctx, "k", after)
+			if err != nil {
+				t.Errorf("watch after %d: %v", after, err)
+				return
+			}
+			seen <- r
+		}
+	}()
+	for version := range uint64(2) {
+		if _, err := s.CompareAndSwap(ctx, "k", version, []byte{byte(version)}); err != nil {
+			t.Fatal(err)
+		}
+		if r := <-seen; r.Version != version+1 || !bytes.Equal(r.Value, []byte{byte(version)}) {
+			t.Errorf("watch gave %+v", r)
+		}
+	}
+}
+
+// testLease guards against two holders of one lease and a token that does not
+// grow when the lease changes hands.
+func testLease(t *testing.T, s platform.Store) {
+	ctx := t.Context()
+	var token uint64
+	for _, step := range []struct {
+		desc, holder string
+		release      string
+		want         failure.Kind
+		grows        bool
+	}{
+		{desc: "first", holder: "a", grows: true},
+		{desc: "renewed", holder: "a"},
+		{desc: "held by another", holder: "b", want: failure.Conflict},
+		{desc: "released by a stranger", release: "b", holder: "b", want: failure.Conflict},
+		{desc: "released by its holder", release: "a", holder: "b", grows: true},
+	} {
+		if step.release != "" {
+			wantKind(t, step.desc, s.ReleaseLease(ctx, "orders/e", step.release), "")
+		}
+		l, err := s.AcquireLease(ctx, "orders/e", step.holder, time.Hour)
+		wantKind(t, step.desc, err, step.want)
+		if err == nil && (l.Holder != step.holder || (l.Token > token) != step.grows || l.Token < token) {
+			t.Errorf("%s: %+v after token %d", step.desc, l, token)
+		}
+		token = max(token, l.Token)
+	}
+	short, err := s.AcquireLease(ctx, "short", "a", time.Millisecond)
+	wantKind(t, "short lease", err, "")
+	until(t, func() bool {
+		next, err := s.AcquireLease(ctx, "short", "b", time.Hour)
+		return err == nil && next.Token > short.Token
+	})
+}
+
+// testEndedContext guards against a call that is sent for a caller who has left.
+func testEndedContext(t *testing.T, s platform.Store) {
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err := s.Get(ended, "k")
+	wantKind(t, "get", err, failure.Unavailable)
+	_, err = s.CompareAndSwap(ended, "k", 0, nil)
+	wantKind(t, "swap", err, failure.Unavailable)
+	if r, err := s.Get(t.Context(), "k"); err != nil || r.Version != 0 {
+		t.Errorf("after the swap that was not sent: %+v, %v", r, err)
+	}
+}
+
+// FaultClient is the id of the client that TestFaults cuts off.
+const FaultClient = "victim"
+
+// TestFaults checks how an implementation reports faults of the store. newStore
+// returns an empty Fake and a store that reaches it as FaultClient.
+func TestFaults(t *testing.T, newStore func(t *testing.T) (*Fake, platform.Store)) {
+	refused, broken := []failure.Kind{failure.Unavailable}, []failure.Kind{failure.Unavailable, failure.Uncertain}
+	for _, tc := range []struct {
+		desc    string
+		arm     func(f *Fake)
+		read    failure.Kind
+		write   []failure.Kind
+		applied bool
+		cancel  bool // the caller leaves once the store has seen the call
+	}{
+		{desc: "down", arm: func(f *Fake) { f.Down(true) }, read: failure.Unavailable, write: refused},
+		{desc: "cut client", arm: func(f *Fake) { f.CutClient(FaultClient) }, read: failure.Unavailable, write: broken},
+		{desc: "lost answer", arm: func(f *Fake) { f.LoseAnswers(2) }, write: []failure.Kind{failure.Uncertain}, applied: true},
+		{desc: "delayed write", arm: func(f *Fake) { f.DelayWrites(true) }, write: []failure.Kind{failure.Uncertain}},
+		{desc: "slow until the caller leaves", arm: func(f *Fake) { f.Slow(time.Hour) }, read: failure.Unavailable,
+			write: []failure.Kind{failure.Uncertain}, applied: true, cancel: true},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			f, s := newStore(t)
+			tc.arm(f)
+			do := func(kind platform.CallKind, call func(ctx context.Context) error) error {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				if !tc.cancel {
+					return call(ctx)
+				}
+				done := make(chan error)
+				go func() { done <- call(ctx) }()
+				until(t, func() bool { return f.Calls(kind) > 0 && (kind != platform.CallSwap || f.Record("k").Version > 0) })
+				cancel()
+				return <-done
+			}
+			err := do(platform.CallSwap, func(ctx context.Context) error {
+				_, err := s.CompareAndSwap(ctx, "k", 0, []byte("v"))
+				return err
+			})
+			if !slices.Contains(tc.write, failure.KindOf(err)) {
+				t.Errorf("swap: %v, want one of %v", err, tc.write)
+			}
+			if n := f.Calls(platform.CallSwap); n != 1 {
+				t.Errorf("the swap was sent %d times", n)
+			}
+			if applied := f.Record("k").Version > 0; applied != tc.applied {
+				t.Errorf("swap applied: %v, want %v", applied, tc.applied)
+			}
+			wantKind(t, "get", do(platform.CallGet, func(ctx context.Context) error {
+				_, err := s.Get(ctx, "k")
+				return err
+			}), tc.read)
+		})
+	}
+}
+
+func wantKind(t *testing.T, desc string, err error, want failure.Kind) {
+	t.Helper()
+	if got := failure.KindOf(err); got != want {
+		t.Errorf("%s: error %v, want kind %q", desc, err, want)
+	}
+}
+
+// until waits for a condition that must come true; the limit of the test run
+// ends a wait in vain.
+func until(t *testing.T, condition func() bool) {
+	t.Helper()
+	for !condition() {
+		if t.Context().Err() != nil || t.Failed() {
+			t.FailNow()
+		}
+		time.Sleep(pollPause)
+	}
+}
--- a/pkg/platform/platformtest/fake.go
+++ b/pkg/platform/platformtest/fake.go
@@ -95,8 +95,15 @@
 // RestoreClient ends the effect of CutClient.
 func (f *Fake) RestoreClient(id string) { f.set(func() { delete(f.cut, id) }) }
 
-// RestoreAllClients ends the effect of CutClient for every client.
-func (f *Fake) RestoreAllClients() { f.set(func() { clear(f.cut) }) }
+// CutOnly cuts the given clients and restores all others.
+func (f *Fake) CutOnly(ids ...string) {
+	f.set(func() {
+		clear(f.cut)
+		for _, id := range ids {
+			f.cut[id] = true
+		}
+	})
+}
 
 // IsCut reports whether CutClient is in effect for id.
 func (f *Fake) IsCut(id string) bool {
--- a/pkg/platform/platformtest/fake_test.go
+++ b/pkg/platform/platformtest/fake_test.go
@@ -99,3 +99,11 @@
 		}
 	})
 }
+
+func TestFakeContract(t *testing.T) {
+	TestStore(t, func(*testing.T) platform.Store { return NewFake() })
+	TestFaults(t, func(*testing.T) (*Fake, platform.Store) {
+		f := NewFake()
+		return f, f.Client(FaultClient)
+	})
+}
