platform: let Close of the HTTP client wait for its calls

A call that started while Close ran could leave an idle connection and its goroutines behind until the idle timeout.

Attempts now register before they use the transport, and Close waits for them.

--- a/pkg/platform/attempt.go
+++ b/pkg/platform/attempt.go
@@ -80,6 +80,10 @@
 	if err := ctx.Err(); err != nil {
 		return answer{}, &callError{cause: r.lost(false, "not sent: %v", err), abandoned: true, final: true}
 	}
+	if !c.enter() {
+		return answer{}, &callError{cause: r.lost(false, "not sent: the client is closed"), abandoned: true, final: true}
+	}
+	defer c.calls.Done()
 	limited, cancel := context.WithTimeout(ctx, r.timeout)
 	defer cancel()
 	defer context.AfterFunc(c.open, cancel)()
--- a/pkg/platform/http.go
+++ b/pkg/platform/http.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -33,6 +34,8 @@
 	metrics   *clientMetrics
 	open      context.Context // ends with Close
 	close     context.CancelFunc
+	mu        sync.Mutex // orders enter and Close
+	calls     sync.WaitGroup
 }
 
 var (
@@ -83,13 +86,28 @@
 	})
 }
 
-// Close ends all calls and closes the connections. Later calls fail with
-// failure.Unavailable.
+// Close ends all calls, waits for them to return, and closes the connections.
+// Later calls fail with failure.Unavailable.
 func (c *HTTPClient) Close() {
+	c.mu.Lock()
 	c.close()
+	c.mu.Unlock()
+	c.calls.Wait()
 	c.transport.CloseIdleConnections()
 }
 
+// enter adds an attempt to those that Close waits for. It returns false after
+// Close: an attempt that starts then would leave an idle connection behind.
+func (c *HTTPClient) enter() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.open.Err() != nil {
+		return false
+	}
+	c.calls.Add(1)
+	return true
+}
+
 // Get implements Store.
 func (c *HTTPClient) Get(ctx context.Context, key string) (Record, error) {
 	if err := CheckKey(key); err != nil {
--- a/pkg/platform/platformtest/client.go
+++ b/pkg/platform/platformtest/client.go
@@ -64,7 +64,10 @@
 			return platform.Record{}, err
 		}
 		if over || record.Version > after {
-			return record, c.pause(ctx)
+			if err := c.pause(ctx); err != nil {
+				return platform.Record{}, err
+			}
+			return record, nil
 		}
 		select {
 		case <-wake:
