--- a/standins/endpoint/server.go
+++ b/standins/endpoint/server.go
@@ -32,6 +32,9 @@
 	base  context.Context
 	stop  context.CancelFunc
 
+	build    sync.Once
+	buildErr error
+
 	mu         sync.Mutex
 	executions map[string]int
 	total      int
@@ -81,10 +84,16 @@
 	s.App.ServeHTTP(w, r)
 }
 
+// Handler returns the handler of the endpoint for calls without a listener.
+func (s *Server) Handler() (http.Handler, error) {
+	s.build.Do(func() { s.buildErr = errors.Wrap(s.App.Build(), "build routes") })
+	return s.http.Handler, s.buildErr
+}
+
 // Run serves on l until Close is called or ctx ends, and waits for the handlers.
 func (s *Server) Run(ctx context.Context, l net.Listener) error {
-	if err := s.App.Build(); err != nil {
-		return errors.Wrap(err, "build routes")
+	if _, err := s.Handler(); err != nil {
+		return err
 	}
 	defer context.AfterFunc(ctx, s.Close)()
 	err := s.http.Serve(l)
