Search the routing queue only while an endpoint has room

Cause: each release looked at every waiter, so a full queue cost the most while the service was overloaded; timers of waiters did the same. Change: a release stops at the first waiter that finds no room; only changes of the usable endpoints look at all waiters. Load reports no longer wake the queue.

--- a/pkg/routing/endpoint.go
+++ b/pkg/routing/endpoint.go
@@ -59,15 +59,15 @@
 	}
 }
 
-// observe applies a report and returns false if the report is stale.
-func (e *endpoint) observe(l Load) bool {
+// observe applies a report unless it is stale.
+func (e *endpoint) observe(l Load) {
 	switch {
 	case l.Incarnation == e.incarnation:
 		if l.AsOf.Before(e.load.AsOf) {
-			return false
+			return
 		}
 	case l.Incarnation == "" || l.Incarnation == e.retired:
-		return false
+		return
 	case e.incarnation == "":
 		// The first report may describe the process that sent an earlier
 		// signal, so it does not end a drain.
@@ -81,7 +81,6 @@
 	if l.Draining {
 		e.drains[SourceEndpoint] = true
 	}
-	return true
 }
 
 func (e *endpoint) usable(req Request, now time.Time) bool {
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -178,14 +178,15 @@
 	}
 	for _, s := range old {
 		s.endpoints = nil
-		p.dispatch(s) // refuses every waiter of the removed service
+		p.dispatch(s, true) // refuses every waiter of the removed service
+		p.stats.queued.DeleteLabelValues(s.name)
 	}
 	for id, e := range p.endpoints {
 		if !e.listed && e.inFlight == 0 {
 			p.forget(id)
 		}
 	}
-	p.dispatchAll()
+	p.reconsider()
 }
 
 func (p *Pool) list(cfg config.Endpoint) *endpoint {
@@ -211,8 +212,14 @@
 func (p *Pool) Observe(endpointID string, l Load) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if e := p.endpoints[endpointID]; e != nil && e.observe(l) {
-		p.dispatchAll()
+	e := p.endpoints[endpointID]
+	if e == nil {
+		return
+	}
+	drains, down := e.drains, e.downUntil
+	e.observe(l)
+	if e.drains != drains || e.downUntil != down {
+		p.reconsider()
 	}
 }
 
@@ -224,7 +231,7 @@
 	defer p.mu.Unlock()
 	if e := p.endpoints[endpointID]; e != nil {
 		e.drain(src)
-		p.dispatchAll()
+		p.reconsider()
 	}
 }
 
@@ -242,7 +249,7 @@
 	for id, e := range p.endpoints {
 		e.drains[SourcePlatform] = p.leaving[id]
 	}
-	p.dispatchAll()
+	p.reconsider()
 }
 
 // MarkDown stops new work to an endpoint until the given time. A time that is
@@ -252,7 +259,7 @@
 	defer p.mu.Unlock()
 	if e := p.endpoints[endpointID]; e != nil {
 		e.downUntil = until
-		p.dispatchAll()
+		p.reconsider()
 	}
 }
 
@@ -287,7 +294,7 @@
 	if !e.listed && e.inFlight == 0 && p.endpoints[e.cfg.ID] == e {
 		p.forget(e.cfg.ID)
 	}
-	p.dispatchAll()
+	p.offerRoom()
 }
 
 // waiter is a request in a queue. The pool's mutex guards done, slot and err
@@ -368,7 +375,7 @@
 			return w.slot, w.err
 		case <-recheck.C:
 			p.mu.Lock()
-			p.dispatchAll()
+			p.offerRoom()
 			p.mu.Unlock()
 			continue
 		case <-expired:
@@ -423,24 +430,41 @@
 	return &Slot{Endpoint: e.cfg, pool: p, service: s, target: e, isolate: req.Isolate}
 }
 
-func (p *Pool) dispatchAll() {
+// reconsider serves and refuses waiters of all services after the set of usable
+// endpoints may have changed.
+func (p *Pool) reconsider() {
 	for _, s := range p.services {
-		if s.queued() > 0 {
-			p.dispatch(s)
-		}
+		p.dispatch(s, true)
+	}
+}
+
+// offerRoom serves waiters after a slot became free.
+func (p *Pool) offerRoom() {
+	for _, s := range p.services {
+		p.dispatch(s, false)
 	}
 }
 
 // dispatch serves the queue by priority, then by arrival. A waiter that only
-// excluded or isolated endpoints hold up does not block those behind it.
-func (p *Pool) dispatch(s *service) {
+// excluded or isolated endpoints hold up does not block those behind it. Unless
+// all waiters are to be looked at, it stops when no endpoint has room, since a
+// long queue under overload would otherwise be searched at each release.
+func (p *Pool) dispatch(s *service, all bool) {
+	if s.queued() == 0 {
+		return
+	}
 	now := p.opts.Now()
+	room := s.hasRoom(now)
 	for i := range s.queue {
 		s.queue[i] = slices.DeleteFunc(s.queue[i], func(w *waiter) bool {
+			if !room && !all {
+				return false
+			}
 			e, usable := p.choose(s, w.req, now)
 			switch {
 			case e != nil:
 				w.finish(p.take(s, e, w.req), nil)
+				room = s.hasRoom(now)
 			case usable == 0:
 				w.finish(nil, noEndpoint(w.req))
 			default:
@@ -452,6 +476,13 @@
 	p.stats.queued.WithLabelValues(s.name).Set(float64(s.queued()))
 }
 
+// hasRoom reports whether any endpoint could take a request without conditions.
+func (s *service) hasRoom(now time.Time) bool {
+	return slices.ContainsFunc(s.endpoints, func(e *endpoint) bool {
+		return e.hasRoom(s.limit, Request{}) && e.usable(Request{}, now)
+	})
+}
+
 // displace refuses the latest waiter of the lowest class below req to make room.
 func (s *service) displace(req Request) bool {
 	for c := Low; c > req.Priority; c-- {
