Test the configuration replica under store faults

The replica decides which configuration is in force, so lost answers, stale reads and racing operators must not revert or fork it.

A swap without an answer now stays open when a stale read shows a lower version.

--- a/pkg/config/change.go
+++ b/pkg/config/change.go
@@ -117,7 +117,7 @@
 		return err
 	}
 	c.version = rec.Version
-	c.pending = c.pending && rec.Version == c.pendingVersion
+	c.pending = c.pending && rec.Version <= c.pendingVersion // a stale read shows a lower version
 	c.replica.adopt(stored, sourceStore)
 	if err := c.replica.fetchHeard(ctx); err != nil {
 		return failure.New(failure.Unavailable, "repeat the command with the same command id, or send it to another instance",
--- /dev/null
+++ b/pkg/config/replica_test.go
@@ -0,0 +1,261 @@
+package config
+
+import (
+	"context"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+)
+
+// Guards against faults that surface one at a time, or not at all.
+func TestValidate(t *testing.T) {
+	cases := []struct {
+		desc   string
+		mutate func(*Document)
+		want   []string // all of them in one error
+	}{
+		{"valid", func(*Document) {}, nil},
+		{"several faults at once", func(d *Document) {
+			d.Shards, d.Domains[1] = 0, "ya.ba"
+			d.Services[0].Endpoints[0].Address = "10.0.0.1"
+			d.Workspaces[0].KeyHash = "secret"
+		}, []string{"4 faults", "shards is 0", `"ya.ba"`, `"10.0.0.1"`, "key_hash"}},
+		{"repeated names", func(d *Document) {
+			d.Workspaces = append(d.Workspaces, d.Workspaces[0])
+			d.Services[1].Endpoints = d.Services[0].Endpoints
+		}, []string{`workspace "clinic" is listed twice`, "key hash", `endpoint "llm-1" is listed twice`}},
+		{"dangling references", func(d *Document) {
+			d.Services[0].Endpoints[0].Domain = "lekki"
+			d.Engines[0].Endpoint, d.Objectives[0].Service = "llm-9", "none"
+			d.Workspaces[0].DefaultBudget = "other"
+		}, []string{`"lekki"`, `engine "llm-9"`, `"none"`, `"other"`}},
+		{"limits out of range", func(d *Document) {
+			d.Services[0].FirstByte, d.Services[1].Concurrency = time.Hour, 0
+			d.Services[1].Routes[0].Price, d.Objectives[0].Target = -1, 1
+		}, []string{"first_byte", "concurrency", "price -1", "target"}},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			d := validDocument()
+			c.mutate(d)
+			err := Validate(d)
+			if (err == nil) != (c.want == nil) {
+				t.Fatalf("Validate: %v", err)
+			}
+			for _, w := range c.want {
+				if !strings.Contains(err.Error(), w) {
+					t.Errorf("%q is missing in: %v", w, err)
+				}
+			}
+		})
+	}
+}
+
+// Guards against reading a value of another release and against a value that
+// the store would refuse.
+func TestCodecRefuses(t *testing.T) {
+	d := validDocument()
+	d.Format = 2
+	data, _ := Encode(d)
+	if _, err := Decode(data); !failure.Is(err, failure.Format) {
+		t.Errorf("format 2: %v", err)
+	}
+	if _, err := Decode([]byte("junk")); !failure.Is(err, failure.Format) {
+		t.Errorf("junk: %v", err)
+	}
+	d.Domains[0] = strings.Repeat("x", 1<<20)
+	if _, err := Encode(d); !failure.Is(err, failure.Invalid) {
+		t.Errorf("1 MB: %v", err)
+	}
+}
+
+// Guards against lost, doubled and silently overwritten changes.
+func TestChange(t *testing.T) {
+	cases := []struct {
+		desc   string
+		faults []writeFault
+		down   bool
+		req    ChangeRequest
+		want   failure.Kind
+		text   string
+		gen    uint64
+	}{
+		{desc: "accepted", req: changeBy("c2", 1, retire("llm-1")), gen: 2},
+		{desc: "whichever generation", req: changeBy("c2", 0, retire("llm-1")), gen: 2},
+		{desc: "repeat of an applied command", req: changeBy("c1", 7, retire("llm-1")), gen: 1},
+		{desc: "answer lost", faults: []writeFault{loseAnswer}, req: changeBy("c2", 1, retire("llm-1")), gen: 2},
+		{desc: "write lost", faults: []writeFault{dropWrite}, req: changeBy("c2", 1, retire("llm-1")), gen: 2},
+		{desc: "no write gets through", faults: []writeFault{dropWrite, dropWrite, dropWrite, dropWrite, dropWrite},
+			req: changeBy("c2", 1, retire("llm-1")), want: failure.Uncertain, text: "same command id", gen: 1},
+		{desc: "other generation", req: changeBy("c2", 9, retire("llm-1")), want: failure.Conflict,
+			text: "generation 1, changed last by ada (test, command c1); generation 9 was expected", gen: 1},
+		{desc: "store down", down: true, req: changeBy("c2", 0, retire("llm-1")), want: failure.Unavailable, gen: 1},
+		{desc: "invalid result", req: changeBy("c2", 0, func(d *Document) error { d.Domains = nil; return nil }), want: failure.Invalid, gen: 1},
+		{desc: "other number of shards", req: changeBy("c2", 0, func(d *Document) error { d.Shards = 9; return nil }), want: failure.Invalid, text: "8", gen: 1},
+		{desc: "no command id", req: changeBy("", 0, establish), want: failure.Invalid, gen: 1},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				store := newFakeStore()
+				r := NewReplica(store, ReplicaOptions{}, nil)
+				if _, err := r.Change(t.Context(), changeBy("c1", 0, establish)); err != nil {
+					t.Fatal(err)
+				}
+				store.faults, store.down = c.faults, c.down
+				_, err := r.Change(t.Context(), c.req)
+				if failure.KindOf(err) != c.want || (err != nil && !strings.Contains(err.Error(), c.text)) {
+					t.Errorf("Change: %v", err)
+				}
+				if r.Generation() != c.gen {
+					t.Errorf("generation %d, want %d", r.Generation(), c.gen)
+				}
+			})
+		})
+	}
+}
+
+func started(t *testing.T, r *Replica) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	t.Cleanup(func() { cancel(); <-done })
+}
+
+// Guards against a second winner: the losers see the winner's generation.
+func TestRacingOperators(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		first := NewReplica(store, ReplicaOptions{}, nil)
+		if _, err := first.Change(t.Context(), changeBy("c1", 0, establish)); err != nil {
+			t.Fatal(err)
+		}
+		const operators = 8
+		results := make(chan error, operators)
+		for i := range operators {
+			go func() {
+				_, err := NewReplica(store, ReplicaOptions{}, nil).Change(t.Context(), changeBy("race-"+string(rune('a'+i)), 1, retire("llm-1")))
+				results <- err
+			}()
+		}
+		won := 0
+		for range operators {
+			switch err := <-results; failure.KindOf(err) {
+			case "":
+				won++
+			case failure.Conflict:
+				if !strings.Contains(err.Error(), "generation 2") {
+					t.Errorf("conflict does not name the current generation: %v", err)
+				}
+			default:
+				t.Error(err)
+			}
+		}
+		if won != 1 {
+			t.Errorf("%d changes won, want 1", won)
+		}
+	})
+}
+
+// Guards against a replica that goes back when the store lost a change.
+func TestOlderValueIsReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		replicas := []*Replica{NewReplica(store, ReplicaOptions{}, nil), NewReplica(store, ReplicaOptions{}, nil)}
+		for i, command := range []string{"c1", "c2"} {
+			mutate := []func(*Document) error{establish, retire("llm-1")}[i]
+			if _, err := replicas[0].Change(t.Context(), changeBy(command, 0, mutate)); err != nil {
+				t.Fatal(err)
+			}
+		}
+		for _, r := range replicas {
+			started(t, r)
+		}
+		synctest.Wait()
+		store.mu.Lock()
+		store.put(store.history[1].Value) // generation 1
+		writes := len(store.history)
+		store.mu.Unlock()
+		time.Sleep(time.Minute)
+		synctest.Wait()
+		for i, r := range replicas {
+			if r.Generation() != 2 {
+				t.Errorf("replica %d is at generation %d, want 2", i, r.Generation())
+			}
+		}
+		stored, err := Decode(store.latest().Value)
+		if err != nil || stored.Generation != 2 {
+			t.Errorf("store: %+v, %v", stored, err)
+		}
+		if n := len(store.history) - writes; n != 1 {
+			t.Errorf("%d writes to republish, want 1", n)
+		}
+	})
+}
+
+// Guards against an instance that waits for a silent store although a peer has
+// the configuration, and against one that never returns to the store.
+func TestSpreadFromPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		source := NewReplica(store, ReplicaOptions{}, nil)
+		if _, err := source.Change(t.Context(), changeBy("c1", 0, establish)); err != nil {
+			t.Fatal(err)
+		}
+		store.silent = true
+		r := NewReplica(store, ReplicaOptions{Peers: fakePeers{"10.0.0.9:1": source}}, nil)
+		var seen []uint64
+		r.Subscribe(func(d *Document) { seen = append(seen, d.Generation) })
+		started(t, r)
+		r.Heard(1, "10.0.0.8:1") // nobody answers there
+		synctest.Wait()
+		r.Heard(1, "10.0.0.9:1")
+		synctest.Wait()
+		if r.Generation() != 1 {
+			t.Fatal("the configuration of the peer is not in force")
+		}
+		store.mu.Lock()
+		store.silent = false
+		store.mu.Unlock()
+		if _, err := source.Change(t.Context(), changeBy("c2", 1, retire("llm-1"))); err != nil {
+			t.Fatal(err)
+		}
+		time.Sleep(DefaultWatchDeadline + 2*DefaultRetryMax)
+		synctest.Wait()
+		if len(seen) != 2 || seen[0] != 1 || seen[1] != 2 {
+			t.Errorf("subscriber saw %v, want [1 2]", seen)
+		}
+	})
+}
+
+// Guards against a document of a peer that would break this instance.
+func TestOffer(t *testing.T) {
+	cases := []struct {
+		desc   string
+		mutate func(*Document)
+		want   bool
+	}{
+		{"newer", func(d *Document) { d.Generation = 3 }, true},
+		{"equal", func(*Document) {}, false},
+		{"older", func(d *Document) { d.Generation = 1 }, false},
+		{"other format", func(d *Document) { d.Generation, d.Format = 3, 2 }, false},
+		{"not valid", func(d *Document) { d.Generation, d.Domains = 3, nil }, false},
+		{"other number of shards", func(d *Document) { d.Generation, d.Shards = 3, 9 }, false},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			r := NewReplica(newFakeStore(), ReplicaOptions{}, nil)
+			now := validDocument()
+			now.Generation = 2
+			r.Offer(now)
+			d := now.Clone()
+			c.mutate(d)
+			if got := r.Offer(d); got != c.want {
+				t.Errorf("Offer = %v, want %v", got, c.want)
+			}
+		})
+	}
+}
