Add the operators' API, its store backend and its client

Operators race with each other and with shard owners, and the store loses answers, so a top-up must neither be lost nor doubled.

Add the HTTP handler with queries and commands apart, StoreBackend for all parts that need only the store and the configuration, and a client that tries the next instance.

--- /dev/null
+++ b/pkg/operator/client.go
@@ -0,0 +1,127 @@
+package operator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"mime"
+	"net"
+	"net/http"
+	"net/url"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/settings"
+)
+
+// Client calls the API. Addresses are tried in turn until one gives an answer
+// that does not depend on the instance asked; repeating a command there is safe
+// because of its id.
+type Client struct {
+	// Addresses are host:port or base URLs.
+	Addresses []string
+	Token     settings.Secret
+	Operator  string
+	HTTP      *http.Client
+}
+
+// Query runs a query and decodes the answer into out.
+func (c *Client) Query(ctx context.Context, name string, params url.Values, out any) error {
+	path := QueriesPath + name
+	if len(params) > 0 {
+		path += "?" + params.Encode()
+	}
+	return c.each(ctx, http.MethodGet, path, nil, out)
+}
+
+// Command sends a command and decodes the answer into out. failure.Uncertain
+// means that it may have taken effect; a repeat with the same id is safe.
+func (c *Client) Command(ctx context.Context, name, id string, req, out any) error {
+	raw, err := json.Marshal(req)
+	if err != nil {
+		return err
+	}
+	body, err := json.Marshal(envelope{Command: id, Request: raw})
+	if err != nil {
+		return err
+	}
+	return c.each(ctx, http.MethodPost, CommandsPath+name, body, out)
+}
+
+func (c *Client) each(ctx context.Context, method, path string, body []byte, out any) error {
+	var last error = failure.New(failure.Invalid, "give an address", "there is no address to call")
+	uncertain := false
+	for _, address := range c.Addresses {
+		err := c.call(ctx, method, address, path, body, out)
+		if err == nil || !tryNext(err) {
+			return err
+		}
+		uncertain = uncertain || failure.Is(err, failure.Uncertain)
+		last = err
+	}
+	if uncertain && !failure.Is(last, failure.Uncertain) {
+		return failure.New(failure.Uncertain, "repeat it with the same command id", "an instance gave no answer; the last one said: %v", last)
+	}
+	return last
+}
+
+func tryNext(err error) bool {
+	switch failure.KindOf(err) {
+	case failure.Unavailable, failure.Uncertain, failure.NotReady, failure.Timeout:
+		return true
+	}
+	return false
+}
+
+func (c *Client) call(ctx context.Context, method, address, path string, body []byte, out any) error {
+	if !strings.Contains(address, "://") {
+		address = "http://" + address
+	}
+	req, err := http.NewRequestWithContext(ctx, method, strings.TrimSuffix(address, "/")+path, bytes.NewReader(body))
+	if err != nil {
+		return failure.New(failure.Invalid, "give addresses such as 127.0.0.1:8081", "%v", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+string(c.Token.Reveal()))
+	req.Header.Set(OperatorHeader, c.Operator)
+	req.Header.Set("Content-Type", "application/json")
+	resp, err := c.HTTP.Do(req)
+	if err != nil {
+		return noAnswer(method, address, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return noAnswer(method, address, err)
+	}
+	return decodeAnswer(resp, address, data, out)
+}
+
+// noAnswer treats a command as uncertain unless no connection came about.
+func noAnswer(method, address string, err error) error {
+	var op *net.OpError
+	unsent := errors.As(err, &op) && op.Op == "dial"
+	if method == http.MethodGet || unsent {
+		return failure.New(failure.Unavailable, "give the address of another instance", "%s does not answer: %v", address, err)
+	}
+	return failure.New(failure.Uncertain, "repeat it with the same command id", "%s gave no answer: %v", address, err)
+}
+
+func decodeAnswer(resp *http.Response, address string, data []byte, out any) error {
+	kind, _, _ := mime.ParseMediaType(resp.Header.Get("Content-Type"))
+	if kind == failure.ProblemContentType {
+		var p failure.Problem
+		if err := json.Unmarshal(data, &p); err == nil && p.Kind != "" {
+			return failure.New(p.Kind, p.Remedy, "%s", p.Detail)
+		}
+	}
+	if resp.StatusCode != http.StatusOK || kind != "application/json" {
+		return failure.New(failure.Invalid, "give the address of the operators' API", "%s answers with status %s, which is not from the operators' API", address, resp.Status)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return failure.New(failure.Format, "use a tool of the same release", "the answer of %s cannot be read: %v", address, err)
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/operator/messages.go
@@ -0,0 +1,210 @@
+package operator
+
+import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/declare"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+// Issuer tells who sent a command.
+type Issuer struct {
+	Command  string // command id
+	Operator string
+}
+
+// BudgetSelection selects budgets. Empty fields select all.
+type BudgetSelection struct {
+	Workspace string
+	Budget    string
+	// After skips budgets up to and including this "workspace/budget".
+	After string
+}
+
+// Spending is the state of one budget. Fault tells why it could not be read.
+type Spending struct {
+	Budget     ledger.BudgetKey `json:"budget"`
+	Paid       ledger.Tokens    `json:"paid"`
+	Charged    ledger.Tokens    `json:"charged"`
+	Granted    ledger.Tokens    `json:"granted"`
+	Stranded   ledger.Tokens    `json:"stranded"`
+	Unassigned ledger.Tokens    `json:"unassigned"`
+	Fault      string           `json:"fault,omitempty"`
+}
+
+// SpentReport lists budgets by name. Charged is what the shards had charged when
+// they last wrote the record, so it lags behind.
+type SpentReport struct {
+	Budgets []Spending `json:"budgets"`
+	// Next is the value of BudgetSelection.After for the rest, or empty.
+	Next string `json:"next,omitempty"`
+}
+
+// StrandedGrant is a grant whose epoch was lost.
+type StrandedGrant struct {
+	Budget ledger.BudgetKey `json:"budget"`
+	ledger.Stranded
+}
+
+// StrandedReport lists stranded grants by budget. Faults names the budgets that
+// could not be read.
+type StrandedReport struct {
+	Grants []StrandedGrant `json:"grants"`
+	Faults []string        `json:"faults,omitempty"`
+	Next   string          `json:"next,omitempty"`
+}
+
+// RunningRequest is a request in flight.
+type RunningRequest struct {
+	ID       string           `json:"id"`
+	Instance string           `json:"instance"`
+	Budget   ledger.BudgetKey `json:"budget"`
+	Service  string           `json:"service"`
+	Endpoint string           `json:"endpoint"`
+	Reserved ledger.Tokens    `json:"reserved"`
+	Age      time.Duration    `json:"age_ns"`
+}
+
+// RunningReport lists requests in flight.
+type RunningReport struct {
+	Requests []RunningRequest `json:"requests"`
+	Silent   []string         `json:"silent"`
+}
+
+// DrainingEndpoint is an endpoint that takes no new work.
+type DrainingEndpoint struct {
+	Endpoint string `json:"endpoint"`
+	Service  string `json:"service"`
+	// Reasons are operator, endpoint and platform; each holds by itself.
+	Reasons []string `json:"reasons"`
+	Running int      `json:"running"`
+}
+
+// DrainingReport lists what is leaving.
+type DrainingReport struct {
+	Endpoints []DrainingEndpoint `json:"endpoints"`
+	Instances []string           `json:"instances"`
+	Silent    []string           `json:"silent"`
+}
+
+// InstanceStatus is the state of an instance.
+type InstanceStatus struct {
+	ID         string `json:"id"`
+	Domain     string `json:"domain"`
+	Address    string `json:"address"`
+	Generation uint64 `json:"generation"`
+	Ready      bool   `json:"ready"`
+	Stopping   bool   `json:"stopping"`
+	Running    int    `json:"running"`
+	// Answered is false when the instance is listed but did not answer; the
+	// fields above but its name and place are unknown then.
+	Answered bool `json:"answered"`
+}
+
+// InstancesReport lists all known instances.
+type InstancesReport struct {
+	Instances []InstanceStatus `json:"instances"`
+}
+
+// BurnWindow is the use of an error budget over a window.
+type BurnWindow struct {
+	Window time.Duration `json:"window_ns"`
+	Good   uint64        `json:"good"`
+	Total  uint64        `json:"total"`
+	// Rate is the share of bad requests over the share that the objective
+	// allows; above 1 the objective is missed.
+	Rate float64 `json:"rate"`
+}
+
+// ServiceBurn is the burn of one objective.
+type ServiceBurn struct {
+	Service string       `json:"service"`
+	Target  float64      `json:"target"`
+	Windows []BurnWindow `json:"windows"`
+}
+
+// BurnReport lists the burn of all objectives.
+type BurnReport struct {
+	Services []ServiceBurn `json:"services"`
+	Silent   []string      `json:"silent"`
+}
+
+// TopUpRequest pays an amount into a budget.
+type TopUpRequest struct {
+	Budget ledger.BudgetKey `json:"budget"`
+	Amount ledger.Tokens    `json:"amount"`
+}
+
+// ReclaimRequest returns a part of a stranded grant to its budget. With it the
+// operator states that the instances of that epoch are gone.
+type ReclaimRequest struct {
+	Budget ledger.BudgetKey `json:"budget"`
+	Shard  ledger.ShardID   `json:"shard"`
+	Epoch  uint64           `json:"epoch"`
+	Amount ledger.Tokens    `json:"amount"`
+}
+
+// BudgetResult is the answer to a change of a budget.
+type BudgetResult struct {
+	// Changed is false when the command had been applied before.
+	Changed bool     `json:"changed"`
+	Budget  Spending `json:"budget"`
+}
+
+// EndpointRequest retires or restores an endpoint.
+type EndpointRequest struct {
+	Endpoint string `json:"endpoint"`
+	// Expect is the generation that the operator has seen; 0 means any.
+	Expect uint64 `json:"expect,omitempty"`
+}
+
+// ReconfigureRequest changes the desired state of an engine. Absent fields keep
+// their value.
+type ReconfigureRequest struct {
+	Endpoint string    `json:"endpoint"`
+	Model    *string   `json:"model,omitempty"`
+	Version  *string   `json:"version,omitempty"`
+	Adapters *[]string `json:"adapters,omitempty"`
+	Role     *string   `json:"role,omitempty"`
+	Expect   uint64    `json:"expect,omitempty"`
+}
+
+// ConfigResult is the answer to a change of the configuration.
+type ConfigResult struct {
+	// Generation is the one in force after the command.
+	Generation uint64 `json:"generation"`
+}
+
+// ApplyRequest puts declarations in force.
+type ApplyRequest struct {
+	Document *config.Document  `json:"document"`
+	Openings []declare.Opening `json:"openings,omitempty"`
+	Expect   uint64            `json:"expect,omitempty"`
+}
+
+// OpeningResult tells what became of an opening amount.
+type OpeningResult struct {
+	declare.Opening
+	// Changed is false when the budget got an opening amount before.
+	Changed bool   `json:"changed"`
+	Fault   string `json:"fault,omitempty"`
+}
+
+// ApplyResult is the answer to an apply. Openings with a fault were not paid
+// in; a repeat of the command with the same id tries them again.
+type ApplyResult struct {
+	ConfigResult
+	Openings []OpeningResult `json:"openings"`
+}
+
+// StopRequest names the instance to stop.
+type StopRequest struct {
+	Instance string `json:"instance"`
+}
+
+// StopResult is the answer to a stop.
+type StopResult struct {
+	// Running is the number of requests that the instance still finishes.
+	Running int `json:"running"`
+}
--- /dev/null
+++ b/pkg/operator/server.go
@@ -0,0 +1,85 @@
+package operator
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/json"
+	"net/http"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/settings"
+)
+
+// Paths and headers of the API.
+const (
+	QueriesPath  = "/operator/v1/queries/"
+	CommandsPath = "/operator/v1/commands/"
+	// OperatorHeader carries the name of the operator.
+	OperatorHeader = "X-Operator"
+)
+
+const (
+	// maxBodyBytes bounds a command. JSON takes more room than the stored form
+	// of a configuration, which is at most 1 MB.
+	maxBodyBytes = 4 * platform.MaxValueBytes
+	// requestTimeout bounds a request: ten attempts on a silent store.
+	requestTimeout = 30 * time.Second
+)
+
+var (
+	commandPattern  = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._:-]{0,63}$`)
+	operatorPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._@-]{0,63}$`)
+)
+
+// server serves the API.
+type server struct {
+	backend Backend
+	token   settings.Secret
+	log     logrus.FieldLogger
+}
+
+// NewHandler returns the handler of the API. Requests must carry the token as
+// bearer token, commands also the operator's name.
+func NewHandler(backend Backend, token settings.Secret, log logrus.FieldLogger) http.Handler {
+	s := &server{backend, token, log}
+	mux := http.NewServeMux()
+	s.registerQueries(mux)
+	s.registerCommands(mux)
+	mux.HandleFunc("/", func(w http.ResponseWriter, r *http.Request) {
+		failure.Write(w, failure.New(failure.NotFound, "use a tool of the same release", "there is no operators' call %s %s", r.Method, r.URL.Path))
+	})
+	return s.authenticated(mux)
+}
+
+// authenticated compares digests, so that neither content nor length of the
+// token shows in the time that the comparison takes.
+func (s *server) authenticated(next http.Handler) http.Handler {
+	want := sha256.Sum256(s.token.Reveal())
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		token, ok := strings.CutPrefix(r.Header.Get("Authorization"), "Bearer ")
+		got := sha256.Sum256([]byte(token))
+		if subtle.ConstantTimeCompare(got[:], want[:]) != 1 || !ok || token == "" {
+			failure.Write(w, failure.New(failure.Unauthorized, "send the operators' token as bearer token", "the token is missing or wrong"))
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		next.ServeHTTP(w, r.WithContext(ctx))
+	})
+}
+
+func answer(w http.ResponseWriter, result any, err error) {
+	if err != nil {
+		failure.Write(w, err)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(result) // a failed write means that the operator has left
+}
--- /dev/null
+++ b/pkg/operator/storequeries.go
@@ -0,0 +1,70 @@
+package operator
+
+import (
+	"context"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/failure"
+)
+
+// Spent reads the selected budgets.
+func (b *StoreBackend) Spent(ctx context.Context, sel BudgetSelection) (SpentReport, error) {
+	keys, next, err := b.selected(ctx, sel)
+	if err != nil {
+		return SpentReport{}, err
+	}
+	records, faults, err := b.readAll(ctx, keys)
+	if err != nil {
+		return SpentReport{}, err
+	}
+	report := SpentReport{Budgets: make([]Spending, len(keys)), Next: next}
+	for i, k := range keys {
+		if faults[i] != nil {
+			report.Budgets[i] = Spending{Budget: k, Fault: faults[i].Error()}
+			continue
+		}
+		report.Budgets[i] = spendingOf(k, records[i])
+	}
+	return report, nil
+}
+
+// Stranded reads the stranded grants of the selected budgets.
+func (b *StoreBackend) Stranded(ctx context.Context, sel BudgetSelection) (StrandedReport, error) {
+	keys, next, err := b.selected(ctx, sel)
+	if err != nil {
+		return StrandedReport{}, err
+	}
+	records, faults, err := b.readAll(ctx, keys)
+	if err != nil {
+		return StrandedReport{}, err
+	}
+	report := StrandedReport{Grants: []StrandedGrant{}, Next: next}
+	for i, k := range keys {
+		if faults[i] != nil {
+			report.Faults = append(report.Faults, k.String()+": "+faults[i].Error())
+			continue
+		}
+		for _, s := range records[i].Stranded {
+			report.Grants = append(report.Grants, StrandedGrant{k, s})
+		}
+	}
+	return report, nil
+}
+
+// Config returns the configuration in force here, or that of the store when the
+// instance has none yet.
+func (b *StoreBackend) Config(ctx context.Context) (*config.Document, error) {
+	if d := b.replica.Current(); d != nil {
+		return d, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
+	defer cancel()
+	rec, err := b.store.Get(ctx, config.StoreKey)
+	if err != nil {
+		return nil, failure.New(failure.Unavailable, "repeat the call, or send it to another instance", "the store could not be read: %v", err)
+	}
+	if rec.Version == 0 {
+		return nil, failure.New(failure.NotFound, "apply declarations first", "there is no configuration yet")
+	}
+	return config.Decode(rec.Value)
+}
