Add clementinectl, the operators' tool

Operators need queries, commands and declarations on the command line, with exit codes that scripts can act on.

--- /dev/null
+++ b/cmd/clementinectl/queries.go
@@ -0,0 +1,159 @@
+package main
+
+import (
+	"net/url"
+	"strings"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/operator"
+)
+
+// selection are the arguments of queries of budgets.
+type selection struct {
+	Budget string `arg:"" optional:"" help:"workspace or workspace/budget; default all."`
+	After  string `help:"Continue behind this workspace/budget."`
+}
+
+func (c selection) params() url.Values {
+	workspace, budget, _ := strings.Cut(c.Budget, "/")
+	return url.Values{"workspace": {workspace}, "budget": {budget}, "after": {c.After}}
+}
+
+type spentCmd struct{ selection }
+
+// Run shows budgets.
+func (c *spentCmd) Run(s *session) error {
+	var r operator.SpentReport
+	if err := s.client.Query(s.ctx, "spent", c.params(), &r); err != nil {
+		return err
+	}
+	s.show(r, func(t table) {
+		t.row("BUDGET", "PAID", "CHARGED", "GRANTED", "STRANDED", "UNASSIGNED", "FAULT")
+		for _, b := range r.Budgets {
+			t.row(b.Budget, b.Paid, b.Charged, b.Granted, b.Stranded, b.Unassigned, b.Fault)
+		}
+		t.more(r.Next)
+	})
+	return nil
+}
+
+type strandedCmd struct{ selection }
+
+// Run shows stranded grants.
+func (c *strandedCmd) Run(s *session) error {
+	var r operator.StrandedReport
+	if err := s.client.Query(s.ctx, "stranded", c.params(), &r); err != nil {
+		return err
+	}
+	s.show(r, func(t table) {
+		t.row("BUDGET", "SHARD", "EPOCH", "AMOUNT", "CHARGED")
+		for _, g := range r.Grants {
+			t.row(g.Budget, g.Shard, g.Epoch, g.Amount, g.Charged)
+		}
+		for _, f := range r.Faults {
+			t.row("fault: " + f)
+		}
+		t.more(r.Next)
+	})
+	return nil
+}
+
+type runningCmd struct{}
+
+// Run lists requests in flight.
+func (c *runningCmd) Run(s *session) error {
+	var r operator.RunningReport
+	if err := s.client.Query(s.ctx, "running", nil, &r); err != nil {
+		return err
+	}
+	s.show(r, func(t table) {
+		t.row("ID", "INSTANCE", "BUDGET", "SERVICE", "ENDPOINT", "RESERVED", "AGE")
+		for _, q := range r.Requests {
+			t.row(q.ID, q.Instance, q.Budget, q.Service, q.Endpoint, q.Reserved, q.Age)
+		}
+		t.silent(r.Silent)
+	})
+	return nil
+}
+
+type drainingCmd struct{}
+
+// Run lists what is leaving.
+func (c *drainingCmd) Run(s *session) error {
+	var r operator.DrainingReport
+	if err := s.client.Query(s.ctx, "draining", nil, &r); err != nil {
+		return err
+	}
+	s.show(r, func(t table) {
+		t.row("ENDPOINT", "SERVICE", "REASONS", "RUNNING")
+		for _, e := range r.Endpoints {
+			t.row(e.Endpoint, e.Service, strings.Join(e.Reasons, ","), e.Running)
+		}
+		for _, id := range r.Instances {
+			t.row("instance " + id)
+		}
+		t.silent(r.Silent)
+	})
+	return nil
+}
+
+type instancesCmd struct{}
+
+// Run lists instances.
+func (c *instancesCmd) Run(s *session) error {
+	var r operator.InstancesReport
+	if err := s.client.Query(s.ctx, "instances", nil, &r); err != nil {
+		return err
+	}
+	s.show(r, func(t table) {
+		t.row("INSTANCE", "DOMAIN", "ADDRESS", "STATE", "GENERATION", "RUNNING")
+		for _, i := range r.Instances {
+			t.row(i.ID, i.Domain, i.Address, stateOf(i), i.Generation, i.Running)
+		}
+	})
+	return nil
+}
+
+func stateOf(i operator.InstanceStatus) string {
+	switch {
+	case !i.Answered:
+		return "no answer"
+	case i.Stopping:
+		return "stopping"
+	case !i.Ready:
+		return "not ready"
+	}
+	return "ready"
+}
+
+type configCmd struct{}
+
+// Run prints the configuration.
+func (c *configCmd) Run(s *session) error {
+	var d config.Document
+	if err := s.client.Query(s.ctx, "config", nil, &d); err != nil {
+		return err
+	}
+	writeJSON(s.out, d)
+	return nil
+}
+
+type burnCmd struct{}
+
+// Run shows the use of the error budgets.
+func (c *burnCmd) Run(s *session) error {
+	var r operator.BurnReport
+	if err := s.client.Query(s.ctx, "burn", nil, &r); err != nil {
+		return err
+	}
+	s.show(r, func(t table) {
+		t.row("SERVICE", "TARGET", "WINDOW", "GOOD", "TOTAL", "BURN RATE")
+		for _, svc := range r.Services {
+			for _, w := range svc.Windows {
+				t.row(svc.Service, svc.Target, w.Window, w.Good, w.Total, w.Rate)
+			}
+		}
+		t.silent(r.Silent)
+	})
+	return nil
+}
