--- /dev/null
+++ b/pkg/config/validate.go
@@ -0,0 +1,178 @@
+package config
+
+import (
+	"encoding/hex"
+	"fmt"
+	"net"
+	"regexp"
+	"slices"
+	"strings"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+// maxShards bounds Shards; the target size uses 256 in each failure domain.
+const maxShards = 4096
+
+// keyHashBytes is the length of a SHA-256.
+const keyHashBytes = 32
+
+// Names become parts of store keys and URLs. A failure domain is also a part of
+// request ids, where a dot separates the fields.
+var (
+	namePattern   = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	domainPattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9_-]{0,62}$`)
+)
+
+// ValidName reports whether name can name a service, endpoint, workspace or
+// budget: up to 63 letters, digits, dots, underscores and hyphens.
+func ValidName(name string) bool { return namePattern.MatchString(name) }
+
+// Fault is one fault of a document. Object and Key are those of the
+// declarations, for example "endpoint llm-1" and "address".
+type Fault struct {
+	Object string
+	Key    string
+	Reason string
+}
+
+// Validate reports every fault of a document in one failure.Invalid error.
+func Validate(d *Document) error {
+	faults := Faults(d)
+	if len(faults) == 0 {
+		return nil
+	}
+	lines := make([]string, len(faults))
+	for i, f := range faults {
+		lines[i] = strings.TrimSpace(f.Object+" "+f.Key) + ": " + f.Reason
+	}
+	return failure.New(failure.Invalid, "correct all of them and send the change again",
+		"the configuration has %d faults: %s", len(faults), strings.Join(lines, "; "))
+}
+
+// Faults returns every fault of a document.
+func Faults(d *Document) []Fault {
+	v := &validator{doc: d, endpoints: map[string]ServiceKind{}, seen: map[string]bool{}}
+	v.header()
+	for _, s := range d.Services {
+		v.service(s)
+	}
+	for _, w := range d.Workspaces {
+		v.workspace(w)
+	}
+	for _, e := range d.Engines {
+		v.engine(e)
+	}
+	for _, o := range d.Objectives {
+		v.objective(o)
+	}
+	return v.faults
+}
+
+type validator struct {
+	doc       *Document
+	endpoints map[string]ServiceKind // kinds of the services that endpoints belong to
+	seen      map[string]bool        // objects checked so far
+	faults    []Fault
+}
+
+func (v *validator) check(ok bool, object, key, reason string, args ...any) {
+	if !ok {
+		v.faults = append(v.faults, Fault{object, key, fmt.Sprintf(reason, args...)})
+	}
+}
+
+// object checks the name of an object and that it occurs once.
+func (v *validator) object(kind, name string) string {
+	object := kind + " " + name
+	v.check(ValidName(name), object, "", "the name must be 1 to 63 letters, digits, dots, underscores or hyphens")
+	v.once(object)
+	return object
+}
+
+func (v *validator) once(object string) {
+	v.check(!v.seen[object], object, "", "it is listed twice")
+	v.seen[object] = true
+}
+
+func (v *validator) header() {
+	const object = "deployment"
+	v.check(v.doc.Shards >= 1 && v.doc.Shards <= maxShards, object, "shards", "%d is not between 1 and %d", v.doc.Shards, maxShards)
+	v.check(len(v.doc.Domains) > 0, object, "domains", "no failure domain is listed")
+	for i, name := range v.doc.Domains {
+		v.check(domainPattern.MatchString(name), object, "domains", "%q must be 1 to 63 letters, digits, underscores or hyphens", name)
+		v.check(!slices.Contains(v.doc.Domains[:i], name), object, "domains", "%q is listed twice", name)
+	}
+}
+
+func (v *validator) service(s Service) {
+	object := v.object("service", s.Name)
+	v.check(s.Kind == ModelService || s.Kind == AppService, object, "kind", "%q is neither model nor app", s.Kind)
+	v.check(s.Kind != ModelService || (s.MaxOutputTokens > 0 && s.MaxOutputTokens <= int64(ledger.MaxTokens)),
+		object, "max-output-tokens", "%d is out of range; a model service needs a positive number", s.MaxOutputTokens)
+	v.check(s.Timeout > 0, object, "timeout", "it must be positive")
+	v.check(s.FirstByte > 0 && s.FirstByte <= s.Timeout, object, "first-byte", "it must be positive and at most the timeout")
+	v.check(s.Idle > 0 && s.Idle <= s.Timeout, object, "idle", "it must be positive and at most the timeout")
+	v.check(s.Concurrency > 0, object, "concurrency", "it must be positive")
+	for _, e := range s.Endpoints {
+		v.endpoint(s, e)
+	}
+	for _, r := range s.Routes {
+		v.route(s, r)
+	}
+}
+
+func (v *validator) endpoint(s Service, e Endpoint) {
+	object := v.object("endpoint", e.ID)
+	v.endpoints[e.ID] = s.Kind
+	host, port, err := net.SplitHostPort(e.Address)
+	v.check(err == nil && host != "" && port != "", object, "address", "%q is not host:port", e.Address)
+	v.check(slices.Contains(v.doc.Domains, e.Domain), object, "domain", "the failure domain %q is not listed", e.Domain)
+}
+
+// RouteObject returns the Object of faults of a route.
+func RouteObject(service string, r Route) string {
+	return "route " + service + " " + r.Method + " " + r.PathPrefix
+}
+
+func (v *validator) route(s Service, r Route) {
+	object := RouteObject(s.Name, r)
+	v.once(object)
+	v.check(s.Kind != ModelService, object, "", "a model service takes no routes")
+	v.check(r.Method != "" && r.Method == strings.ToUpper(r.Method), object, "method", "%q is not an HTTP method in capitals", r.Method)
+	v.check(strings.HasPrefix(r.PathPrefix, "/"), object, "path", "%q does not begin with a slash", r.PathPrefix)
+	v.check(r.Price >= 0 && r.Price <= int64(ledger.MaxTokens), object, "price", "%d is out of range", r.Price)
+}
+
+func (v *validator) workspace(w Workspace) {
+	object := v.object("workspace", w.Name)
+	raw, err := hex.DecodeString(w.KeyHash)
+	v.check(err == nil && len(raw) == keyHashBytes && w.KeyHash == strings.ToLower(w.KeyHash),
+		object, "key-sha256", "it must be a SHA-256 in 64 lower-case hex digits")
+	v.check(!v.seen[w.KeyHash], object, "key-sha256", "another workspace has the same key")
+	v.seen[w.KeyHash] = true
+	v.check(slices.Contains(w.Budgets, w.DefaultBudget), object, "default-budget", "%q is not among the budgets of the workspace", w.DefaultBudget)
+	v.check(w.RatePerSecond >= 0, object, "rate", "it must not be negative")
+	v.check(w.Concurrency >= 0, object, "concurrency", "it must not be negative")
+	for _, b := range w.Budgets {
+		name := "budget " + w.Name + "/" + b
+		v.check(ValidName(b), name, "", "the name must be 1 to 63 letters, digits, dots, underscores or hyphens")
+		v.once(name)
+	}
+}
+
+func (v *validator) engine(e EngineState) {
+	object := v.object("engine", e.Endpoint)
+	v.check(v.endpoints[e.Endpoint] == ModelService, object, "", "no model service has this endpoint")
+	v.check(e.Model != "", object, "model", "it is empty")
+}
+
+func (v *validator) objective(o Objective) {
+	object := v.object("objective", o.Service)
+	_, ok := v.doc.Service(o.Service)
+	v.check(ok, object, "", "there is no such service")
+	v.check(o.Target > 0 && o.Target < 1, object, "target", "it must be between 0 and 1")
+	v.check(o.FirstToken >= 0, object, "first-token", "it must not be negative")
+	v.check(o.BetweenTokens >= 0, object, "between-tokens", "it must not be negative")
+}
