peer: add the WebSocket transport

Cause: instances need calls with a definite outcome on connections that may break, go silent or meet a wrong peer. Change: Transport sends calls on one connection per address and serves calls of peers at /peer/v1. The handshake proves the shared credential in both directions. A connection that is silent for 3 s is closed, and the next call opens a new one; a connection that sent anything within the last second sends no beat. Handlers are bounded per connection; calls beyond the bound wait or are refused with Limited, so the reader never blocks. The decoder accepts arrays above the library's default of 131,072 elements, because the state of a busy shard can be larger.

--- a/pkg/peer/codec.go
+++ b/pkg/peer/codec.go
@@ -13,9 +13,16 @@
 // DefaultCallTimeout bounds a call whose context has no deadline.
 const DefaultCallTimeout = 5 * time.Second
 
+// maxElements bounds arrays and maps. The library's default of 131,072 is less
+// than the records of a busy shard; the message size bounds them before this does.
+const maxElements = 1 << 24
+
 var (
 	encMode = mustMode(cbor.EncOptions{Sort: cbor.SortCoreDeterministic, Time: cbor.TimeUnixMicro}.EncMode())
-	decMode = mustMode(cbor.DecOptions{MaxNestedLevels: 32, DupMapKey: cbor.DupMapKeyEnforcedAPF}.DecMode())
+	decMode = mustMode(cbor.DecOptions{
+		MaxNestedLevels: 32, MaxArrayElements: maxElements, MaxMapPairs: maxElements,
+		DupMapKey: cbor.DupMapKeyEnforcedAPF,
+	}.DecMode())
 )
 
 func mustMode[M any](m M, err error) M {
--- /dev/null
+++ b/pkg/peer/options.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+)
+
+// Path is the HTTP path of the WebSocket endpoint.
+const Path = "/peer/v1"
+
+// ProtocolVersion must be equal at both ends of a connection.
+const ProtocolVersion = 1
+
+// Defaults of Options.
+const (
+	DefaultHeartbeat = time.Second
+	// DefaultSilence is three heartbeats, so one lost or late beat closes nothing.
+	DefaultSilence = 3 * time.Second
+	// DefaultIdle is long enough that periodic calls keep their connection.
+	DefaultIdle = time.Minute
+	// DefaultMaxMessageBytes leaves room for the state of a shard; a document of
+	// the store is at most 1 MiB.
+	DefaultMaxMessageBytes = 8 << 20
+	DefaultMaxHandlers     = 256
+	DefaultMaxWaiting      = 1024
+)
+
+// Options configure a Transport. Zero values mean the defaults.
+type Options struct {
+	// Credential is the secret shared by all instances. Without one every
+	// connection is refused.
+	Credential []byte
+	// TLS is used for outgoing connections if it is set. Incoming connections
+	// use the TLS of the HTTP server.
+	TLS *tls.Config
+	// Heartbeat is the longest time for which a connection sends nothing.
+	Heartbeat time.Duration
+	// Silence is the time without any received byte after which a connection is
+	// closed. It also bounds the opening of a connection.
+	Silence time.Duration
+	// Idle is the time without calls after which an outgoing connection is closed.
+	Idle time.Duration
+	// CallTimeout bounds calls whose context has no deadline.
+	CallTimeout time.Duration
+	// MaxMessageBytes bounds the encoded request or answer of a call.
+	MaxMessageBytes int
+	// MaxHandlers bounds the handlers that run at once for one connection, and
+	// MaxWaiting the calls that wait for one of them. Calls above that are
+	// refused with failure.Limited.
+	MaxHandlers int
+	MaxWaiting  int
+
+	dial func(ctx context.Context, network, address string) (net.Conn, error) // replaced in tests
+}
+
+func (o Options) withDefaults() Options {
+	setDefault(&o.Heartbeat, DefaultHeartbeat)
+	setDefault(&o.Silence, DefaultSilence)
+	setDefault(&o.Idle, DefaultIdle)
+	setDefault(&o.CallTimeout, DefaultCallTimeout)
+	setDefault(&o.MaxMessageBytes, DefaultMaxMessageBytes)
+	setDefault(&o.MaxHandlers, DefaultMaxHandlers)
+	setDefault(&o.MaxWaiting, DefaultMaxWaiting)
+	return o
+}
+
+func setDefault[T comparable](v *T, def T) {
+	var zero T
+	if *v == zero {
+		*v = def
+	}
+}
