burn: add the recorder of service-level samples

Cause: operators need to see how fast each service and workspace uses up its error budget, over all instances. Change: Recorder counts good, bad and excluded requests in rings over 5 minutes, 1 hour and 6 hours, judged by config.Objective, with refusals by kind and truncated answers over 6 hours. Refusals that are the caller's fault are excluded from the burn rate. Reports are merged by addition and have a text table.

--- /dev/null
+++ b/pkg/burn/burn_test.go
@@ -0,0 +1,143 @@
+package burn
+
+import (
+	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+var objective = config.Objective{Service: "m", Target: 0.9, FirstToken: time.Second, BetweenTokens: 70 * time.Millisecond}
+
+func recorder() *Recorder {
+	r := NewRecorder()
+	r.SetObjectives([]config.Objective{objective})
+	return r
+}
+
+// TestVerdict guards against requests that count against the wrong side.
+func TestVerdict(t *testing.T) {
+	cases := []struct {
+		desc   string
+		sample Sample
+		want   Window
+	}{
+		{"good at the bounds", Sample{Service: "m", FirstToken: time.Second, WorstGap: 70 * time.Millisecond}, Window{Good: 1}},
+		{"first token late", Sample{Service: "m", FirstToken: time.Second + 1}, Window{Bad: 1}},
+		{"gap too long", Sample{Service: "m", WorstGap: 71 * time.Millisecond}, Window{Bad: 1}},
+		{"truncated", Sample{Service: "m", Truncated: true}, Window{Bad: 1}},
+		{"refused by the service", Sample{Service: "m", Refused: failure.NoEndpoint}, Window{Bad: 1}},
+		{"refused for the caller's fault", Sample{Service: "m", Refused: failure.BudgetExhausted}, Window{Excluded: 1}},
+		{"slow without an objective", Sample{Service: "other", FirstToken: time.Hour}, Window{Good: 1}},
+	}
+	for _, c := range cases {
+		t.Run(c.desc, func(t *testing.T) {
+			r := recorder()
+			r.observe(r.start, c.sample)
+			got := r.Report(r.start).Series[0].Windows[0]
+			got.Length, got.Burn = 0, 0
+			if got != c.want {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// TestWindows guards against samples that stay in a window too long or leave it
+// too early, and against a wrong burn rate.
+func TestWindows(t *testing.T) {
+	r := recorder()
+	r.observe(r.start, Sample{Service: "m", Refused: failure.Timeout})
+	for range 4 {
+		r.observe(r.start.Add(time.Second), Sample{Service: "m"})
+	}
+	for _, c := range []struct {
+		after time.Duration
+		burn  []float64 // by window; nil when the series is gone
+	}{
+		{0, []float64{2, 2, 2}},
+		{280 * time.Second, []float64{2, 2, 2}},
+		{5 * time.Minute, []float64{0, 2, 2}},
+		{time.Hour, []float64{0, 0, 2}},
+		{6*time.Hour + time.Minute, nil},
+	} {
+		series := r.Report(r.start.Add(c.after)).Series
+		if len(series) == 0 || c.burn == nil {
+			if len(series) != 0 || c.burn != nil {
+				t.Errorf("after %v: %d series, want %v", c.after, len(series), c.burn)
+			}
+			continue
+		}
+		for i, w := range series[0].Windows {
+			if fmt.Sprintf("%.3f", w.Burn) != fmt.Sprintf("%.3f", c.burn[i]) {
+				t.Errorf("after %v, window %v: burn %v, want %v", c.after, w.Length, w.Burn, c.burn[i])
+			}
+		}
+		if series[0].Refused[failure.Timeout] != 1 {
+			t.Errorf("after %v: refused %v", c.after, series[0].Refused)
+		}
+	}
+	r.observe(r.start.Add(5*time.Minute), Sample{Service: "m"})
+	if w := r.Report(r.start.Add(5 * time.Minute)).Series[0].Windows[0]; w.Good != 1 || w.Bad != 0 {
+		t.Errorf("a reused bucket kept its counts: %+v", w)
+	}
+}
+
+// TestBoundedMemory guards against callers that add series without end, and
+// against samples that get lost at the bound.
+func TestBoundedMemory(t *testing.T) {
+	r := recorder()
+	for i := range 2 * MaxSeries {
+		r.observe(r.start, Sample{Service: "m", Workspace: fmt.Sprint(i)})
+	}
+	report := r.Report(r.start)
+	if len(report.Series) != MaxSeries+1 || report.ByService().Series[0].Windows[0].Good != 2*MaxSeries {
+		t.Errorf("%d series, %+v", len(report.Series), report.ByService())
+	}
+	r.observe(r.start.Add(7*time.Hour), Sample{Service: "m", Workspace: "new"})
+	if got := r.Report(r.start.Add(7 * time.Hour)).Series; len(got) != 1 || got[0].Workspace != "new" {
+		t.Errorf("old series keep new ones out: %d series", len(got))
+	}
+}
+
+// TestMerge guards against averages of rates, and against fields that are lost
+// between instances.
+func TestMerge(t *testing.T) {
+	a, b := recorder(), recorder()
+	for i := range 10 {
+		a.observe(a.start, Sample{Service: "m", Workspace: "w", Truncated: i == 0})
+	}
+	for range 90 {
+		b.observe(b.start, Sample{Service: "m", Workspace: "w"})
+	}
+	b.observe(b.start, Sample{Service: "m", Workspace: "v", Refused: failure.Limited})
+	encoded, err := peer.Marshal(b.Report(b.start))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var remote Report
+	if err := peer.Unmarshal(encoded, &remote); err != nil || !reflect.DeepEqual(remote, b.Report(b.start)) {
+		t.Fatalf("CBOR: %v, %+v", err, remote)
+	}
+	total := Merge(a.Report(a.start), remote)
+	if _, err := json.Marshal(total); err != nil {
+		t.Error(err)
+	}
+	var table strings.Builder
+	if err := total.WriteTable(&table); err != nil {
+		t.Fatal(err)
+	}
+	want := `SERVICE  WORKSPACE  TARGET  BURN 5m  BURN 1h  BURN 6h  GOOD  BAD  EXCLUDED  TRUNCATED  REFUSED
+m        v          0.9     10.00    10.00    10.00    0     1    0         0          limited=1
+m        w          0.9     0.10     0.10     0.10     99    1    0         1          -
+`
+	if table.String() != want {
+		t.Errorf("got\n%swant\n%s", table.String(), want)
+	}
+}
