Assemble the daemon, the demo and a fleet of separate processes

Cause: the parts existed side by side and nothing ran as a whole. Change: pkg/daemon connects the components, serves four listeners and stops gracefully; clementinerackd; a fleet starter and a demo command that checks each step. Burn reports use one type from recorder to tool.

--- a/Makefile
+++ b/Makefile
@@ -20,3 +20,6 @@
 
 clean:
 	rm -rf $(BIN) tmp
+
+demo: build
+	$(BIN)/demo --bin $(BIN)
--- a/cmd/clementinectl/queries.go
+++ b/cmd/clementinectl/queries.go
@@ -146,14 +146,13 @@
 	if err := s.client.Query(s.ctx, "burn", nil, &r); err != nil {
 		return err
 	}
-	s.show(r, func(t table) {
-		t.row("SERVICE", "TARGET", "WINDOW", "GOOD", "TOTAL", "BURN RATE")
-		for _, svc := range r.Services {
-			for _, w := range svc.Windows {
-				t.row(svc.Service, svc.Target, w.Window, w.Good, w.Total, w.Rate)
-			}
-		}
-		t.silent(r.Silent)
-	})
+	if s.json {
+		writeJSON(s.out, r)
+		return nil
+	}
+	if err := r.WriteTable(s.out); err != nil {
+		return err
+	}
+	s.show(r, func(t table) { t.silent(r.Silent) })
 	return nil
 }
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -155,6 +155,10 @@
 	Reserved Tokens      `cbor:"4,keyasint" json:"reserved"`
 	Service  string      `cbor:"5,keyasint" json:"service"`
 	Budget   BudgetKey   `cbor:"6,keyasint" json:"budget"`
+	// Dispatcher is the incarnation that sends the request to an endpoint.
+	Dispatcher string `cbor:"7,keyasint" json:"dispatcher"`
+	// At is the owner's wall clock in ms at the last change of state.
+	At int64 `cbor:"8,keyasint" json:"at_ms"`
 }
 
 // BillLine is the bill of one request. There is at most one per request id.
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -140,7 +140,10 @@
 	if r == nil {
 		return RequestStatus{}, false
 	}
-	return RequestStatus{ID: r.ID, State: r.State, Charged: r.Charged, Reserved: r.Reserved, Service: r.Service, Budget: r.Budget}, true
+	return RequestStatus{
+		ID: r.ID, State: r.State, Charged: r.Charged, Reserved: r.Reserved, Service: r.Service, Budget: r.Budget,
+		Dispatcher: r.Dispatcher, At: r.At,
+	}, true
 }
 
 // Running returns the views of all running requests.
--- a/pkg/operator/messages.go
+++ b/pkg/operator/messages.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/burn"
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/declare"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
@@ -107,27 +108,10 @@
 	Instances []InstanceStatus `json:"instances"`
 }
 
-// BurnWindow is the use of an error budget over a window.
-type BurnWindow struct {
-	Window time.Duration `json:"window_ns"`
-	Good   uint64        `json:"good"`
-	Total  uint64        `json:"total"`
-	// Rate is the share of bad requests over the share that the objective
-	// allows; above 1 the objective is missed.
-	Rate float64 `json:"rate"`
-}
-
-// ServiceBurn is the burn of one objective.
-type ServiceBurn struct {
-	Service string       `json:"service"`
-	Target  float64      `json:"target"`
-	Windows []BurnWindow `json:"windows"`
-}
-
-// BurnReport lists the burn of all objectives.
+// BurnReport is the use of the error budgets over all instances that answered.
 type BurnReport struct {
-	Services []ServiceBurn `json:"services"`
-	Silent   []string      `json:"silent"`
+	burn.Report
+	Silent []string `json:"silent"`
 }
 
 // TopUpRequest pays an amount into a budget.
--- a/pkg/settings/fields.go
+++ b/pkg/settings/fields.go
@@ -38,7 +38,8 @@
 // fields lists all keys. Defaults: the store answers in milliseconds, so 2 s
 // means that it is silent; a watch of 20 s costs the store 17 calls/s at 340
 // instances; bodies of 8 MiB hold the longest patient histories; the longest
-// streams last minutes, so a graceful stop waits for 10.
+// streams last minutes, so a graceful stop waits for 10. Grants cover 11 minutes
+// of demand, which is a partition of 10 minutes and the time to notice it.
 func (s *Settings) fields() []field {
 	return []field{
 		{"instance", "id", "", false, remedyName, name(&s.Instance.ID)},
@@ -66,7 +67,7 @@
 		{"callers", "queue-limit", "256", false, remedyNumber, positive(&s.Callers.QueueLimit)},
 		{"ledger", "retention-repeatable", "10m", false, remedyDuration, duration(&s.Ledger.RetentionRepeatable)},
 		{"ledger", "retention-non-repeatable", "24h", false, remedyDuration, duration(&s.Ledger.RetentionNonRepeatable)},
-		{"ledger", "grant-horizon", "30s", false, remedyDuration, duration(&s.Ledger.GrantHorizon)},
+		{"ledger", "grant-horizon", "11m", false, remedyDuration, duration(&s.Ledger.GrantHorizon)},
 		{"stop", "grace", "10m", false, remedyDuration, duration(&s.Stop.Grace)},
 		{"log", "level", "info", false, "give one of error, warning, info, debug", level(&s.Log.Level)},
 		{"log", "format", "text", false, "give text or json", oneOf(&s.Log.Format, "text", "json")},
--- a/pkg/shard/matrix_test.go
+++ b/pkg/shard/matrix_test.go
@@ -73,7 +73,7 @@
 			for _, n := range w.nodes {
 				w.store.CutClient(n.id.Instance)
 			}
-		}, func(w *world) { w.store.RestoreAllClients() }},
+		}, func(w *world) { w.store.CutOnly() }},
 		{"messages twice", func(w *world) {
 			w.net.Duplicate(v.sender.id.Address, v.owner.id.Address, 5)
 			w.net.Duplicate(v.owner.id.Address, v.backup.id.Address, 5)
--- /dev/null
+++ b/standins/fleet/doc.go
@@ -0,0 +1,5 @@
+// Package fleet starts a small fleet of separate processes on the loopback
+// interface: the platform, engine and app stand-ins and the daemons. The demo,
+// the process-level fault tests and the benchmark use it. It stops only the
+// processes that it started.
+package fleet
--- /dev/null
+++ b/standins/fleet/fleet.go
@@ -0,0 +1,331 @@
+package fleet
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+)
+
+// pollInterval is the pause between two looks at a process that is starting.
+const pollInterval = 20 * time.Millisecond
+
+// Options describe a fleet.
+type Options struct {
+	// Bin is the directory of the binaries.
+	Bin string
+	// Domains are the failure domains, PerDomain the instances in each.
+	Domains   []string
+	PerDomain int
+	// TokenInterval is the time between two tokens of an engine.
+	TokenInterval time.Duration
+	// Slots is the number of requests that an engine generates at once.
+	Slots int
+	// Budget is the opening amount of the budget "meals/rounds" in tokens.
+	Budget int64
+	// Concurrency is the limit of requests in flight per endpoint and instance.
+	Concurrency int
+}
+
+// Names used by the declarations of a fleet.
+const (
+	ModelService = "llm-pool"
+	AppService   = "rounds-app"
+	Workspace    = "meals"
+	BudgetName   = "rounds"
+	// WorkspaceKey is the API key of the workspace.
+	WorkspaceKey = "demo-workspace-key"
+)
+
+// Instance is a daemon process with its addresses.
+type Instance struct {
+	*Process
+	ID, Domain                         string
+	Callers, Operators, Peers, Metrics string
+	settings                           string
+}
+
+// Endpoint is an engine or app stand-in.
+type Endpoint struct {
+	*Process
+	ID, Domain, Service string
+}
+
+// Fleet is a running fleet.
+type Fleet struct {
+	opts      Options
+	dir       string
+	processes []*Process
+
+	Platform  *Process
+	Instances []*Instance
+	Endpoints []*Endpoint
+	tokenFile string
+	credFile  string
+}
+
+// Start runs the stand-ins and the daemons, applies the declarations and waits
+// until each instance is ready.
+func Start(ctx context.Context, opts Options) (*Fleet, error) {
+	dir, err := os.MkdirTemp("", "clementinerack-")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{opts: opts, dir: dir}
+	if err := f.startAll(ctx); err != nil {
+		f.Stop()
+		return nil, err
+	}
+	return f, nil
+}
+
+func (f *Fleet) startAll(ctx context.Context) error {
+	if err := f.writeSecrets(); err != nil {
+		return err
+	}
+	if err := f.StartPlatform(""); err != nil {
+		return err
+	}
+	for _, domain := range f.opts.Domains {
+		if err := f.startEndpoints(domain); err != nil {
+			return err
+		}
+	}
+	if err := f.startInstances(); err != nil {
+		return err
+	}
+	if err := f.applyDeclarations(ctx); err != nil {
+		return err
+	}
+	for _, i := range f.Instances {
+		if err := f.WaitReady(ctx, i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartPlatform runs the platform stand-in; an empty address chooses one.
+func (f *Fleet) StartPlatform(address string) (err error) {
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	if f.Platform, err = f.start("platform", "standin-platform", "--listen", address); err != nil {
+		return err
+	}
+	return f.Platform.listening()
+}
+
+func (f *Fleet) startEndpoints(domain string) error {
+	for _, kind := range []struct{ service, binary, name string }{
+		{ModelService, "standin-engine", "engine"}, {AppService, "standin-app", "app"},
+	} {
+		for n := 1; n <= 2; n++ {
+			id := fmt.Sprintf("%s-%s-%d", kind.name, domain, n)
+			if err := f.startEndpoint(id, domain, kind.service, kind.binary, "127.0.0.1:0"); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) startEndpoint(id, domain, service, binary, address string) error {
+	args := []string{"--listen", address, "--id", id}
+	if service == ModelService {
+		args = append(args, "--model", ModelService, "--token-interval", f.opts.TokenInterval.String(), "--slots", fmt.Sprint(max(f.opts.Slots, 8)))
+	}
+	p, err := f.start(id, binary, args...)
+	if err != nil {
+		return err
+	}
+	f.Endpoints = append(f.Endpoints, &Endpoint{Process: p, ID: id, Domain: domain, Service: service})
+	return p.listening()
+}
+
+func (f *Fleet) writeSecrets() error {
+	f.tokenFile, f.credFile = filepath.Join(f.dir, "operator.token"), filepath.Join(f.dir, "peer.credential")
+	if err := os.WriteFile(f.tokenFile, []byte("demo-operator-token"), 0o600); err != nil {
+		return err
+	}
+	return os.WriteFile(f.credFile, []byte("demo-peer-credential"), 0o600)
+}
+
+func (f *Fleet) startInstances() error {
+	for _, domain := range f.opts.Domains {
+		for n := 1; n <= f.opts.PerDomain; n++ {
+			addresses, err := freeAddresses(4)
+			if err != nil {
+				return err
+			}
+			f.Instances = append(f.Instances, &Instance{
+				ID: fmt.Sprintf("%s-%d", domain, n), Domain: domain,
+				Callers: addresses[0], Operators: addresses[1], Peers: addresses[2], Metrics: addresses[3],
+			})
+		}
+	}
+	for _, i := range f.Instances {
+		if err := f.StartInstance(i); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// StartInstance runs the daemon of an instance, for the first time or again.
+func (f *Fleet) StartInstance(i *Instance) error {
+	var seeds []string
+	for _, o := range f.Instances {
+		if o != i {
+			seeds = append(seeds, o.Peers)
+		}
+	}
+	i.settings = filepath.Join(f.dir, i.ID+".ini")
+	text := fmt.Sprintf(settingsTemplate, i.ID, i.Domain, i.Callers, i.Operators, i.Peers, i.Metrics,
+		f.Platform.Address, strings.Join(seeds, ","), f.credFile, f.tokenFile)
+	if err := os.WriteFile(i.settings, []byte(text), 0o600); err != nil {
+		return err
+	}
+	p, err := f.start(i.ID, "clementinerackd", "--settings", i.settings)
+	i.Process = p
+	return err
+}
+
+const settingsTemplate = `[instance]
+id = %s
+domain = %s
+region = local
+[listen]
+callers = %s
+operators = %s
+peers = %s
+metrics = %s
+[platform]
+address = http://%s
+watch-wait = 5s
+[peers]
+seeds = %s
+credential-file = %s
+[operators]
+token-file = %s
+[stop]
+grace = 15s
+`
+
+// freeAddresses returns loopback addresses that were free a moment ago.
+func freeAddresses(n int) ([]string, error) {
+	var out []string
+	var open []net.Listener
+	defer func() {
+		for _, l := range open {
+			_ = l.Close()
+		}
+	}()
+	for range n {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			return nil, err
+		}
+		open = append(open, l)
+		out = append(out, l.Addr().String())
+	}
+	return out, nil
+}
+
+// Declarations returns the INI text that the fleet applies at its start.
+func (f *Fleet) Declarations() string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "[deployment]\ndomains = %s\nshards = 4\n", strings.Join(f.opts.Domains, ","))
+	fmt.Fprintf(&b, "[service %s]\nkind = model\nmax-output-tokens = 512\ntimeout = 60s\nfirst-byte = 5s\nidle = 3s\nconcurrency = %d\n", ModelService, max(f.opts.Concurrency, 64))
+	fmt.Fprintf(&b, "[service %s]\nkind = app\ntimeout = 20s\nfirst-byte = 5s\nidle = 3s\nconcurrency = 64\n", AppService)
+	fmt.Fprintf(&b, "[route %s lookup]\nmethod = GET\npath = /addresses\nprice = 1\nrepeatable = true\n", AppService)
+	fmt.Fprintf(&b, "[route %s booking]\nmethod = POST\npath = /bookings\nprice = 20\nrepeatable = false\n", AppService)
+	fmt.Fprintf(&b, "[objective %s]\ntarget = 0.95\nfirst-token = 1800ms\nbetween-tokens = 70ms\n", ModelService)
+	key := sha256.Sum256([]byte(WorkspaceKey))
+	fmt.Fprintf(&b, "[workspace %s]\nkey-sha256 = %s\ndefault-budget = %s\n", Workspace, hex.EncodeToString(key[:]), BudgetName)
+	fmt.Fprintf(&b, "[budget %s/%s]\nopening = %d\n", Workspace, BudgetName, f.opts.Budget)
+	for _, e := range f.Endpoints {
+		fmt.Fprintf(&b, "[endpoint %s]\nservice = %s\naddress = %s\ndomain = %s\n", e.ID, e.Service, e.Address, e.Domain)
+	}
+	return b.String()
+}
+
+// DeclarationsFile writes the declarations and returns their path.
+func (f *Fleet) DeclarationsFile() (string, error) {
+	path := filepath.Join(f.dir, "declarations.ini")
+	return path, os.WriteFile(path, []byte(f.Declarations()), 0o600)
+}
+
+func (f *Fleet) applyDeclarations(ctx context.Context) error {
+	path, err := f.DeclarationsFile()
+	if err != nil {
+		return err
+	}
+	for _, i := range f.Instances {
+		if err := f.waitListening(ctx, i.Operators); err != nil {
+			return err
+		}
+	}
+	out, err := f.Ctl(ctx, "apply", path, "--wait")
+	if err != nil {
+		return fmt.Errorf("apply: %w: %s", err, out)
+	}
+	return nil
+}
+
+func (f *Fleet) waitListening(ctx context.Context, address string) error {
+	return poll(ctx, func() bool {
+		c, err := net.DialTimeout("tcp", address, time.Second)
+		if err == nil {
+			_ = c.Close()
+		}
+		return err == nil
+	}, address+" is not listening")
+}
+
+// WaitReady waits until an instance reports that it is ready.
+func (f *Fleet) WaitReady(ctx context.Context, i *Instance) error {
+	return poll(ctx, func() bool {
+		resp, err := http.Get("http://" + i.Metrics + "/readyz")
+		if err != nil {
+			return false
+		}
+		_ = resp.Body.Close()
+		return resp.StatusCode == http.StatusOK
+	}, i.ID+" is not ready")
+}
+
+func poll(ctx context.Context, ok func() bool, message string) error {
+	ctx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	for !ok() {
+		select {
+		case <-time.After(pollInterval):
+		case <-ctx.Done():
+			return fmt.Errorf("%s within %s", message, startTimeout)
+		}
+	}
+	return nil
+}
+
+// Stop ends all processes that are left and removes the files.
+func (f *Fleet) Stop() {
+	for n := len(f.processes) - 1; n >= 0; n-- {
+		p := f.processes[n]
+		_ = p.Resume()
+		if !p.Ended() {
+			p.Kill()
+		}
+		_ = p.log.Close()
+	}
+	_ = os.RemoveAll(f.dir)
+}
+
+// Dir returns the directory of settings and logs.
+func (f *Fleet) Dir() string { return f.dir }
