Add the relay and the callers' API

Cause: nothing serves callers or carries requests to endpoints yet. Change: pkg/relay makes one attempt at an endpoint (engine streams with resume and cancel, app calls with exact knowledge of what was sent). pkg/entry checks, admits, dispatches and settles requests, lets repeats attach to the running one, and repeats settlements in the background. The tests drive both over loopback against fake endpoints and the ledger's own rules: bad input, each decision, each endpoint fault, caller leaving, drain, attach, lost settlements.

--- /dev/null
+++ b/pkg/entry/app.go
@@ -0,0 +1,78 @@
+package entry
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+func (s *Server) parseApp(doc *config.Document, j *job, r *http.Request) error {
+	escaped := strings.TrimPrefix(r.URL.EscapedPath(), appPrefix)
+	if err := checkPath(escaped); err != nil {
+		return err
+	}
+	name, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, appPrefix), "/")
+	svc, ok := doc.Service(name)
+	if !ok || svc.Kind != config.AppService || !strings.HasPrefix(escaped, name+"/") {
+		return failure.New(failure.NotFound, "name an app service of the configuration and a path", "app %q does not exist", name)
+	}
+	plain := strings.TrimPrefix(r.URL.Path, appPrefix+name)
+	route, ok := findRoute(svc, r.Method, plain)
+	if !ok {
+		return failure.New(failure.NotFound, "use a method and path that the configuration names",
+			"app %q has no route for %s %s", name, r.Method, plain)
+	}
+	if r.Header.Get("Upgrade") != "" {
+		return failure.New(failure.Invalid, "send a plain HTTP request", "protocol upgrades are not supported")
+	}
+	body, err := readBody(j.out, r, maxAppBytes)
+	if err != nil {
+		return err
+	}
+	j.service, j.repeatable, j.amount = svc, route.Repeatable, ledger.Tokens(route.Price)
+	j.method, j.header, j.body = r.Method, r.Header, body
+	j.path = strings.TrimPrefix(escaped, name)
+	if r.URL.RawQuery != "" {
+		j.path += "?" + r.URL.RawQuery
+	}
+	j.fingerprint = fingerprint(j.workspace.Name, svc.Name, r.Method, j.path, body)
+	return nil
+}
+
+// checkPath refuses paths that an app could read differently than findRoute,
+// which would give a call the price and the repeatable flag of another route.
+func checkPath(escaped string) error {
+	lower := strings.ToLower(escaped)
+	suspect := slices.ContainsFunc([]string{"//", "\\", "%2f", "%5c", "%2e", "%00"}, func(bad string) bool {
+		return strings.Contains(lower, bad)
+	})
+	for segment := range strings.SplitSeq(escaped, "/") {
+		suspect = suspect || segment == "." || segment == ".."
+	}
+	if suspect {
+		return failure.New(failure.Invalid, "send the path in canonical form", "the path has empty, dot or encoded segments")
+	}
+	return nil
+}
+
+// findRoute returns the route of the method with the longest prefix. A prefix
+// ends at a segment of the path.
+func findRoute(svc config.Service, method, path string) (config.Route, bool) {
+	var best config.Route
+	found := false
+	for _, route := range svc.Routes {
+		if route.Method == method && hasPathPrefix(path, route.PathPrefix) && (!found || len(route.PathPrefix) > len(best.PathPrefix)) {
+			best, found = route, true
+		}
+	}
+	return best, found
+}
+
+func hasPathPrefix(path, prefix string) bool {
+	rest, ok := strings.CutPrefix(path, prefix)
+	return ok && (rest == "" || strings.HasSuffix(prefix, "/") || rest[0] == '/')
+}
--- /dev/null
+++ b/pkg/entry/auth.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"net/http"
+	"slices"
+	"strings"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+// Request headers of the API.
+const (
+	keyHeader      = "Idempotency-Key"
+	budgetHeader   = "Clementinerack-Budget"
+	priorityHeader = "Clementinerack-Priority"
+	timeoutHeader  = "Clementinerack-Timeout"
+	// idHeader is a response header with the id of the request.
+	idHeader = "Clementinerack-Request-Id"
+)
+
+// singleHeaders may occur once: with two values the caller and this program
+// could act on different ones.
+var singleHeaders = []string{
+	"Authorization", "Content-Length", "Content-Type", "Content-Encoding",
+	keyHeader, budgetHeader, priorityHeader, timeoutHeader,
+}
+
+func checkHeaders(h http.Header) error {
+	for _, name := range singleHeaders {
+		if n := len(h.Values(name)); n > 1 {
+			return failure.New(failure.Invalid, "send the header once", "header %s occurs %d times", name, n)
+		}
+	}
+	return nil
+}
+
+// authenticate returns the document in force and the workspace of the caller.
+func (s *Server) authenticate(r *http.Request) (*config.Document, config.Workspace, error) {
+	if err := checkHeaders(r.Header); err != nil {
+		return nil, config.Workspace{}, err
+	}
+	doc := s.opts.Configuration.Current()
+	if doc == nil {
+		return nil, config.Workspace{}, failure.New(failure.NotReady, "repeat the request later", "the instance has no configuration yet")
+	}
+	scheme, key, ok := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !ok || !strings.EqualFold(scheme, "Bearer") || key == "" {
+		return nil, config.Workspace{}, failure.New(failure.Unauthorized,
+			"send the header Authorization: Bearer <workspace key>", "the request has no workspace key")
+	}
+	sum := sha256.Sum256([]byte(strings.TrimSpace(key)))
+	ws, ok := doc.WorkspaceByKeyHash(hex.EncodeToString(sum[:]))
+	if !ok {
+		return nil, config.Workspace{}, failure.New(failure.Unauthorized, "check the workspace key", "the workspace key is not known")
+	}
+	return doc, ws, nil
+}
+
+// chooseBudget returns the named budget, or the workspace's default one.
+func chooseBudget(ws config.Workspace, name string) (ledger.BudgetKey, error) {
+	if name == "" {
+		name = ws.DefaultBudget
+	}
+	if !slices.Contains(ws.Budgets, name) {
+		return ledger.BudgetKey{}, failure.New(failure.Invalid,
+			"name a budget of the workspace in the header "+budgetHeader, "workspace %q has no budget %q", ws.Name, name)
+	}
+	return ledger.BudgetKey{Workspace: ws.Name, Budget: name}, nil
+}
--- /dev/null
+++ b/pkg/entry/fakes_test.go
@@ -0,0 +1,321 @@
+package entry
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/relay"
+	"github.com/clementinerack/clementinerack/pkg/routing"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var (
+	testShard  = ledger.ShardID{Domain: "yaba", Shard: 0}
+	testBudget = ledger.BudgetKey{Workspace: "ward", Budget: "main"}
+)
+
+// fakeLedger is a shard owner that decides with the real rules. Hooks run before
+// a call; an error that they return replaces it.
+type fakeLedger struct {
+	mu         sync.Mutex
+	state      *ledger.State
+	onReserve  func(ledger.ReserveRequest) (*ledger.ReserveReply, error)
+	onSettle   func(ledger.SettleRequest) error
+	loseAnswer int // replies to Reserve that are lost after they took effect
+	reserves   []ledger.ReserveRequest
+	settles    []ledger.SettleRequest
+}
+
+func newFakeLedger(granted ledger.Tokens) *fakeLedger {
+	s := ledger.NewState(testShard, 1, ledger.Retention{Repeatable: time.Hour, NonRepeatable: time.Hour})
+	s.Commit(s.PlanGranted(testBudget, granted, 1))
+	return &fakeLedger{state: s}
+}
+
+func (f *fakeLedger) NewID(ledger.BudgetKey) (ledger.RequestID, error) {
+	return ledger.NewIssuedID(testShard, 1, time.Now()), nil
+}
+
+func (f *fakeLedger) CallerKeyID(b ledger.BudgetKey, key string) (ledger.RequestID, error) {
+	return ledger.NewCallerKeyID(testShard, b.Workspace, key), nil
+}
+
+func (f *fakeLedger) Reserve(_ context.Context, req ledger.ReserveRequest) (ledger.ReserveReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.reserves = append(f.reserves, req)
+	if f.onReserve != nil {
+		if reply, err := f.onReserve(req); reply != nil || err != nil {
+			if reply == nil {
+				reply = &ledger.ReserveReply{}
+			}
+			return *reply, err
+		}
+	}
+	reply, m, err := f.state.PlanReserve(req, time.Now())
+	if m != nil {
+		f.state.Commit(m)
+	}
+	if f.loseAnswer > 0 {
+		f.loseAnswer--
+		return ledger.ReserveReply{}, failure.New(failure.Uncertain, "", "reply lost")
+	}
+	return reply, err
+}
+
+func (f *fakeLedger) Settle(_ context.Context, req ledger.SettleRequest) (ledger.SettleReply, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.onSettle != nil {
+		if err := f.onSettle(req); err != nil {
+			return ledger.SettleReply{}, err
+		}
+	}
+	reply, m, err := f.state.PlanSettle(req, time.Now())
+	if m != nil {
+		f.state.Commit(m)
+	}
+	f.settles = append(f.settles, req)
+	return reply, err
+}
+
+func (f *fakeLedger) Lookup(_ context.Context, id string) (ledger.RequestStatus, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	status, ok := f.state.Lookup(id)
+	if !ok {
+		return status, failure.New(failure.NotFound, "", "no record of %s", id)
+	}
+	return status, nil
+}
+
+func (f *fakeLedger) lastEnd() ledger.End {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.settles) == 0 {
+		return 0
+	}
+	return f.settles[len(f.settles)-1].End
+}
+
+func (f *fakeLedger) right() ledger.Right {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.state.Right(testBudget)
+}
+
+type fakeConfig struct{ doc *config.Document }
+
+func (c fakeConfig) Current() *config.Document { return c.doc }
+
+// fakePeers calls the handlers of the servers that are registered by address.
+type fakePeers map[string]*handlers
+
+type handlers struct{ attach peer.Handler }
+
+func (h *handlers) Handle(_ peer.Method, f peer.Handler) { h.attach = f }
+
+func (p fakePeers) Call(ctx context.Context, address string, _ peer.Method, req, resp any) error {
+	h := p[address]
+	if h == nil {
+		return failure.New(failure.Unavailable, "", "%s does not answer", address)
+	}
+	body, err := cbor.Marshal(req)
+	if err != nil {
+		return err
+	}
+	reply, err := h.attach(ctx, peer.Identity{}, body)
+	if err != nil {
+		return err
+	}
+	if body, err = cbor.Marshal(reply); err != nil {
+		return err
+	}
+	return cbor.Unmarshal(body, resp)
+}
+
+type fakeQuarantine struct {
+	mu      sync.Mutex
+	refused error
+	died    []string
+	broken  int
+}
+
+func (q *fakeQuarantine) Check([16]byte, time.Time) error     { return q.refused }
+func (q *fakeQuarantine) Suspect([16]byte, time.Time) bool    { return false }
+func (q *fakeQuarantine) Started([16]byte, string, time.Time) {}
+func (q *fakeQuarantine) Ended([16]byte, string)              {}
+func (q *fakeQuarantine) Broken([16]byte, string, time.Time)  { q.mu.Lock(); q.broken++; q.mu.Unlock() }
+func (q *fakeQuarantine) EndpointDied(e, _ string, _ time.Time) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.died = append(q.died, e)
+}
+
+// byIDAttached reports whether a repeat reads the answer of a request.
+func (t *table) byIDAttached(id string) bool {
+	e, _, _ := t.look(id, 1)
+	return e != nil && e.answer.attached(time.Time{})
+}
+
+// fixture is one instance with its endpoints and callers' HTTP server.
+type fixture struct {
+	*Server
+	pool       *routing.Pool
+	t          *testing.T
+	ledger     *fakeLedger
+	doc        *config.Document
+	peers      fakePeers
+	quarantine *fakeQuarantine
+	http       *httptest.Server
+	client     *http.Client
+}
+
+const testKey = "secret"
+
+func newFixture(t *testing.T, endpoints ...http.Handler) *fixture {
+	f := &fixture{t: t, ledger: newFakeLedger(100000), peers: fakePeers{}, quarantine: &fakeQuarantine{}}
+	f.doc = &config.Document{Shards: 1, Domains: []string{"yaba"}, Workspaces: []config.Workspace{{
+		Name: "ward", KeyHash: "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+		DefaultBudget: "main", Budgets: []string{"main"},
+	}}}
+	model := config.Service{Name: "llm", Kind: config.ModelService, MaxOutputTokens: 100,
+		Timeout: 20 * time.Second, FirstByte: 5 * time.Second, Idle: 5 * time.Second}
+	for i, h := range endpoints {
+		server := httptest.NewServer(h)
+		t.Cleanup(server.Close)
+		model.Endpoints = append(model.Endpoints, config.Endpoint{
+			ID: fmt.Sprintf("e%d", i), Domain: "yaba", Address: server.Listener.Addr().String()})
+	}
+	app := model
+	app.Name, app.Kind = "rounds", config.AppService
+	app.Routes = []config.Route{
+		{Method: "POST", PathPrefix: "/book", Price: 50},
+		{Method: "GET", PathPrefix: "/", Price: 5, Repeatable: true},
+	}
+	f.doc.Services = []config.Service{model, app}
+	f.start("self", f.ledger)
+	return f
+}
+
+func (f *fixture) start(incarnation string, l Ledger) {
+	pool := routing.New("yaba", routing.Options{Seed: 1}, nil)
+	pool.Update(f.doc)
+	f.pool = pool
+	client := relay.New(relay.Options{Instance: incarnation})
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	f.Server = New(Options{
+		Self:   peer.Identity{Instance: incarnation, Incarnation: incarnation, Address: incarnation},
+		Ledger: l, Configuration: fakeConfig{f.doc}, Peers: f.peers, Router: pool,
+		Quarantine: f.quarantine, Relay: client, Log: log,
+	})
+	h := &handlers{}
+	f.RegisterPeer(h)
+	f.peers[incarnation] = h
+	f.http = httptest.NewServer(f.Server)
+	f.client = &http.Client{Transport: &http.Transport{}}
+	server, callers, callersHTTP := f.Server, f.client, f.http
+	f.t.Cleanup(func() {
+		callers.CloseIdleConnections()
+		callersHTTP.Close()
+		server.Close()
+		client.Close()
+	})
+}
+
+// second returns another instance that shares ledger, peers and endpoints.
+func (f *fixture) second(incarnation string) *fixture {
+	g := *f
+	g.start(incarnation, f.ledger)
+	return &g
+}
+
+type reply struct {
+	status  int
+	outcome string
+	body    string
+	err     error
+}
+
+func (f *fixture) request(ctx context.Context, method, path, body string, headers ...string) *http.Request {
+	r, err := http.NewRequestWithContext(ctx, method, f.http.URL+path, strings.NewReader(body))
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Header.Set("Authorization", "Bearer "+testKey)
+	for _, h := range headers {
+		name, value, _ := strings.Cut(h, ": ")
+		r.Header.Add(name, value)
+	}
+	return r
+}
+
+func (f *fixture) do(method, path, body string, headers ...string) reply {
+	resp, err := f.client.Do(f.request(context.Background(), method, path, body, headers...))
+	if err != nil {
+		return reply{err: err}
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	return reply{resp.StatusCode, resp.Header.Get(failure.OutcomeHeader), string(data), err}
+}
+
+// drain waits until all settlements are confirmed.
+func (f *fixture) drain() {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	if err := f.Drain(ctx); err != nil {
+		f.t.Fatal("drain:", err)
+	}
+}
+
+const chatBody = `{"model":"llm","messages":[{"role":"user","content":"hello"}],"max_tokens":10,"stream":true}`
+
+// engine serves a stream of three events, usage and the terminal marker.
+func engine(w http.ResponseWriter, r *http.Request) {
+	if r.Method != http.MethodPost {
+		http.NotFound(w, r)
+		return
+	}
+	writeEvents(w, 1, 4)
+	_, _ = io.WriteString(w, "data: [DONE]\n\n")
+}
+
+func writeEvents(w io.Writer, from, to int) {
+	for i := from; i <= to; i++ {
+		chunk := fmt.Sprintf(`{"choices":[{"delta":{"content":"w%d "}}]}`, i)
+		if i == 4 {
+			chunk = `{"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":3}}`
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, chunk)
+	}
+	if f, ok := w.(http.Flusher); ok {
+		f.Flush()
+	}
+}
+
+// abort breaks the connection.
+func abort() { panic(http.ErrAbortHandler) }
+
+func whole(body string) bool {
+	return bytes.HasSuffix([]byte(body), []byte("data: [DONE]\n\n")) && strings.Contains(body, "w3")
+}
--- /dev/null
+++ b/pkg/entry/faults_test.go
@@ -0,0 +1,465 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+)
+
+// Guards against malformed requests that reach the ledger or an endpoint.
+func TestBadInput(t *testing.T) {
+	f := newFixture(t, http.HandlerFunc(engine))
+	chat := func(member string) string {
+		return `{"model":"llm","messages":[{"role":"user","content":"x"}]` + member + `}`
+	}
+	tests := []struct {
+		desc, method, path, body string
+		headers                  []string
+		status                   int
+		outcome                  string
+	}{
+		{desc: "wrong key", method: "GET", path: statusPrefix + "x", headers: []string{"Authorization: Bearer x"}, status: 400},
+		{desc: "unknown path", method: "GET", path: "/v2", status: 404},
+		{desc: "two budgets", method: "POST", path: chatPath, body: chat(""), headers: []string{budgetHeader + ": main", budgetHeader + ": main"}, status: 400, outcome: "not-run"},
+		{desc: "two ids", method: "POST", path: chatPath, body: chat(""), headers: []string{keyHeader + ": a", keyHeader + ": b"}, status: 400},
+		{desc: "unknown budget", method: "POST", path: chatPath, body: chat(""), headers: []string{budgetHeader + ": other"}, status: 400, outcome: "not-run"},
+		{desc: "empty id", method: "POST", path: chatPath, body: chat(""), headers: []string{keyHeader + ": "}, status: 400},
+		{desc: "malformed issued id", method: "POST", path: chatPath, body: chat(""), headers: []string{keyHeader + ": r1.x"}, status: 400},
+		{desc: "bad priority", method: "POST", path: chatPath, body: chat(""), headers: []string{priorityHeader + ": urgent"}, status: 400, outcome: "not-run"},
+		{desc: "bad timeout", method: "POST", path: chatPath, body: chat(""), headers: []string{timeoutHeader + ": -1s"}, status: 400, outcome: "not-run"},
+		{desc: "not JSON", method: "POST", path: chatPath, body: "{", status: 400, outcome: "not-run"},
+		{desc: "trailing data", method: "POST", path: chatPath, body: chat("") + "{}", status: 400, outcome: "not-run"},
+		{desc: "duplicate member", method: "POST", path: chatPath, body: chat(`,"max_tokens":1,"max_tokens":99`), status: 400, outcome: "not-run"},
+		{desc: "negative max_tokens", method: "POST", path: chatPath, body: chat(`,"max_tokens":-1`), status: 400, outcome: "not-run"},
+		{desc: "huge max_tokens", method: "POST", path: chatPath, body: chat(`,"max_tokens":99999999999`), status: 400, outcome: "not-run"},
+		{desc: "null max_tokens", method: "POST", path: chatPath, body: chat(`,"max_tokens":null`), status: 400, outcome: "not-run"},
+		{desc: "several answers", method: "POST", path: chatPath, body: chat(`,"n":2`), status: 400, outcome: "not-run"},
+		{desc: "unknown member", method: "POST", path: chatPath, body: chat(`,"best_of":2`), status: 400, outcome: "not-run"},
+		{desc: "image content", method: "POST", path: chatPath, body: `{"model":"llm","messages":[{"role":"user","content":[{"type":"image_url","Type":"text","text":"x"}]}]}`, status: 400, outcome: "not-run"},
+		{desc: "unknown model", method: "POST", path: chatPath, body: strings.Replace(chat(""), "llm", "x", 1), status: 404, outcome: "not-run"},
+		{desc: "not repeatable without id", method: "POST", path: appPrefix + "rounds/book", status: 400, outcome: "not-run"},
+		{desc: "no route", method: "PUT", path: appPrefix + "rounds/book", status: 404, outcome: "not-run"},
+		{desc: "prefix inside a segment", method: "POST", path: appPrefix + "rounds/bookings", headers: []string{keyHeader + ": a"}, status: 404},
+		{desc: "dot segments", method: "GET", path: appPrefix + "rounds/x/%2e%2e/book", status: 400, outcome: "not-run"},
+		{desc: "too many ids", method: "POST", path: idsPath, body: `{"count":5000}`, status: 400},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			got := f.do(tt.method, tt.path, tt.body, tt.headers...)
+			if got.status != tt.status || got.outcome != tt.outcome || !strings.Contains(got.body, `"remedy"`) {
+				t.Errorf("%+v, want status %d outcome %q and a remedy", got, tt.status, tt.outcome)
+			}
+		})
+	}
+	if len(f.ledger.reserves) != 0 {
+		t.Errorf("the owner was asked %d times", len(f.ledger.reserves))
+	}
+}
+
+// Guards against an outcome that says more than the owner's decision allows.
+func TestDecisions(t *testing.T) {
+	unavailable := failure.New(failure.Unavailable, "", "no answer")
+	always := func(d ledger.Decision) func(ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+		return func(ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+			return &ledger.ReserveReply{Decision: d, Attempt: 1}, nil
+		}
+	}
+	tests := []struct {
+		desc    string
+		reserve func(ledger.ReserveRequest) (*ledger.ReserveReply, error)
+		prepare func(f *fixture)
+		known   bool
+		status  int
+		outcome string
+		body    string
+		asked   int
+	}{
+		{desc: "admitted", status: 200, body: "[DONE]", asked: 1},
+		{desc: "admitted after a lost reply", known: true, status: 200, body: "[DONE]", asked: 2,
+			prepare: func(f *fixture) { f.ledger.loseAnswer = 1 }},
+		{desc: "owner moves", status: 200, body: "[DONE]", asked: 2, prepare: func(f *fixture) {
+			f.ledger.onReserve = func(ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+				if len(f.ledger.reserves) == 1 {
+					return nil, failure.New(failure.NotOwner, "", "moved")
+				}
+				return nil, nil
+			}
+		}},
+		{desc: "answered", known: true, status: 202, body: "kept", asked: 1,
+			reserve: func(ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+				return &ledger.ReserveReply{Decision: ledger.Answered, Answer: &ledger.StoredAnswer{Status: 202, ContentType: "a/b", Body: []byte("kept")}}, nil
+			}},
+		{desc: "answer dropped", known: true, status: 409, outcome: "answered", body: "already-answered", asked: 1, reserve: always(ledger.AnswerDropped)},
+		{desc: "unknown, caller's id", known: true, status: 409, outcome: "unknown", body: "outcome-unknown", asked: 1, reserve: always(ledger.OutcomeUnknown)},
+		{desc: "unknown, own id twice", status: 409, outcome: "unknown", body: "outcome-unknown", asked: 2, reserve: always(ledger.OutcomeUnknown)},
+		{desc: "mismatch", known: true, status: 409, body: "conflict", asked: 1, reserve: always(ledger.Mismatch)},
+		{desc: "exhausted, own id", status: 402, outcome: "not-run", body: "budget-exhausted", asked: 1, prepare: func(f *fixture) { f.ledger.state.Commit(f.ledger.state.PlanGranted(testBudget, 1, 2)) }},
+		{desc: "exhausted is recorded for the caller's id", known: true, status: 402, outcome: "not-run", body: "budget-exhausted", asked: 2,
+			prepare: func(f *fixture) { f.ledger.state.Commit(f.ledger.state.PlanGranted(testBudget, 1, 2)) }},
+		{desc: "exhausted, record not confirmed", known: true, status: 402, outcome: "unknown", body: "budget-exhausted", prepare: func(f *fixture) {
+			f.ledger.onReserve = func(req ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+				if req.Refuse {
+					return nil, unavailable
+				}
+				return &ledger.ReserveReply{Decision: ledger.Exhausted}, nil
+			}
+		}},
+		{desc: "refused", known: true, status: 409, outcome: "not-run", body: "conflict", asked: 1, reserve: always(ledger.Refused)},
+		{desc: "owner silent, caller's id", known: true, status: 504, outcome: "unknown",
+			reserve: func(ledger.ReserveRequest) (*ledger.ReserveReply, error) { return nil, unavailable }},
+		{desc: "owner silent, own id", status: 504, outcome: "not-run",
+			reserve: func(ledger.ReserveRequest) (*ledger.ReserveReply, error) { return nil, unavailable }},
+		{desc: "older than the record of not run", known: true, status: 409, outcome: "not-run", body: "conflict", asked: 1, prepare: func(f *fixture) {
+			f.ledger.onReserve = func(req ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+				reply, m, err := f.ledger.state.PlanReserve(req, time.Now())
+				f.ledger.state.Commit(m)
+				reply.AfterNotRun = true // recorded at this moment
+				return &reply, err
+			}
+		}},
+		{desc: "quarantined", status: 422, outcome: "not-run", body: "quarantined",
+			prepare: func(f *fixture) { f.quarantine.refused = failure.New(failure.Quarantined, "", "no") }},
+		{desc: "quarantined, caller's id", known: true, status: 422, outcome: "not-run", body: "quarantined", asked: 1,
+			prepare: func(f *fixture) { f.quarantine.refused = failure.New(failure.Quarantined, "", "no") }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			f := newFixture(t, http.HandlerFunc(engine))
+			f.ledger.onReserve = tt.reserve
+			if tt.prepare != nil {
+				tt.prepare(f)
+			}
+			headers := []string{timeoutHeader + ": 20s"}
+			if strings.HasPrefix(tt.desc, "owner silent") || strings.Contains(tt.desc, "not confirmed") {
+				headers[0] = timeoutHeader + ": 200ms"
+			}
+			if tt.known {
+				headers = append(headers, keyHeader+": key")
+			}
+			got := f.do("POST", chatPath, chatBody, headers...)
+			if got.status != tt.status || got.outcome != tt.outcome || !strings.Contains(got.body, tt.body) {
+				t.Errorf("%+v, want %d %q %q", got, tt.status, tt.outcome, tt.body)
+			}
+			f.drain()
+			if tt.status != 504 && tt.asked != 0 && len(f.ledger.reserves) != tt.asked {
+				t.Errorf("the owner was asked %d times, want %d", len(f.ledger.reserves), tt.asked)
+			}
+			if tt.status >= 400 && f.ledger.right().Reserved != 0 {
+				t.Errorf("a reservation was left: %+v", f.ledger.right())
+			}
+		})
+	}
+}
+
+// endpoint answers by its fault and counts the requests that it ran.
+type endpoint struct {
+	fault func(w http.ResponseWriter, r *http.Request)
+	runs  atomic.Int64
+}
+
+func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		_, _ = io.WriteString(w, `{"usage":{"prompt_tokens":7,"completion_tokens":1}}`)
+		return
+	}
+	if r.URL.Path == "/v1/load" || r.URL.Path == "/healthz" {
+		_, _ = io.WriteString(w, `{"incarnation":"i"}`)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	e.runs.Add(1)
+	e.fault(w, r)
+}
+
+func cutBefore(http.ResponseWriter, *http.Request) { abort() }
+
+func cutAfter(w http.ResponseWriter, r *http.Request) {
+	if r.Header.Get("X-Resume-After") == "" {
+		writeEvents(w, 1, 1)
+	}
+	abort()
+}
+
+// Guards against a truncated answer that ends cleanly, a second run of a call
+// that is not repeatable, and a retry after something reached the caller.
+func TestEndpointFaults(t *testing.T) {
+	const booking = appPrefix + "rounds/book"
+	tests := []struct {
+		desc, path, body string
+		fault            func(w http.ResponseWriter, r *http.Request)
+		healthy          bool // a second endpoint is healthy
+		known            bool
+		status           int
+		outcome          string
+		contains         string
+		charged          ledger.Tokens
+		end              ledger.End
+		runs             int64
+		cutOff           bool
+	}{
+		{desc: "crash before the first event, other endpoint", path: chatPath, body: chatBody, fault: cutBefore, healthy: true,
+			status: 200, contains: "[DONE]", charged: 10, end: ledger.EndComplete},
+		{desc: "crash before the first event, no other", path: chatPath, body: chatBody, fault: cutBefore,
+			status: 502, outcome: "unknown", contains: "endpoint-failed", charged: 8, end: ledger.EndPartial},
+		{desc: "crash after the first event", path: chatPath, body: chatBody, fault: cutAfter, healthy: true,
+			status: 200, contains: "event: error\ndata: {", charged: 8, end: ledger.EndPartial},
+		{desc: "crash after the first event, no stream asked for", path: chatPath, body: strings.Replace(chatBody, "true", "false", 1),
+			fault: cutAfter, healthy: true, status: 200, contains: "w3", charged: 10, end: ledger.EndComplete},
+		{desc: "booking cut", path: booking, fault: cutBefore, healthy: true, known: true,
+			status: 502, outcome: "unknown", contains: "endpoint-failed", charged: 50, end: ledger.EndUnknown, runs: 1},
+		{desc: "booking cut within a long answer", path: booking, known: true, fault: func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, strings.Repeat("x", 100<<10))
+			_ = http.NewResponseController(w).Flush()
+			time.Sleep(100 * time.Millisecond) // lets the part arrive before the connection breaks
+			abort()
+		}, status: 200, cutOff: true, charged: 50, end: ledger.EndUnknown, runs: 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			e := &endpoint{fault: tt.fault}
+			handlers := []http.Handler{e}
+			if tt.healthy && tt.path == booking {
+				handlers = append(handlers, e)
+			} else if tt.healthy {
+				handlers = append(handlers, http.HandlerFunc(engine))
+			}
+			f := newFixture(t, handlers...)
+			if tt.healthy && tt.path == chatPath {
+				f.pool.MarkDown("e1", time.Now().Add(time.Hour)) // the faulty one goes first
+				e.fault = func(w http.ResponseWriter, r *http.Request) {
+					f.pool.MarkDown("e1", time.Time{})
+					tt.fault(w, r)
+				}
+			}
+			var headers []string
+			if tt.known {
+				headers = []string{keyHeader + ": key"}
+			}
+			got := f.do("POST", tt.path, tt.body, headers...)
+			if got.status != tt.status || got.outcome != tt.outcome || !strings.Contains(got.body, tt.contains) || (got.err != nil) != tt.cutOff {
+				t.Errorf("%+v, want %d %q %q", got, tt.status, tt.outcome, tt.contains)
+			}
+			if strings.Contains(got.body, "event: error") && strings.Contains(got.body, "[DONE]") {
+				t.Error("a failed stream has the terminal marker")
+			}
+			f.drain()
+			if end, charged := f.ledger.lastEnd(), f.ledger.right().Charged; end != tt.end || charged != tt.charged {
+				t.Errorf("settled as %d for %d tokens, want %d for %d", end, charged, tt.end, tt.charged)
+			}
+			if tt.runs != 0 && e.runs.Load() != tt.runs {
+				t.Errorf("ran %d times, want %d", e.runs.Load(), tt.runs)
+			}
+		})
+	}
+}
+
+// Guards against "not run" for a call that has no endpoint before the owner has
+// recorded it, and against a lost settlement.
+func TestNotRunIsConfirmed(t *testing.T) {
+	f := newFixture(t) // no endpoints
+	var lost atomic.Int64
+	f.ledger.onSettle = func(ledger.SettleRequest) error {
+		if lost.Add(1) <= 3 {
+			return failure.New(failure.Uncertain, "", "no answer")
+		}
+		return nil
+	}
+	got := f.do("POST", appPrefix+"rounds/book", "", keyHeader+": key")
+	if got.status != 503 || got.outcome != "not-run" || lost.Load() != 4 {
+		t.Errorf("%+v after %d calls", got, lost.Load())
+	}
+	if status, ok := f.ledger.state.Lookup(ledger.NewCallerKeyID(testShard, "ward", "key").String()); !ok || status.State != ledger.StateNotRun {
+		t.Errorf("the owner has %+v", status)
+	}
+	f.ledger.onSettle = func(ledger.SettleRequest) error { return failure.New(failure.Unavailable, "", "no answer") }
+	if got := f.do("POST", appPrefix+"rounds/book", "", keyHeader+": other"); got.outcome != "unknown" {
+		t.Errorf("without confirmation: %+v", got)
+	}
+}
+
+// Guards against work for a caller that has left, and a reservation that is
+// never settled.
+func TestCallerLeaves(t *testing.T) {
+	running := make(chan struct{})
+	e := &endpoint{fault: func(w http.ResponseWriter, r *http.Request) {
+		writeEvents(w, 1, 1)
+		close(running)
+		<-r.Context().Done()
+	}}
+	f := newFixture(t, e)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() { <-running; cancel() }()
+	resp, err := f.client.Do(f.request(ctx, "POST", chatPath, chatBody))
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+		resp.Body.Close()
+	}
+	if !errors.Is(err, context.Canceled) {
+		t.Fatal("caller saw", err)
+	}
+	f.drain()
+	if r := f.ledger.right(); f.ledger.lastEnd() != ledger.EndPartial || r.Charged != 8 || r.Reserved != 0 {
+		t.Errorf("settled as %d: %+v", f.ledger.lastEnd(), r)
+	}
+}
+
+// Guards against a graceful stop that cuts a request in flight or takes new ones.
+func TestDrain(t *testing.T) {
+	running, finish := make(chan struct{}), make(chan struct{})
+	e := &endpoint{fault: func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-finish
+		engine(w, r)
+	}}
+	f := newFixture(t, e)
+	answer := make(chan reply)
+	go func() { answer <- f.do("POST", chatPath, chatBody) }()
+	<-running
+	f.gate.close()
+	if got := f.do("POST", chatPath, chatBody); got.status != 503 || got.outcome != "not-run" {
+		t.Errorf("while stopping: %+v", got)
+	}
+	if got := f.do("POST", chatPath, chatBody, keyHeader+": k"); got.status != 503 || got.outcome != "not-run" {
+		t.Errorf("while stopping, caller's id: %+v", got)
+	}
+	close(finish)
+	if got := <-answer; !whole(got.body) {
+		t.Errorf("in flight: %+v", got)
+	}
+	f.drain()
+	if r := f.ledger.right(); r.Reserved != 0 || r.Charged != 10 {
+		t.Errorf("after the drain: %+v", r)
+	}
+}
+
+// Guards against a repeat that runs a second time or gets another answer, at the
+// same and at another instance.
+func TestAttach(t *testing.T) {
+	running, finish := make(chan struct{}), make(chan struct{})
+	e := &endpoint{fault: func(w http.ResponseWriter, _ *http.Request) {
+		writeEvents(w, 1, 2)
+		close(running)
+		<-finish
+		writeEvents(w, 3, 4)
+		_, _ = io.WriteString(w, "data: [DONE]\n\n")
+	}}
+	f := newFixture(t, e)
+	g := f.second("other")
+	answers := make(chan reply, 3)
+	ask := func(f *fixture) { answers <- f.do("POST", chatPath, chatBody, keyHeader+": k") }
+	go ask(f)
+	<-running
+	go ask(f)
+	go ask(g)
+	id := ledger.NewCallerKeyID(testShard, "ward", "k").String()
+	for !f.table.byIDAttached(id) { // both repeats have asked, or the answer below is theirs as well
+		time.Sleep(time.Millisecond)
+	}
+	close(finish)
+	first := <-answers
+	for range 2 {
+		if got := <-answers; got != first || !whole(got.body) {
+			t.Errorf("%+v, want %+v", got, first)
+		}
+	}
+	if e.runs.Load() != 1 {
+		t.Errorf("ran %d times", e.runs.Load())
+	}
+	f.drain()
+	g.drain()
+}
+
+// Guards against a second run of a booking whose instance is gone, and against a
+// lookup that stays refused for that reason.
+func TestDispatcherGone(t *testing.T) {
+	for _, tt := range []struct {
+		desc, method, path string
+		status             int
+		outcome            string
+	}{
+		{"booking", "POST", "/book", 409, "unknown"},
+		{"lookup", "GET", "/x", 200, ""},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			f := newFixture(t, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			f.ledger.onReserve = func(req ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+				if len(f.ledger.reserves) == 1 { // the attempt of an instance that is gone
+					gone := req
+					gone.Dispatcher, gone.DispatcherAddress = "gone", "gone"
+					_, m, err := f.ledger.state.PlanReserve(gone, time.Now())
+					f.ledger.state.Commit(m)
+					if err != nil {
+						return nil, err
+					}
+				}
+				return nil, nil
+			}
+			got := f.do(tt.method, appPrefix+"rounds"+tt.path, "", keyHeader+": k")
+			if got.status != tt.status || got.outcome != tt.outcome {
+				t.Errorf("%+v, want %d %q", got, tt.status, tt.outcome)
+			}
+			f.drain()
+		})
+	}
+}
+
+// Guards against an attach that is answered for another incarnation or leaves
+// the attempt of a call that was given up reserved.
+func TestAttachNotFound(t *testing.T) {
+	f := newFixture(t)
+	id := ledger.NewCallerKeyID(testShard, "ward", "k").String()
+	req := ledger.ReserveRequest{ID: id, Budget: testBudget, Service: "llm", Amount: 5, Dispatcher: "self", Call: 99}
+	if _, err := f.ledger.Reserve(context.Background(), req); err != nil {
+		t.Fatal(err)
+	}
+	call := func(dispatcher string) error {
+		var part AttachReply
+		return f.peers.Call(context.Background(), "self", AttachMethod, AttachRequest{ID: id, Attempt: 1, Dispatcher: dispatcher}, &part)
+	}
+	if err := call("earlier incarnation"); !failure.Is(err, failure.NotFound) {
+		t.Error("other incarnation:", err)
+	}
+	f.drain()
+	if f.ledger.right().Reserved != 5 {
+		t.Error("an attempt of another incarnation was settled")
+	}
+	if err := call("self"); !failure.Is(err, failure.NotFound) {
+		t.Error("this incarnation:", err)
+	}
+	f.drain()
+	if f.ledger.right().Reserved != 0 {
+		t.Error("the attempt was not settled as not run")
+	}
+}
+
+// Guards against limits that are not kept, and ids that other workspaces read.
+func TestLimitsAndIDs(t *testing.T) {
+	f := newFixture(t, http.HandlerFunc(engine))
+	if got := f.do("POST", idsPath, `{"budget":"main","count":2}`); got.status != 200 || strings.Count(got.body, "r1.yaba.0.1.") != 2 {
+		t.Errorf("ids: %+v", got)
+	}
+	f.do("POST", chatPath, chatBody, keyHeader+": k")
+	f.drain()
+	if got := f.do("GET", statusPrefix+"k", ""); !strings.Contains(got.body, `"state":"answered"`) || !strings.Contains(got.body, `"charged":10`) {
+		t.Errorf("status: %+v", got)
+	}
+	rec := httptest.NewRecorder()
+	f.doc.Workspaces[0].RatePerSecond = 0.001
+	g := f.second("limited") // a new instance has used none of the rate
+	for range 2 {
+		rec = httptest.NewRecorder()
+		g.ServeHTTP(rec, g.request(context.Background(), "POST", chatPath, chatBody))
+	}
+	if rec.Code != 429 || rec.Header().Get(failure.OutcomeHeader) != "not-run" {
+		t.Errorf("rate: %d %s", rec.Code, rec.Body)
+	}
+}
--- /dev/null
+++ b/pkg/entry/interfaces.go
@@ -0,0 +1,73 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/routing"
+)
+
+// Ledger reaches the owners of the ledger shards.
+type Ledger interface {
+	// NewID issues an id that a shard of this instance's domain may run.
+	NewID(budget ledger.BudgetKey) (ledger.RequestID, error)
+	// CallerKeyID returns the id that stands for a caller's own key.
+	CallerKeyID(budget ledger.BudgetKey, key string) (ledger.RequestID, error)
+	// Reserve asks the owner for a decision. failure.Unavailable,
+	// failure.Uncertain and failure.NotOwner allow the same call again.
+	Reserve(ctx context.Context, req ledger.ReserveRequest) (ledger.ReserveReply, error)
+	// Settle ends an attempt. failure.NotFound means that the owner has no
+	// record of the request.
+	Settle(ctx context.Context, req ledger.SettleRequest) (ledger.SettleReply, error)
+	// Lookup returns the state of a request.
+	Lookup(ctx context.Context, id string) (ledger.RequestStatus, error)
+}
+
+// Configuration gives the document in force.
+type Configuration interface {
+	// Current returns nil until the instance has a configuration.
+	Current() *config.Document
+}
+
+// Router chooses endpoints.
+type Router interface {
+	Acquire(ctx context.Context, req routing.Request) (*routing.Slot, error)
+	Drain(endpointID string, src routing.Source)
+	MarkDown(endpointID string, until time.Time)
+}
+
+var _ Router = (*routing.Pool)(nil)
+
+// Quarantine recognizes requests that crash endpoints.
+type Quarantine interface {
+	// Check fails with failure.Quarantined when the request must not run.
+	Check(fingerprint [16]byte, now time.Time) error
+	// Suspect reports whether the request must run apart from other suspects.
+	Suspect(fingerprint [16]byte, now time.Time) bool
+	Started(fingerprint [16]byte, endpointID string, now time.Time)
+	Ended(fingerprint [16]byte, endpointID string)
+	// Broken is called instead of Ended when the connection broke, which may
+	// have been the endpoint's crash.
+	Broken(fingerprint [16]byte, endpointID string, now time.Time)
+	// EndpointDied counts a crash against the requests that run there.
+	EndpointDied(endpointID, incarnation string, now time.Time)
+}
+
+// Sample is what one request shows about the service level.
+type Sample struct {
+	Service string
+	At      time.Time
+	// FirstToken is the time from the arrival of the request to the first part
+	// of its answer, and SlowestGap the longest time between two parts.
+	FirstToken, SlowestGap time.Duration
+	// Failed is true when the caller got no whole answer through no fault of
+	// its own.
+	Failed bool
+}
+
+// Samples takes one sample per request that was dispatched.
+type Samples interface {
+	Observe(s Sample)
+}
--- /dev/null
+++ b/pkg/entry/job.go
@@ -0,0 +1,142 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/routing"
+)
+
+const (
+	defaultTimeout = 60 * time.Second
+	maxTimeout     = time.Hour
+	maxKeyBytes    = 255
+)
+
+// job is one request of a caller.
+type job struct {
+	arrived  time.Time
+	deadline time.Time
+
+	workspace config.Workspace
+	budget    ledger.BudgetKey
+	service   config.Service
+
+	id string
+	// known is true when the caller knows the id and may repeat the request.
+	known       bool
+	repeatable  bool
+	fingerprint [16]byte
+	amount      ledger.Tokens
+	priority    routing.Priority
+	affinity    uint64
+
+	// Model requests.
+	stream    bool
+	maxTokens int64
+
+	// What the endpoint gets.
+	method string
+	path   string
+	header http.Header
+	body   []byte
+
+	out *responder
+}
+
+func (j *job) model() bool { return j.service.Kind == config.ModelService }
+
+// fingerprint is the first 128 bits of a SHA-256 over what makes two requests
+// the same. Each part is preceded by its length, so that parts cannot shift.
+func fingerprint(workspace, service, method, path string, body []byte) [16]byte {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(workspace), []byte(service), []byte(method), []byte(path), body} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		_, _ = h.Write(size[:]) // a hash never fails
+		_, _ = h.Write(part)
+	}
+	return [16]byte(h.Sum(nil)[:16])
+}
+
+func parsePriority(text string) (routing.Priority, error) {
+	switch text {
+	case "high":
+		return routing.High, nil
+	case "", "normal":
+		return routing.Normal, nil
+	case "low":
+		return routing.Low, nil
+	}
+	return 0, failure.New(failure.Invalid, "send high, normal or low", "%s %q is not known", priorityHeader, text)
+}
+
+// timeoutOf returns the time allowed for a request.
+func timeoutOf(text string, svc config.Service) (time.Duration, error) {
+	if text == "" {
+		if svc.Timeout <= 0 {
+			return defaultTimeout, nil
+		}
+		return svc.Timeout, nil
+	}
+	d, err := time.ParseDuration(text)
+	if err != nil || d <= 0 || d > maxTimeout {
+		return 0, failure.New(failure.Invalid, "send a duration of at most 1h such as 30s or 500ms",
+			"%s %q is not a valid duration", timeoutHeader, text)
+	}
+	return d, nil
+}
+
+// assignID gives the job the id that its caller sent, or issues one. A call that
+// is not repeatable needs an id of its caller, because without one a lost answer
+// could only be followed by a second run.
+func (s *Server) assignID(j *job, h http.Header, shards int) error {
+	if _, ok := h[keyHeader]; !ok {
+		if !j.repeatable {
+			return failure.New(failure.Invalid,
+				"get an id with POST "+idsPath+" and send it as "+keyHeader+", or send a key of your own",
+				"a call that is not repeatable needs the header %s", keyHeader)
+		}
+		return s.issueID(j)
+	}
+	j.known = true
+	id, err := s.knownID(j.budget, h.Get(keyHeader), shards)
+	j.id = id
+	return err
+}
+
+func (s *Server) issueID(j *job) error {
+	id, err := s.opts.Ledger.NewID(j.budget)
+	if err != nil {
+		return err
+	}
+	j.id = id.String()
+	return nil
+}
+
+// knownID returns the id that a caller's key stands for.
+func (s *Server) knownID(budget ledger.BudgetKey, key string, shards int) (string, error) {
+	if key == "" || len(key) > maxKeyBytes || strings.ContainsFunc(key, func(r rune) bool { return r <= ' ' || r > '~' }) {
+		return "", failure.New(failure.Invalid, "send 1 to 255 printable ASCII characters without spaces",
+			"the %s is malformed", keyHeader)
+	}
+	if !ledger.IsIssuedID(key) {
+		id, err := s.opts.Ledger.CallerKeyID(budget, key)
+		return id.String(), err
+	}
+	id, err := ledger.ParseRequestID(key)
+	if err != nil {
+		return "", err
+	}
+	if shards > 0 && id.Shard.Shard != ledger.ShardOf(budget, shards) {
+		return "", failure.New(failure.Invalid, "send the request with the budget for which the id was issued",
+			"request id %q was not issued for budget %q", key, budget.Budget)
+	}
+	return key, nil
+}
