Test that a second report of a death leaves the next incarnation alone

Cause: in a trial, the tests passed after the check for repeated reports of a death had been removed from pkg/quarantine. Change: a test case for requests that started on the next incarnation; endpoint.Start runs a stand-in in the same process.

--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -58,6 +58,11 @@
 			t.Started(a, "e1", at(0)) // on the next incarnation
 			t.EndpointDied("e1", "0", at(1))
 		}},
+		{desc: "started on the next incarnation before a second report", steps: func(t *Tracker) {
+			crash(t, 0, "e1", b)
+			t.Started(a, "e1", at(0))
+			t.EndpointDied("e1", "0", at(1))
+		}},
 		{desc: "same death seen by another instance", suspect: true, steps: func(t *Tracker) {
 			for _, n := range crash(t, 0, "e1", a) {
 				t.Learn(n, at(0))
--- a/standins/app/app_test.go
+++ b/standins/app/app_test.go
@@ -1,9 +1,7 @@
 package app
 
 import (
-	"context"
 	"io"
-	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -31,14 +29,13 @@
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
 			ignore := goleak.IgnoreCurrent()
-			l, err := net.Listen("tcp", "127.0.0.1:0")
+			a := New(Options{ID: "a"})
+			a.Set(tt.faults)
+			address, stop, err := endpoint.Start(a)
 			if err != nil {
 				t.Fatal(err)
 			}
-			a, done := New(Options{ID: "a"}), make(chan error, 1)
-			go func() { done <- a.Run(context.Background(), l) }()
-			a.Set(tt.faults)
-			r, err := http.NewRequest(tt.method, "http://"+l.Addr().String()+tt.path, strings.NewReader("body"))
+			r, err := http.NewRequest(tt.method, "http://"+address+tt.path, strings.NewReader("body"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -55,8 +52,7 @@
 			if (err != nil) != tt.broken || a.Executions("r1") != 1 {
 				t.Errorf("err %v, %d executions", err, a.Executions("r1"))
 			}
-			a.Close()
-			if err := <-done; err != nil {
+			if err := stop(); err != nil {
 				t.Error(err)
 			}
 			goleak.VerifyNone(t, ignore)
--- a/standins/endpoint/server.go
+++ b/standins/endpoint/server.go
@@ -194,6 +194,22 @@
 	Run(ctx context.Context, l net.Listener) error
 }
 
+// Start runs a stand-in on a free loopback port, for tests and benchmarks in the
+// same process. stop ends it, waits for it and returns the error of Run.
+func Start(r Runner) (address string, stop func() error, err error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", nil, errors.Wrap(err, "listen on a loopback port")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- r.Run(ctx, l) }()
+	return l.Addr().String(), sync.OnceValue(func() error {
+		cancel()
+		return <-done
+	}), nil
+}
+
 // Main runs a stand-in until SIGTERM or SIGINT. It prints "listening <address>"
 // on stdout once connections are accepted.
 func Main(address string, r Runner) error {
--- a/standins/engine/engine_test.go
+++ b/standins/engine/engine_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"io"
-	"net"
 	"net/http"
 	"regexp"
 	"slices"
@@ -26,21 +25,19 @@
 func run(t *testing.T, o Options) (*Engine, call) {
 	t.Helper()
 	ignore := goleak.IgnoreCurrent()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	e, transport := New(o), &http.Transport{DisableKeepAlives: true}
+	address, stop, err := endpoint.Start(e)
 	if err != nil {
 		t.Fatal(err)
 	}
-	e, done, transport := New(o), make(chan error, 1), &http.Transport{DisableKeepAlives: true}
-	go func() { done <- e.Run(t.Context(), l) }()
 	t.Cleanup(func() {
-		e.Close()
-		if err := <-done; err != nil {
+		if err := stop(); err != nil {
 			t.Error(err)
 		}
 		goleak.VerifyNone(t, ignore)
 	})
 	return e, func(method, path, body string, header ...string) (int, string, error) {
-		r, err := http.NewRequest(method, "http://"+l.Addr().String()+path, strings.NewReader(body))
+		r, err := http.NewRequest(method, "http://"+address+path, strings.NewReader(body))
 		if err != nil {
 			return 0, "", err
 		}
@@ -57,13 +54,11 @@
 	}
 }
 
-var idLine = regexp.MustCompile(`(?m)^id: (\d+)$`)
+var idLine = regexp.MustCompile(`(?m)^id: \d+$`)
 
-func ids(body string) (ids []string) {
-	for _, m := range idLine.FindAllStringSubmatch(body, -1) {
-		ids = append(ids, m[1])
-	}
-	return ids
+// ids returns the sequence numbers of the events.
+func ids(body string) string {
+	return strings.ReplaceAll(strings.Join(idLine.FindAllString(body, -1), " "), "id: ", "")
 }
 
 // Guards against stand-in answers that differ from docs/protocols.md, which
@@ -93,7 +88,7 @@
 			}
 			e.Set(tt.faults)
 			_, body, err := do("POST", completions, prompt, header...)
-			if got := strings.Join(ids(body), " "); got != tt.ids || (err != nil) != tt.broken {
+			if got := ids(body); got != tt.ids || (err != nil) != tt.broken {
 				t.Fatalf("ids %q, err %v; want %q, broken %v", got, err, tt.ids, tt.broken)
 			}
 			if !tt.broken && (!strings.HasSuffix(body, "data: [DONE]\n\n") ||
@@ -180,8 +175,8 @@
 		status int
 		model  string
 	}{
-		{desc: "engine that checks", status: 409, model: "new"},
-		{desc: "engine that ignores", ignore: true, status: 200, model: "old"},
+		{"engine that checks", false, 409, "new"},
+		{"engine that ignores", true, 200, "old"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
