Count crashes of endpoints in the entry and check them before a retry

Cause: the quarantine tracker exists now; a request that crashed two endpoints was still retried at a third one. Change: the entry reports starts, ends, broken connections and deaths to the tracker, passes its notices on, and asks it before each retry. The relay refuses invalid status codes, which net/http would panic on, and drops the project's own headers from answers of apps.

--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -88,14 +88,15 @@
 func (d *dispatch) mayRetry(ctx context.Context, res relay.Result) bool {
 	safe := d.j.repeatable || res.Outcome == relay.NotSent
 	return res.Outcome != relay.Complete && safe && !d.j.out.begun && res.Blamed &&
-		d.tries < maxAttempts && ctx.Err() == nil && d.s.retries.Retry(d.s.now())
+		d.tries < maxAttempts && ctx.Err() == nil &&
+		d.s.opts.Quarantine.Check(d.j.fingerprint, d.s.now()) == nil && d.s.retries.Retry(d.s.now())
 }
 
 func (d *dispatch) attempt(ctx context.Context) (relay.Result, error) {
-	fp, quarantine := d.j.fingerprint, d.s.opts.Quarantine
+	fp, tracker := d.j.fingerprint, d.s.opts.Quarantine
 	slot, err := d.s.opts.Router.Acquire(ctx, routing.Request{
 		Service: d.j.service.Name, Priority: d.j.priority, Affinity: d.j.affinity,
-		Exclude: d.exclude, Isolate: quarantine.Suspect(fp, d.s.now()), Deadline: d.j.deadline,
+		Exclude: d.exclude, Isolate: tracker.Suspect(fp, d.s.now()), Deadline: d.j.deadline,
 	})
 	if err != nil {
 		return relay.Result{}, err
@@ -103,16 +104,18 @@
 	ep, began := slot.Endpoint, d.s.now()
 	d.tries++
 	d.exclude[ep.ID] = true
-	quarantine.Started(fp, ep.ID, began)
+	tracker.Started(fp, ep.ID, began)
 	res := d.send(ctx, ep)
 	now := d.s.now()
-	if res.Outcome != relay.NotSent && res.Blamed {
-		quarantine.Broken(fp, ep.ID, now)
+	if res.Outcome == relay.Unknown {
+		tracker.Broken(fp, ep.ID, now)
 	} else {
-		quarantine.Ended(fp, ep.ID) // it cannot have caused a crash
+		tracker.Ended(fp, ep.ID) // the endpoint answered after it, or never got it
 	}
 	if res.Died {
-		quarantine.EndpointDied(ep.ID, res.Incarnation, now)
+		if notices := tracker.EndpointDied(ep.ID, res.Incarnation, now); len(notices) > 0 {
+			d.s.opts.Notify(notices)
+		}
 		d.s.opts.Router.MarkDown(ep.ID, now.Add(downTime))
 	}
 	slot.Release(routing.Result{Duration: now.Sub(began), Failed: res.Outcome != relay.Complete})
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -20,6 +20,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/relay"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
@@ -151,24 +152,6 @@
 	return cbor.Unmarshal(body, resp)
 }
 
-type fakeQuarantine struct {
-	mu      sync.Mutex
-	refused error
-	died    []string
-	broken  int
-}
-
-func (q *fakeQuarantine) Check([16]byte, time.Time) error     { return q.refused }
-func (q *fakeQuarantine) Suspect([16]byte, time.Time) bool    { return false }
-func (q *fakeQuarantine) Started([16]byte, string, time.Time) {}
-func (q *fakeQuarantine) Ended([16]byte, string)              {}
-func (q *fakeQuarantine) Broken([16]byte, string, time.Time)  { q.mu.Lock(); q.broken++; q.mu.Unlock() }
-func (q *fakeQuarantine) EndpointDied(e, _ string, _ time.Time) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	q.died = append(q.died, e)
-}
-
 // byIDAttached reports whether a repeat reads the answer of a request.
 func (t *table) byIDAttached(id string) bool {
 	e, _, _ := t.look(id, 1)
@@ -183,7 +166,8 @@
 	ledger     *fakeLedger
 	doc        *config.Document
 	peers      fakePeers
-	quarantine *fakeQuarantine
+	quarantine *quarantine.Tracker
+	notices    []quarantine.Notice
 	http       *httptest.Server
 	client     *http.Client
 }
@@ -191,7 +175,7 @@
 const testKey = "secret"
 
 func newFixture(t *testing.T, endpoints ...http.Handler) *fixture {
-	f := &fixture{t: t, ledger: newFakeLedger(100000), peers: fakePeers{}, quarantine: &fakeQuarantine{}}
+	f := &fixture{t: t, ledger: newFakeLedger(100000), peers: fakePeers{}, quarantine: quarantine.New(quarantine.Options{}, nil)}
 	f.doc = &config.Document{Shards: 1, Domains: []string{"yaba"}, Workspaces: []config.Workspace{{
 		Name: "ward", KeyHash: "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
 		DefaultBudget: "main", Budgets: []string{"main"},
@@ -220,12 +204,16 @@
 	pool.Update(f.doc)
 	f.pool = pool
 	client := relay.New(relay.Options{Instance: incarnation})
+	for _, e := range f.doc.Services[0].Endpoints {
+		client.SawIncarnation(e.ID, "i0")
+	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	f.Server = New(Options{
 		Self:   peer.Identity{Instance: incarnation, Incarnation: incarnation, Address: incarnation},
 		Ledger: l, Configuration: fakeConfig{f.doc}, Peers: f.peers, Router: pool,
 		Quarantine: f.quarantine, Relay: client, Log: log,
+		Notify: func(n []quarantine.Notice) { f.notices = append(f.notices, n...) },
 	})
 	h := &handlers{}
 	f.RegisterPeer(h)
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -126,10 +127,6 @@
 				return &reply, err
 			}
 		}},
-		{desc: "quarantined", status: 422, outcome: "not-run", body: "quarantined",
-			prepare: func(f *fixture) { f.quarantine.refused = failure.New(failure.Quarantined, "", "no") }},
-		{desc: "quarantined, caller's id", known: true, status: 422, outcome: "not-run", body: "quarantined", asked: 1,
-			prepare: func(f *fixture) { f.quarantine.refused = failure.New(failure.Quarantined, "", "no") }},
 	}
 	for _, tt := range tests {
 		t.Run(tt.desc, func(t *testing.T) {
@@ -162,8 +159,9 @@
 
 // endpoint answers by its fault and counts the requests that it ran.
 type endpoint struct {
-	fault func(w http.ResponseWriter, r *http.Request)
-	runs  atomic.Int64
+	fault       func(w http.ResponseWriter, r *http.Request)
+	runs        atomic.Int64
+	incarnation atomic.Int64
 }
 
 func (e *endpoint) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -172,7 +170,7 @@
 		return
 	}
 	if r.URL.Path == "/v1/load" || r.URL.Path == "/healthz" {
-		_, _ = io.WriteString(w, `{"incarnation":"i"}`)
+		fmt.Fprintf(w, `{"incarnation":"i%d"}`, e.incarnation.Load())
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
@@ -262,6 +260,29 @@
 	}
 }
 
+// Guards against a request that crashes one endpoint after another, also when
+// its caller sends it again under a new id.
+func TestCrashingRequest(t *testing.T) {
+	e := &endpoint{}
+	e.fault = func(http.ResponseWriter, *http.Request) {
+		e.incarnation.Add(1)
+		abort()
+	}
+	f := newFixture(t, e, e, e)
+	if got := f.do("POST", chatPath, chatBody); got.status != 502 || got.outcome != "unknown" {
+		t.Errorf("first: %+v", got)
+	}
+	crashed := e.runs.Load()
+	for _, headers := range [][]string{nil, {keyHeader + ": k"}} {
+		if got := f.do("POST", chatPath, chatBody, headers...); got.status != 422 || got.outcome != "not-run" {
+			t.Errorf("again: %+v", got)
+		}
+	}
+	if crashed != 2 || e.runs.Load() != crashed || len(f.notices) == 0 {
+		t.Errorf("crashed %d and then %d endpoints, %d notices", crashed, e.runs.Load()-crashed, len(f.notices))
+	}
+}
+
 // Guards against "not run" for a call that has no endpoint before the owner has
 // recorded it, and against a lost settlement.
 func TestNotRunIsConfirmed(t *testing.T) {
--- a/pkg/entry/interfaces.go
+++ b/pkg/entry/interfaces.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
@@ -34,7 +35,6 @@
 // Router chooses endpoints.
 type Router interface {
 	Acquire(ctx context.Context, req routing.Request) (*routing.Slot, error)
-	Drain(endpointID string, src routing.Source)
 	MarkDown(endpointID string, until time.Time)
 }
 
@@ -52,9 +52,11 @@
 	// have been the endpoint's crash.
 	Broken(fingerprint [16]byte, endpointID string, now time.Time)
 	// EndpointDied counts a crash against the requests that run there.
-	EndpointDied(endpointID, incarnation string, now time.Time)
+	EndpointDied(endpointID, incarnation string, now time.Time) []quarantine.Notice
 }
 
+var _ Quarantine = (*quarantine.Tracker)(nil)
+
 // Sample is what one request shows about the service level.
 type Sample struct {
 	Service string
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -11,12 +11,13 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/relay"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
-// Options hold what a Server consumes. All fields but Samples, Registerer and
-// Log are required.
+// Options hold what a Server consumes. All fields but Notify, Samples,
+// Registerer and Log are required.
 type Options struct {
 	Self          peer.Identity
 	Ledger        Ledger
@@ -25,9 +26,11 @@
 	Router        Router
 	Quarantine    Quarantine
 	Relay         *relay.Client
-	Samples       Samples
-	Registerer    prometheus.Registerer
-	Log           logrus.FieldLogger
+	// Notify tells other instances about deaths of endpoints. It must not block.
+	Notify     func([]quarantine.Notice)
+	Samples    Samples
+	Registerer prometheus.Registerer
+	Log        logrus.FieldLogger
 }
 
 // Server serves the callers' API. It is safe for concurrent use.
@@ -50,6 +53,9 @@
 	if opts.Log == nil {
 		opts.Log = logrus.StandardLogger()
 	}
+	if opts.Notify == nil {
+		opts.Notify = func([]quarantine.Notice) {}
+	}
 	m := newMetrics(opts.Registerer)
 	return &Server{
 		opts: opts, metrics: m, limits: newLimits(), table: newTable(),
--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -19,6 +19,7 @@
 	// off can still be replaced by an explicit error or another attempt.
 	holdBytes      = 64 << 10
 	copyBufferSize = 16 << 10
+	maxStatus      = 599 // RFC 9110, section 15
 )
 
 // AppSink takes the answer of an app.
@@ -126,6 +127,10 @@
 		a.res.FirstByte = time.Since(a.began)
 	}
 	a.client.noteDraining(a.call.Endpoint.ID, resp.Header)
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus {
+		return &refusal{err: failure.New(failure.EndpointFailed, "correct the app",
+			"endpoint %q answered with the invalid status %d", a.call.Endpoint.ID, resp.StatusCode)}
+	}
 	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
 		return &refusal{err: failure.New(failure.EndpointFailed, "make the app send Content-Length or chunks",
 			"endpoint %q sent an answer whose end cannot be told from a broken connection", a.call.Endpoint.ID)}
@@ -161,6 +166,7 @@
 func (a *appAttempt) pass(resp *http.Response, part []byte, begun, end bool) error {
 	if !begun {
 		header := endToEnd(resp.Header)
+		dropOwn(header)
 		header.Del(drainingHeader)
 		length := -1
 		if end {
--- a/pkg/relay/headers.go
+++ b/pkg/relay/headers.go
@@ -25,12 +25,16 @@
 		"X-Http-Method-Override", "X-Http-Method", "X-Method-Override"} {
 		out.Del(name)
 	}
-	for name := range out {
+	dropOwn(out)
+	return out
+}
+
+func dropOwn(h http.Header) {
+	for name := range h {
 		if strings.HasPrefix(name, ownPrefix) {
-			out.Del(name)
+			h.Del(name)
 		}
 	}
-	return out
 }
 
 // endToEnd returns a copy without the headers of one connection.
