Test a booking whose caller leaves and count truncations exactly

Cause: no test covered that a booking goes on without its caller, and the counter of truncated answers included callers that left. Change: the test of leaving callers covers a stream, which is cancelled, and a booking, which goes on and answers its repeat. The counter leaves callers that left out. min_tokens of a chat request is passed on; it cannot raise the cost above max_tokens.

--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -28,7 +28,7 @@
 // refused, because some of them change the cost of a request.
 var chatFields = map[string]bool{
 	"model": true, "messages": true, "max_tokens": true, "stream": true, "stream_options": true,
-	"temperature": true, "top_p": true, "top_k": true, "min_p": true, "stop": true, "seed": true,
+	"min_tokens": true, "temperature": true, "top_p": true, "top_k": true, "min_p": true, "stop": true, "seed": true,
 	"presence_penalty": true, "frequency_penalty": true, "repetition_penalty": true,
 	"response_format": true, "user": true, "metadata": true, "n": true,
 }
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -1,7 +1,6 @@
 package entry
 
 import (
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -302,8 +301,8 @@
 }
 
 // abort breaks the connection.
-func abort() { panic(http.ErrAbortHandler) }
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 func whole(body string) bool {
-	return bytes.HasSuffix([]byte(body), []byte("data: [DONE]\n\n")) && strings.Contains(body, "w3")
+	return strings.HasSuffix(body, "data: [DONE]\n\n") && strings.Contains(body, "w3")
 }
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -178,13 +177,11 @@
 	e.fault(w, r)
 }
 
-func cutBefore(http.ResponseWriter, *http.Request) { abort() }
-
 func cutAfter(w http.ResponseWriter, r *http.Request) {
 	if r.Header.Get("X-Resume-After") == "" {
 		writeEvents(w, 1, 1)
 	}
-	abort()
+	abort(w, r)
 }
 
 // Guards against a truncated answer that ends cleanly, a second run of a call
@@ -204,21 +201,20 @@
 		runs             int64
 		cutOff           bool
 	}{
-		{desc: "crash before the first event, other endpoint", path: chatPath, body: chatBody, fault: cutBefore, healthy: true,
+		{desc: "crash before the first event, other endpoint", path: chatPath, body: chatBody, fault: abort, healthy: true,
 			status: 200, contains: "[DONE]", charged: 10, end: ledger.EndComplete},
-		{desc: "crash before the first event, no other", path: chatPath, body: chatBody, fault: cutBefore,
+		{desc: "crash before the first event, no other", path: chatPath, body: chatBody, fault: abort,
 			status: 502, outcome: "unknown", contains: "endpoint-failed", charged: 8, end: ledger.EndPartial},
 		{desc: "crash after the first event", path: chatPath, body: chatBody, fault: cutAfter, healthy: true,
 			status: 200, contains: "event: error\ndata: {", charged: 8, end: ledger.EndPartial},
 		{desc: "crash after the first event, no stream asked for", path: chatPath, body: strings.Replace(chatBody, "true", "false", 1),
 			fault: cutAfter, healthy: true, status: 200, contains: "w3", charged: 10, end: ledger.EndComplete},
-		{desc: "booking cut", path: booking, fault: cutBefore, healthy: true, known: true,
+		{desc: "booking cut", path: booking, fault: abort, healthy: true, known: true,
 			status: 502, outcome: "unknown", contains: "endpoint-failed", charged: 50, end: ledger.EndUnknown, runs: 1},
-		{desc: "booking cut within a long answer", path: booking, known: true, fault: func(w http.ResponseWriter, _ *http.Request) {
+		{desc: "booking cut within a long answer", path: booking, known: true, fault: func(w http.ResponseWriter, r *http.Request) {
 			_, _ = io.WriteString(w, strings.Repeat("x", 100<<10))
 			_ = http.NewResponseController(w).Flush()
-			time.Sleep(100 * time.Millisecond) // lets the part arrive before the connection breaks
-			abort()
+			abort(w, r)
 		}, status: 200, cutOff: true, charged: 50, end: ledger.EndUnknown, runs: 1},
 	}
 	for _, tt := range tests {
@@ -264,9 +260,9 @@
 // its caller sends it again under a new id.
 func TestCrashingRequest(t *testing.T) {
 	e := &endpoint{}
-	e.fault = func(http.ResponseWriter, *http.Request) {
+	e.fault = func(w http.ResponseWriter, r *http.Request) {
 		e.incarnation.Add(1)
-		abort()
+		abort(w, r)
 	}
 	f := newFixture(t, e, e, e)
 	if got := f.do("POST", chatPath, chatBody); got.status != 502 || got.outcome != "unknown" {
@@ -307,29 +303,44 @@
 	}
 }
 
-// Guards against work for a caller that has left, and a reservation that is
-// never settled.
+// Guards against work for a caller that has left, a reservation that is never
+// settled, and a booking whose result is lost because its caller left.
 func TestCallerLeaves(t *testing.T) {
-	running := make(chan struct{})
-	e := &endpoint{fault: func(w http.ResponseWriter, r *http.Request) {
+	running := make(chan struct{}, 2)
+	e := &endpoint{}
+	f := newFixture(t, e)
+	leave := func(path, body string, headers ...string) {
+		ctx, cancel := context.WithCancel(context.Background())
+		go func() { <-running; cancel() }()
+		resp, err := f.client.Do(f.request(ctx, "POST", path, body, headers...))
+		if err == nil {
+			_, err = io.ReadAll(resp.Body)
+			resp.Body.Close()
+		}
+		if !errors.Is(err, context.Canceled) {
+			t.Fatal("caller saw", err)
+		}
+	}
+	e.fault = func(w http.ResponseWriter, r *http.Request) {
 		writeEvents(w, 1, 1)
-		close(running)
+		running <- struct{}{}
 		<-r.Context().Done()
-	}}
-	f := newFixture(t, e)
-	ctx, cancel := context.WithCancel(context.Background())
-	go func() { <-running; cancel() }()
-	resp, err := f.client.Do(f.request(ctx, "POST", chatPath, chatBody))
-	if err == nil {
-		_, err = io.ReadAll(resp.Body)
-		resp.Body.Close()
 	}
-	if !errors.Is(err, context.Canceled) {
-		t.Fatal("caller saw", err)
+	leave(chatPath, chatBody)
+	left := make(chan struct{})
+	e.fault = func(w http.ResponseWriter, _ *http.Request) {
+		running <- struct{}{}
+		<-left
+		_, _ = io.WriteString(w, "booked")
+	}
+	leave(appPrefix+"rounds/book", "", keyHeader+": k")
+	close(left)
+	if got := f.do("POST", appPrefix+"rounds/book", "", keyHeader+": k"); got.status != 200 || got.body != "booked" || e.runs.Load() != 2 {
+		t.Errorf("repeated booking: %+v after %d runs", got, e.runs.Load())
 	}
 	f.drain()
-	if r := f.ledger.right(); f.ledger.lastEnd() != ledger.EndPartial || r.Charged != 8 || r.Reserved != 0 {
-		t.Errorf("settled as %d: %+v", f.ledger.lastEnd(), r)
+	if r := f.ledger.right(); r.Charged != 8+50 || r.Reserved != 0 {
+		t.Errorf("settled as %+v, want 8 tokens for the stream and 50 for the booking", r)
 	}
 }
 
@@ -473,14 +484,10 @@
 	if got := f.do("GET", statusPrefix+"k", ""); !strings.Contains(got.body, `"state":"answered"`) || !strings.Contains(got.body, `"charged":10`) {
 		t.Errorf("status: %+v", got)
 	}
-	rec := httptest.NewRecorder()
 	f.doc.Workspaces[0].RatePerSecond = 0.001
 	g := f.second("limited") // a new instance has used none of the rate
-	for range 2 {
-		rec = httptest.NewRecorder()
-		g.ServeHTTP(rec, g.request(context.Background(), "POST", chatPath, chatBody))
-	}
-	if rec.Code != 429 || rec.Header().Get(failure.OutcomeHeader) != "not-run" {
-		t.Errorf("rate: %d %s", rec.Code, rec.Body)
+	g.do("POST", chatPath, chatBody)
+	if got := g.do("POST", chatPath, chatBody); got.status != 429 || got.outcome != "not-run" {
+		t.Errorf("rate: %+v", got)
 	}
 }
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -30,7 +30,7 @@
 	if err == nil {
 		return
 	}
-	if j.out.begun {
+	if j.out.begun && r.Context().Err() == nil {
 		s.metrics.truncated.WithLabelValues(j.service.Name).Inc()
 	}
 	if j.out.fail(err) {
