--- a/pkg/config/replica.go
+++ b/pkg/config/replica.go
@@ -82,6 +82,8 @@
 	opts    ReplicaOptions
 	metrics replicaMetrics
 	current atomic.Pointer[Document]
+	// lastRefused is the generation refused last, plus 1; it limits the log.
+	lastRefused atomic.Uint64
 
 	mu          sync.Mutex // guards adoption, so that subscribers see rising generations
 	subscribers []func(*Document)
@@ -134,7 +136,7 @@
 		return false
 	}
 	if err := r.acceptable(d); err != nil {
-		r.metrics.refused.WithLabelValues(source).Inc()
+		r.refused(source, d.Generation, err)
 		return false
 	}
 	r.mu.Lock()
@@ -152,6 +154,15 @@
 	return true
 }
 
+// refused counts a refusal and logs the first one of a generation; generation 0
+// stands for a value that cannot be decoded.
+func (r *Replica) refused(source string, generation uint64, err error) {
+	r.metrics.refused.WithLabelValues(source).Inc()
+	if r.lastRefused.Swap(generation+1) != generation+1 {
+		r.opts.Log.WithError(err).WithFields(logrus.Fields{"generation": generation, "source": source}).Warn("configuration refused")
+	}
+}
+
 func (r *Replica) acceptable(d *Document) error {
 	if err := checkFormat(d.Format); err != nil {
 		return err
@@ -214,7 +225,7 @@
 func (r *Replica) observe(ctx context.Context, rec platform.Record) {
 	stored, err := decodeRecord(rec)
 	if err != nil {
-		r.metrics.refused.WithLabelValues(sourceStore).Inc()
+		r.refused(sourceStore, 0, err)
 		return
 	}
 	now := r.Current()
--- a/pkg/operator/backend_test.go
+++ b/pkg/operator/backend_test.go
@@ -202,3 +202,20 @@
 		}
 	})
 }
+
+// Guards against an instance that refuses budgets which were declared through
+// another one a moment ago.
+func TestTopUpOfNewBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b, store := applied(t)
+		d := document()
+		d.Workspaces[0].Budgets = append(d.Workspaces[0].Budgets, "extra")
+		if _, err := newBackend(store).Apply(t.Context(), Issuer{"a2", "ada"}, ApplyRequest{Document: d}); err != nil {
+			t.Fatal(err)
+		}
+		extra := ledger.BudgetKey{Workspace: "clinic", Budget: "extra"}
+		if _, err := b.TopUp(t.Context(), Issuer{"t1", "ada"}, TopUpRequest{extra, 5}); err != nil {
+			t.Error(err)
+		}
+	})
+}
--- a/pkg/operator/budgets.go
+++ b/pkg/operator/budgets.go
@@ -43,12 +43,24 @@
 }
 
 // selected returns the budgets of the configuration by name, and the cursor of
-// the rest.
+// the rest. The store is asked about budgets that are unknown here, because they
+// may have been declared a moment ago.
 func (b *StoreBackend) selected(ctx context.Context, sel BudgetSelection) ([]ledger.BudgetKey, string, error) {
 	doc, err := b.Config(ctx)
 	if err != nil {
 		return nil, "", err
 	}
+	keys, next, err := selectFrom(doc, sel)
+	if !failure.Is(err, failure.NotFound) {
+		return keys, next, err
+	}
+	if doc, err = b.stored(ctx); err != nil {
+		return nil, "", err
+	}
+	return selectFrom(doc, sel)
+}
+
+func selectFrom(doc *config.Document, sel BudgetSelection) ([]ledger.BudgetKey, string, error) {
 	var keys []ledger.BudgetKey
 	for _, w := range doc.Workspaces {
 		for _, name := range w.Budgets {
--- a/pkg/operator/storequeries.go
+++ b/pkg/operator/storequeries.go
@@ -57,6 +57,11 @@
 	if d := b.replica.Current(); d != nil {
 		return d, nil
 	}
+	return b.stored(ctx)
+}
+
+// stored returns the configuration of the store.
+func (b *StoreBackend) stored(ctx context.Context) (*config.Document, error) {
 	ctx, cancel := context.WithTimeout(ctx, storeCallTimeout)
 	defer cancel()
 	rec, err := b.store.Get(ctx, config.StoreKey)
