--- a/pkg/daemon/notices.go
+++ b/pkg/daemon/notices.go
@@ -38,10 +38,12 @@
 var _ entry.Quarantine = (*sharedQuarantine)(nil)
 
 // EndpointDied counts the death here and announces it.
-func (q *sharedQuarantine) EndpointDied(endpoint, incarnation string, now time.Time) {
-	if notices := q.Tracker.EndpointDied(endpoint, incarnation, now); len(notices) > 0 {
+func (q *sharedQuarantine) EndpointDied(endpoint, incarnation string, now time.Time) []quarantine.Notice {
+	notices := q.Tracker.EndpointDied(endpoint, incarnation, now)
+	if len(notices) > 0 {
 		q.announce(notices)
 	}
+	return notices
 }
 
 func (q *sharedQuarantine) died(endpoint, incarnation string) {
