Test that requests with an unknown end stay in the table

Cause: a change that dropped them passed all tests, although a late attach would then report them as not run. Change: one test of the table; shared constants in the tests.

--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -89,10 +89,9 @@
 		}
 	}
 	reply, m, err := f.state.PlanSettle(req, time.Now())
-	if m != nil {
+	if f.settles = append(f.settles, req); m != nil {
 		f.state.Commit(m)
 	}
-	f.settles = append(f.settles, req)
 	return reply, err
 }
 
@@ -106,15 +105,6 @@
 	return status, nil
 }
 
-func (f *fakeLedger) lastEnd() ledger.End {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if len(f.settles) == 0 {
-		return 0
-	}
-	return f.settles[len(f.settles)-1].End
-}
-
 func (f *fakeLedger) right() ledger.Right {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -171,8 +161,6 @@
 	client     *http.Client
 }
 
-const testKey = "secret"
-
 func newFixture(t *testing.T, endpoints ...http.Handler) *fixture {
 	f := &fixture{t: t, ledger: newFakeLedger(100000), peers: fakePeers{}, quarantine: quarantine.New(quarantine.Options{}, nil)}
 	f.doc = &config.Document{Shards: 1, Domains: []string{"yaba"}, Workspaces: []config.Workspace{{
@@ -247,7 +235,7 @@
 	if err != nil {
 		f.t.Fatal(err)
 	}
-	r.Header.Set("Authorization", "Bearer "+testKey)
+	r.Header.Set("Authorization", "Bearer secret")
 	for _, h := range headers {
 		name, value, _ := strings.Cut(h, ": ")
 		r.Header.Add(name, value)
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -246,7 +246,7 @@
 				t.Error("a failed stream has the terminal marker")
 			}
 			f.drain()
-			if end, charged := f.ledger.lastEnd(), f.ledger.right().Charged; end != tt.end || charged != tt.charged {
+			if end, charged := f.ledger.settles[0].End, f.ledger.right().Charged; end != tt.end || charged != tt.charged {
 				t.Errorf("settled as %d for %d tokens, want %d for %d", end, charged, tt.end, tt.charged)
 			}
 			if tt.runs != 0 && e.runs.Load() != tt.runs {
@@ -473,6 +473,22 @@
 	}
 }
 
+// Guards against a late attach that takes a request with an unknown end for one
+// that was never sent.
+func TestUnknownEndsAreKept(t *testing.T) {
+	table, now := newTable(), time.Now()
+	for i, end := range []ledger.End{ledger.EndUnknown, ledger.EndComplete, ledger.EndComplete} {
+		e := table.enter("id", uint64(i))
+		table.admitted(e, uint32(i+1))
+		table.settled(e, end, now.Add(time.Duration(i)*time.Hour))
+	}
+	unknown, _ := table.find(context.Background(), "id", 1)
+	complete, neverSent := table.find(context.Background(), "id", 2)
+	if unknown == nil || complete != nil || !neverSent {
+		t.Errorf("unknown kept %v, settled one kept %v, never sent %v", unknown != nil, complete != nil, neverSent)
+	}
+}
+
 // Guards against limits that are not kept, and ids that other workspaces read.
 func TestLimitsAndIDs(t *testing.T) {
 	f := newFixture(t, http.HandlerFunc(engine))
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -28,9 +28,8 @@
 // fakeEngine serves the connections of one stream by a script; the last step
 // serves all further ones.
 type fakeEngine struct {
-	script []func(w http.ResponseWriter, after int)
-	usage  string // answer to a cancel, empty for 404
-
+	script      []func(w http.ResponseWriter, after int)
+	usage       string // answer to a cancel, empty for 404
 	mu          sync.Mutex
 	connections int
 	cancels     int
@@ -73,6 +72,8 @@
 // hold stays silent until the client closes the connection.
 func hold(w http.ResponseWriter) { <-w.(heldWriter).ctx.Done() }
 
+const usage = `{"usage":{"prompt_tokens":9,"completion_tokens":2}}` // answer to a cancel
+
 const lastEvent = 5 // carries the usage
 
 func send(w http.ResponseWriter, seqs ...int) {
@@ -123,7 +124,6 @@
 // are lost, doubled or out of order, and blame for a fault of one connection.
 func TestModelFaults(t *testing.T) {
 	type script = []func(http.ResponseWriter, int)
-	const usage = `{"usage":{"prompt_tokens":9,"completion_tokens":2}}`
 	tests := []struct {
 		desc    string
 		script  script
@@ -222,7 +222,6 @@
 // Guards against work that goes on at the engine for nobody, and against a bill
 // above what the caller agreed to.
 func TestModelStops(t *testing.T) {
-	const usage = `{"usage":{"prompt_tokens":9,"completion_tokens":2}}`
 	engine := &fakeEngine{script: []func(http.ResponseWriter, int){rest}, usage: usage}
 	res, _ := runModel(t, engine, 100, func(seq uint64) error {
 		if seq == 3 {
@@ -359,8 +358,7 @@
 // Guards against headers that make a transport or an app repeat a request, and
 // against the workspace's key reaching an app.
 func TestAppHeaders(t *testing.T) {
-	var seen http.Header
-	draining := ""
+	var seen, draining = http.Header{}, ""
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		seen = r.Header.Clone()
 		w.Header().Set(drainingHeader, "true")
