Connect probes to the relay and wait for shards before ready

Cause: the relay did not learn of restarted endpoints, and an instance was ready before the shards of its domain had owners, so the first request waited. Change: the prober's incarnations reach the relay; readiness needs a map in which each shard has had an owner. The entry test expects the record version that a right now carries.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -129,13 +129,13 @@
 	s := d.settings
 	d.pool = routing.New(d.self.Domain, routing.Options{QueueLimit: s.Callers.QueueLimit}, d.registry)
 	d.tracker = quarantine.New(quarantine.Options{}, d.registry)
-	q := &sharedQuarantine{Tracker: d.tracker, announce: d.announceDeaths}
-	d.prober = probe.New(probe.Options{Instance: d.self.Instance, Domain: d.self.Domain}, d.pool, d.store, q.died, d.log, d.registry)
-	d.orderer = orders.New(orders.Options{Instance: d.self.Incarnation, Responsible: d.responsible}, d.store, d.log, d.registry)
 	client := relay.New(relay.Options{Instance: d.self.Instance, OnDraining: d.endpointDraining})
+	d.prober = probe.New(probe.Options{Instance: d.self.Instance, Domain: d.self.Domain},
+		observedPool{d.pool, client}, d.store, d.endpointDied, d.log, d.registry)
+	d.orderer = orders.New(orders.Options{Instance: d.self.Incarnation, Responsible: d.responsible}, d.store, d.log, d.registry)
 	d.entry = entry.New(entry.Options{
 		Self: d.self, Ledger: d.router, Configuration: d.replica, Peers: d.transport, Router: d.pool,
-		Quarantine: q, Relay: client, Samples: samples{d.burn}, Registerer: d.registry, Log: d.log,
+		Quarantine: d.tracker, Relay: client, Notify: d.announceDeaths, Samples: samples{d.burn}, Registerer: d.registry, Log: d.log,
 	})
 	d.replica.Subscribe(func(doc *config.Document) {
 		d.pool.Update(doc)
--- a/pkg/daemon/notices.go
+++ b/pkg/daemon/notices.go
@@ -5,9 +5,9 @@
 	"slices"
 	"time"
 
-	"github.com/clementinerack/clementinerack/pkg/entry"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
+	"github.com/clementinerack/clementinerack/pkg/relay"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
@@ -29,25 +29,24 @@
 	Endpoint string `cbor:"1,keyasint"`
 }
 
-// sharedQuarantine tells other instances of the endpoint deaths seen here.
-type sharedQuarantine struct {
-	*quarantine.Tracker
-	announce func([]quarantine.Notice)
+// endpointDied counts a death that the prober saw and announces it.
+func (d *Daemon) endpointDied(endpoint, incarnation string) {
+	if notices := d.tracker.EndpointDied(endpoint, incarnation, time.Now()); len(notices) > 0 {
+		d.announceDeaths(notices)
+	}
 }
 
-var _ entry.Quarantine = (*sharedQuarantine)(nil)
-
-// EndpointDied counts the death here and announces it.
-func (q *sharedQuarantine) EndpointDied(endpoint, incarnation string, now time.Time) []quarantine.Notice {
-	notices := q.Tracker.EndpointDied(endpoint, incarnation, now)
-	if len(notices) > 0 {
-		q.announce(notices)
-	}
-	return notices
+// observedPool passes the incarnations that the prober sees to the relay, which
+// recognizes by them that an endpoint restarted during an attempt.
+type observedPool struct {
+	*routing.Pool
+	relay *relay.Client
 }
 
-func (q *sharedQuarantine) died(endpoint, incarnation string) {
-	q.EndpointDied(endpoint, incarnation, time.Now())
+// Observe implements probe.Pool.
+func (p observedPool) Observe(endpoint string, load routing.Load) {
+	p.relay.SawIncarnation(endpoint, load.Incarnation)
+	p.Pool.Observe(endpoint, load)
 }
 
 func (d *Daemon) registerNotices(reg peer.Registrar) {
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -168,6 +168,8 @@
 		return failure.New(failure.NotReady, "apply declarations with clementinectl, or wait for the platform store", "there is no configuration yet")
 	case m == nil:
 		return failure.New(failure.NotReady, "wait for the platform store", "the shard map of the domain is not known yet")
+	case !m.Assigned():
+		return failure.New(failure.NotReady, "wait until the instances of the domain have shared out the shards", "some shards have never had an owner")
 	}
 	return nil
 }
--- a/pkg/entry/entry_test.go
+++ b/pkg/entry/entry_test.go
@@ -31,7 +31,7 @@
 		}
 	}
 	f.drain()
-	if r := f.ledger.right(); r != (ledger.Right{Granted: 100000, Charged: 70}) {
+	if r := f.ledger.right(); r != (ledger.Right{Granted: 100000, Charged: 70, Version: 1}) {
 		t.Errorf("charged %+v, want 70 tokens and no reservation", r)
 	}
 }
--- a/pkg/shard/map.go
+++ b/pkg/shard/map.go
@@ -56,6 +56,11 @@
 	return &c
 }
 
+// Assigned reports whether each shard has had an owner.
+func (m *Map) Assigned() bool {
+	return !slices.ContainsFunc(m.Shards, func(e Entry) bool { return e.Epoch == 0 })
+}
+
 // Encode returns the stored form.
 func (m *Map) Encode() ([]byte, error) { return cbor.Marshal(m) }
 
