Stop shards from moving back and forth after a failure

Cause: owners that saw the same imbalance moved their shards to the same instance at the same time, then back; each move restarted the timer of the bill writer, so bills waited. Ruled out: a stuck writer (state showed unsealed lines and a running timer) and lost segments (no segment was ever sealed). Change: per overloaded instance only the lowest shard moves; equal choices are spread by shard number; a new owner writes bills at its first tick.

--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -70,14 +70,17 @@
 }
 
 // least returns the live instance with the fewest shards by the given measure.
-func least(loads []load, exclude peer.Identity, measure func(load) int) *load {
+// Among equals the shard number decides, so that owners that choose at the same
+// time for different shards spread their choices.
+func least(loads []load, exclude peer.Identity, shard int, measure func(load) int) *load {
 	var best *load
 	for i := range loads {
-		if same(loads[i].id, exclude) {
+		l := &loads[(i+shard)%len(loads)]
+		if same(l.id, exclude) {
 			continue
 		}
-		if best == nil || measure(loads[i]) < measure(*best) {
-			best = &loads[i]
+		if best == nil || measure(*l) < measure(*best) {
+			best = l
 		}
 	}
 	return best
@@ -103,7 +106,7 @@
 		return true
 	case m.ownerStays(*e):
 		return false
-	case !same(m.candidate(*e, loads), self):
+	case !same(m.candidate(shard, *e, loads), self):
 		return false
 	}
 	return m.claim(r, e, loads)
@@ -126,7 +129,7 @@
 
 // candidate returns the instance that takes over a shard without live owner: the
 // backup, which holds the state, or else the least loaded instance.
-func (m *Manager) candidate(e Entry, loads []load) peer.Identity {
+func (m *Manager) candidate(shard int, e Entry, loads []load) peer.Identity {
 	holder := e.Backup
 	if e.Pending != nil {
 		holder = e.Pending.Backup
@@ -134,7 +137,7 @@
 	if find(loads, holder) != nil {
 		return holder
 	}
-	if l := least(loads, peer.Identity{}, byOwned); l != nil {
+	if l := least(loads, peer.Identity{}, shard, byOwned); l != nil {
 		return l.id
 	}
 	return peer.Identity{}
@@ -220,30 +223,41 @@
 // startJoin copies the state to a new backup when there is none, when the
 // backup is stopping, or when another instance has clearly fewer backups.
 func (m *Manager) startJoin(r *replica, e *Entry, loads []load) {
-	target := least(loads, m.opts.Self, byBackups)
+	target := least(loads, m.opts.Self, r.shard, byBackups)
 	if target == nil || same(target.id, e.Backup) {
 		return
 	}
-	if current := find(loads, e.Backup); current != nil && current.backups-target.backups < imbalance {
+	current := find(loads, e.Backup)
+	if current != nil && (current.backups-target.backups < imbalance || r.shard != m.firstBackedBy(e.Backup)) {
 		return
 	}
-	if current := find(loads, e.Backup); current != nil {
-		current.backups--
-	}
-	target.backups++
 	r.join(target.id)
 }
 
+// firstBackedBy returns the lowest shard with the given backup. Only this one is
+// moved, because all owners see the same imbalance and would otherwise move
+// theirs together, back and forth.
+func (m *Manager) firstBackedBy(backup peer.Identity) int {
+	return slices.IndexFunc(m.current.Shards, func(e Entry) bool { return same(e.Backup, backup) })
+}
+
 // balance hands a shard to its backup when that one owns clearly fewer.
 func (m *Manager) balance(r *replica, e *Entry, loads []load) {
 	self, backup := find(loads, m.opts.Self), find(loads, e.Backup)
-	if self == nil || backup == nil || self.owned-backup.owned < imbalance {
+	if self == nil || backup == nil || self.owned-backup.owned < imbalance || r.shard != m.firstToHand(e.Backup, loads) {
 		return
 	}
-	if r.startHandover(e.Backup) {
-		self.owned--
-		backup.owned++
-	}
+	r.startHandover(e.Backup)
+}
+
+// firstToHand returns the lowest shard with the given backup whose owner has
+// clearly more shards than that backup.
+func (m *Manager) firstToHand(backup peer.Identity, loads []load) int {
+	to := find(loads, backup)
+	return slices.IndexFunc(m.current.Shards, func(e Entry) bool {
+		from := find(loads, e.Owner)
+		return same(e.Backup, backup) && from != nil && from.owned-to.owned >= imbalance
+	})
 }
 
 // reconcile brings the replica in line with a newer shard map.
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -95,7 +95,7 @@
 	r.role, r.state, r.epoch = roleOwner, state, epoch
 	r.fencing, r.fenced = false, nil
 	r.links, r.demand = nil, map[ledger.BudgetKey]*demand{}
-	r.sealAt = r.m.now().Add(r.m.opts.Timing.SealInterval)
+	r.sealAt = r.m.now() // bill lines of the previous owner are written first
 	r.review = r.m.now().Add(r.m.opts.Timing.ReviewInterval)
 }
 
