Keep names of budgets in one index per workspace

The configuration document listed every budget. At the target size of 230,000 budgets the names alone exceed the store's limit of 1 MB per value.

Workspace.Budgets is gone. The record budget-index/<workspace> holds the sorted names and the generation of the apply that wrote them; apply writes it by compare-and-swap before the opening amounts, and refuses names that do not fit into one value before anything is written. An apply of a lower generation does not replace a newer index, and an apply that was overtaken while it wrote says so (exit code 4). The queries spent, stranded and budgets, the command topup and the tool's plan read the index; pages are bounded by 500 reads, those of indexes included.

The entry checks only the form of a budget's name, so requests can now name budgets that do not exist. The owner of a shard limits its reads of the store for unknown and for empty budgets per instance and workspace, separately; a request beyond the limit gets Exhausted with kind "limited". Budgets that are known and were not empty are never limited, and a workspace that did not ask lately passes while others use up the instance's limit.

--- a/cmd/clementinectl/apply.go
+++ b/cmd/clementinectl/apply.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"net/url"
 	"os"
 	"strings"
 	"time"
@@ -44,6 +46,23 @@
 	}
 }
 
+// steps compares the declarations with the configuration and the budgets of the
+// store.
+func (s *session) steps(current *config.Document, desired *declare.Declarations) ([]declare.Step, error) {
+	budgets := declare.Budgets{}
+	for after := ""; current != nil; {
+		var page operator.BudgetsReport
+		if err := s.client.Query(s.ctx, "budgets", url.Values{"after": {after}}, &page); err != nil {
+			return nil, err
+		}
+		maps.Copy(budgets, page.Budgets)
+		if after = page.Next; after == "" {
+			break
+		}
+	}
+	return declare.Plan(current, budgets, desired), nil
+}
+
 type planCmd struct{ fileArg }
 
 // Run lists steps.
@@ -52,7 +71,10 @@
 	if err != nil {
 		return err
 	}
-	steps := declare.Plan(current, desired)
+	steps, err := s.steps(current, desired)
+	if err != nil {
+		return err
+	}
 	s.show(steps, func(t table) { declare.WritePlan(t, steps) })
 	return nil
 }
@@ -65,7 +87,10 @@
 	if err != nil {
 		return err
 	}
-	steps := declare.Plan(current, desired)
+	steps, err := s.steps(current, desired)
+	if err != nil {
+		return err
+	}
 	s.show(steps, func(t table) { declare.WriteDiff(t, steps) })
 	return nil
 }
@@ -90,7 +115,7 @@
 	if err != nil {
 		return err
 	}
-	req := operator.ApplyRequest{Document: desired.Document, Openings: desired.Openings}
+	req := operator.ApplyRequest{Document: desired.Document, Budgets: desired.Budgets, Openings: desired.Openings}
 	if current != nil {
 		req.Expect = current.Generation
 	}
@@ -115,6 +140,9 @@
 			t.row("opening", open.Budget, open.Amount)
 		}
 	}
+	for _, f := range o.Result.Faults {
+		t.row("budget index", "failed: "+f)
+	}
 	for _, id := range o.Unconfirmed {
 		t.row("not confirmed", id)
 	}
@@ -127,6 +155,9 @@
 			missing = append(missing, "opening of "+open.Budget.String())
 		}
 	}
+	for _, f := range o.Result.Faults {
+		missing = append(missing, "budget index ("+f+")")
+	}
 	missing = append(missing, o.Unconfirmed...)
 	if len(missing) == 0 {
 		return nil
--- a/cmd/clementinectl/output.go
+++ b/cmd/clementinectl/output.go
@@ -43,6 +43,13 @@
 	}
 }
 
+// faults prints what could not be read.
+func (t table) faults(all []string) {
+	for _, f := range all {
+		t.row("fault: " + f)
+	}
+}
+
 // more tells how to read the rest of a long list.
 func (t table) more(next string) {
 	if next != "" {
--- a/cmd/clementinectl/queries.go
+++ b/cmd/clementinectl/queries.go
@@ -32,6 +32,7 @@
 		for _, b := range r.Budgets {
 			t.row(b.Budget, b.Paid, b.Charged, b.Granted, b.Stranded, b.Unassigned, b.Fault)
 		}
+		t.faults(r.Faults)
 		t.more(r.Next)
 	})
 	return nil
@@ -50,9 +51,7 @@
 		for _, g := range r.Grants {
 			t.row(g.Budget, g.Shard, g.Epoch, g.Amount, g.Charged)
 		}
-		for _, f := range r.Faults {
-			t.row("fault: " + f)
-		}
+		t.faults(r.Faults)
 		t.more(r.Next)
 	})
 	return nil
--- a/pkg/config/codec.go
+++ b/pkg/config/codec.go
@@ -15,7 +15,7 @@
 		return nil, failure.New(failure.Internal, "report this message to the maintainers", "configuration cannot be encoded: %v", err)
 	}
 	if len(data) > platform.MaxValueBytes {
-		return nil, failure.New(failure.Invalid, "remove workspaces, budgets or endpoints, or shorten their names",
+		return nil, failure.New(failure.Invalid, "remove workspaces or endpoints, or shorten their names",
 			"configuration takes %d bytes, the store accepts %d", len(data), platform.MaxValueBytes)
 	}
 	return data, nil
--- a/pkg/config/document.go
+++ b/pkg/config/document.go
@@ -88,8 +88,8 @@
 	// KeyHash is the hex SHA-256 of the workspace's API key.
 	KeyHash string `cbor:"2,keyasint" json:"key_hash"`
 	// DefaultBudget is charged when a request names none.
-	DefaultBudget string   `cbor:"3,keyasint" json:"default_budget"`
-	Budgets       []string `cbor:"4,keyasint" json:"budgets"`
+	// The names of all budgets are kept in the store, not here.
+	DefaultBudget string `cbor:"3,keyasint" json:"default_budget"`
 	// RatePerSecond limits requests per second and instance; 0 means no limit.
 	RatePerSecond float64 `cbor:"5,keyasint,omitempty" json:"rate_per_second"`
 	// Concurrency limits requests in flight per instance; 0 means no limit.
--- a/pkg/config/validate.go
+++ b/pkg/config/validate.go
@@ -152,14 +152,9 @@
 		object, "key-sha256", "it must be a SHA-256 in 64 lower-case hex digits")
 	v.check(!v.seen[w.KeyHash], object, "key-sha256", "another workspace has the same key")
 	v.seen[w.KeyHash] = true
-	v.check(slices.Contains(w.Budgets, w.DefaultBudget), object, "default-budget", "%q is not among the budgets of the workspace", w.DefaultBudget)
+	v.check(ValidName(w.DefaultBudget), object, "default-budget", "%q must be 1 to 63 letters, digits, dots, underscores or hyphens", w.DefaultBudget)
 	v.check(w.RatePerSecond >= 0, object, "rate", "it must not be negative")
 	v.check(w.Concurrency >= 0, object, "concurrency", "it must not be negative")
-	for _, b := range w.Budgets {
-		name := "budget " + w.Name + "/" + b
-		v.check(ValidName(b), name, "", "the name must be 1 to 63 letters, digits, dots, underscores or hyphens")
-		v.once(name)
-	}
 }
 
 func (v *validator) engine(e EngineState) {
--- a/pkg/declare/parse.go
+++ b/pkg/declare/parse.go
@@ -21,11 +21,16 @@
 	Amount ledger.Tokens    `json:"amount"`
 }
 
+// Budgets are sorted names of budgets by workspace.
+type Budgets map[string][]string
+
 // Declarations are the content of a file.
 type Declarations struct {
 	// Document lacks generation, drained endpoints and applied commands.
 	Document *config.Document `json:"document"`
-	Openings []Opening        `json:"openings"`
+	// Budgets are the names of the budgets by workspace.
+	Budgets  Budgets   `json:"budgets"`
+	Openings []Opening `json:"openings"`
 }
 
 // Parse reads declarations. It reports all faults in one failure.Invalid error;
@@ -36,7 +41,7 @@
 		return nil, failure.New(failure.Invalid, "give a readable file", "%s cannot be read: %v", file, err)
 	}
 	p := &parser{
-		out:      &Declarations{Document: &config.Document{Format: config.FormatVersion}},
+		out:      &Declarations{Document: &config.Document{Format: config.FormatVersion}, Budgets: Budgets{}},
 		sections: map[string]string{},
 	}
 	p.sort(settings.ReadSections(text, &p.faults))
@@ -46,6 +51,7 @@
 		}
 	}
 	p.checkDocument()
+	p.checkBudgets()
 	return p.out, p.faults.Err(file)
 }
 
@@ -126,12 +132,31 @@
 	}
 }
 
+// checkBudgets sorts the names of budgets and reports bad ones.
+func (p *parser) checkBudgets() {
+	for _, w := range p.out.Document.Workspaces {
+		names := p.out.Budgets[w.Name]
+		slices.Sort(names)
+		for i, name := range names {
+			section := "budget " + w.Name + "/" + name
+			if !config.ValidName(name) {
+				p.faults.Add(section, "", "rename the section", "the name must be 1 to 63 letters, digits, dots, underscores or hyphens")
+			}
+			if i > 0 && names[i-1] == name {
+				p.faults.Add(section, "", "remove one of the sections", "it is listed twice")
+			}
+		}
+		if w.DefaultBudget != "" && !slices.Contains(names, w.DefaultBudget) {
+			p.faults.Add("workspace "+w.Name, "default-budget", "declare the budget in a section [budget WORKSPACE/NAME]",
+				"%q is not among the budgets of the workspace", w.DefaultBudget)
+		}
+	}
+}
+
 func remedyFor(f config.Fault) string {
 	switch f.Key {
 	case "":
 		return "rename or remove the section, or declare what it refers to"
-	case "default-budget":
-		return "declare the budget in a section [budget WORKSPACE/NAME]"
 	case "domain":
 		return "add the failure domain to domains of [deployment]"
 	}
--- a/pkg/declare/plan.go
+++ b/pkg/declare/plan.go
@@ -51,13 +51,16 @@
 }
 
 // Plan returns the steps from current to the declarations, sorted by object:
-// first what is added or changed, then what is removed. current may be nil. The
-// steps take effect together. Opening amounts are shown for new budgets.
-func Plan(current *config.Document, d *Declarations) []Step {
+// first what is added or changed, then what is removed. current may be nil;
+// budgets are those of the store. The steps take effect together. Opening amounts
+// are shown for new budgets.
+func Plan(current *config.Document, budgets Budgets, d *Declarations) []Step {
 	from, to := map[string]keys{}, objects(d.Document)
 	if current != nil {
 		from = objects(current)
 	}
+	budgets.addTo(from)
+	d.Budgets.addTo(to)
 	for _, o := range d.Openings {
 		object := "budget " + o.Budget.String()
 		if _, exists := from[object]; !exists {
@@ -111,9 +114,6 @@
 	}
 	for _, w := range d.Workspaces {
 		out["workspace "+w.Name] = keys{"key-sha256": w.KeyHash, "default-budget": w.DefaultBudget, "rate": number(w.RatePerSecond), "concurrency": strconv.Itoa(w.Concurrency)}
-		for _, b := range w.Budgets {
-			out["budget "+w.Name+"/"+b] = keys{}
-		}
 	}
 	for _, e := range d.Engines {
 		out["engine "+e.Endpoint] = keys{"model": e.Model, "version": e.Version, "adapters": strings.Join(e.Adapters, ", "), "role": e.Role}
@@ -124,6 +124,14 @@
 	return out
 }
 
+func (b Budgets) addTo(out map[string]keys) {
+	for workspace, names := range b {
+		for _, name := range names {
+			out["budget "+workspace+"/"+name] = keys{}
+		}
+	}
+}
+
 func addService(out map[string]keys, s config.Service) {
 	out["service "+s.Name] = keys{
 		"kind": string(s.Kind), "max-output-tokens": strconv.FormatInt(s.MaxOutputTokens, 10), "timeout": s.Timeout.String(),
--- a/pkg/declare/sections.go
+++ b/pkg/declare/sections.go
@@ -75,12 +75,11 @@
 		return
 	}
 	all := p.out.Document.Workspaces
-	i := slices.IndexFunc(all, func(w config.Workspace) bool { return w.Name == workspace })
-	if i < 0 {
+	if !slices.ContainsFunc(all, func(w config.Workspace) bool { return w.Name == workspace }) {
 		v.fault("", "declare it in a section [workspace "+workspace+"]", "the workspace %q is not declared", workspace)
 		return
 	}
-	all[i].Budgets = append(all[i].Budgets, name)
+	p.out.Budgets[workspace] = append(p.out.Budgets[workspace], name)
 	if amount := v.tokens("opening", "0"); amount > 0 {
 		p.out.Openings = append(p.out.Openings, Opening{ledger.BudgetKey{Workspace: workspace, Budget: name}, ledger.Tokens(amount)})
 	}
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -68,7 +68,7 @@
 		return a.unconfirmed(ctx, err)
 	}
 	if reply.Decision == ledger.Exhausted && a.j.known {
-		a.refusal = failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens", "%s", reply.Reason)
+		a.refusal = exhausted(reply)
 		a.req.Refuse = true
 		// The same call number: a copy of the first call that is still on its
 		// way is then refused too.
@@ -118,6 +118,14 @@
 	return e.WithOutcome(failure.NotRun)
 }
 
+// exhausted returns the error of a reply with the decision Exhausted.
+func exhausted(reply ledger.ReserveReply) *failure.Error {
+	if reply.Kind == failure.Limited {
+		return failure.New(failure.Limited, "check the name of the budget, or repeat the request later", "%s", reply.Reason)
+	}
+	return failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens", "%s", reply.Reason)
+}
+
 func (a *admission) decide(ctx context.Context, reply ledger.ReserveReply) *failure.Error {
 	switch reply.Decision {
 	case ledger.Admitted:
@@ -134,8 +142,7 @@
 	case ledger.Mismatch:
 		return a.told(failure.New(failure.Conflict, "use a new id for another request", "%s", reply.Reason))
 	case ledger.Exhausted:
-		return a.told(failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens",
-			"%s", reply.Reason).WithOutcome(failure.NotRun))
+		return a.told(exhausted(reply).WithOutcome(failure.NotRun))
 	case ledger.Refused:
 		return a.told(a.refusedAs().WithOutcome(failure.NotRun))
 	}
--- a/pkg/entry/auth.go
+++ b/pkg/entry/auth.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"net/http"
-	"slices"
 	"strings"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
@@ -60,14 +59,16 @@
 	return doc, ws, nil
 }
 
-// chooseBudget returns the named budget, or the workspace's default one.
+// chooseBudget returns the named budget, or the workspace's default one. A name
+// is always looked up under the caller's own workspace, so a budget that does not
+// exist is an empty one: the owner of its shard refuses the request.
 func chooseBudget(ws config.Workspace, name string) (ledger.BudgetKey, error) {
 	if name == "" {
 		name = ws.DefaultBudget
 	}
-	if !slices.Contains(ws.Budgets, name) {
+	if !config.ValidName(name) {
 		return ledger.BudgetKey{}, failure.New(failure.Invalid,
-			"name a budget of the workspace in the header "+budgetHeader, "workspace %q has no budget %q", ws.Name, name)
+			"name a budget of the workspace in the header "+budgetHeader, "%q cannot be the name of a budget", name)
 	}
 	return ledger.BudgetKey{Workspace: ws.Name, Budget: name}, nil
 }
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -1,6 +1,10 @@
 package ledger
 
-import "time"
+import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+)
 
 // Tokens is an amount of model tokens, the unit of budgets.
 type Tokens int64
@@ -81,6 +85,10 @@
 	// before the caller was told "not run", and must not send it.
 	AfterNotRun bool          `cbor:"8,keyasint,omitempty"`
 	SinceNotRun time.Duration `cbor:"9,keyasint,omitempty"`
+	// Kind is the kind of error for Exhausted; empty means
+	// failure.BudgetExhausted, and failure.Limited that the store was not asked
+	// for rights because too many requests named unknown or empty budgets.
+	Kind failure.Kind `cbor:"10,keyasint,omitempty"`
 }
 
 // StoredAnswer is a whole answer as it was sent to the caller.
--- a/pkg/operator/backend.go
+++ b/pkg/operator/backend.go
@@ -19,6 +19,9 @@
 	Spent(ctx context.Context, sel BudgetSelection) (SpentReport, error)
 	// Stranded returns grants whose epoch was lost.
 	Stranded(ctx context.Context, sel BudgetSelection) (StrandedReport, error)
+	// Budgets returns the names of the budgets of all workspaces. Of the
+	// selection only After is used.
+	Budgets(ctx context.Context, sel BudgetSelection) (BudgetsReport, error)
 	// Config returns the configuration, or failure.NotFound when none exists.
 	Config(ctx context.Context) (*config.Document, error)
 }
--- a/pkg/operator/budgets.go
+++ b/pkg/operator/budgets.go
@@ -1,7 +1,6 @@
 package operator
 
 import (
-	"cmp"
 	"context"
 	"math/rand/v2"
 	"slices"
@@ -16,8 +15,8 @@
 )
 
 const (
-	// MaxBudgetsPerQuery bounds the reads of one query: 500 reads are a quarter
-	// of what the store sustains in a second.
+	// MaxBudgetsPerQuery bounds the reads of one query, those of indexes
+	// included: 500 reads are a quarter of what the store sustains in a second.
 	MaxBudgetsPerQuery = 500
 	// budgetReaders bounds concurrent calls of the store for one request.
 	budgetReaders = 8
@@ -42,50 +41,6 @@
 	return &StoreBackend{store, replica}
 }
 
-// selected returns the budgets of the configuration by name, and the cursor of
-// the rest. The store is asked about budgets that are unknown here, because they
-// may have been declared a moment ago.
-func (b *StoreBackend) selected(ctx context.Context, sel BudgetSelection) ([]ledger.BudgetKey, string, error) {
-	doc, err := b.Config(ctx)
-	if err != nil {
-		return nil, "", err
-	}
-	keys, next, err := selectFrom(doc, sel)
-	if !failure.Is(err, failure.NotFound) {
-		return keys, next, err
-	}
-	if doc, err = b.stored(ctx); err != nil {
-		return nil, "", err
-	}
-	return selectFrom(doc, sel)
-}
-
-func selectFrom(doc *config.Document, sel BudgetSelection) ([]ledger.BudgetKey, string, error) {
-	var keys []ledger.BudgetKey
-	for _, w := range doc.Workspaces {
-		for _, name := range w.Budgets {
-			k := ledger.BudgetKey{Workspace: w.Name, Budget: name}
-			if (sel.Workspace == "" || sel.Workspace == w.Name) && (sel.Budget == "" || sel.Budget == name) && k.String() > sel.After {
-				keys = append(keys, k)
-			}
-		}
-	}
-	if len(keys) == 0 && sel.After == "" && sel.Workspace != "" {
-		return nil, "", unknownBudget(ledger.BudgetKey{Workspace: sel.Workspace, Budget: sel.Budget})
-	}
-	slices.SortFunc(keys, func(x, y ledger.BudgetKey) int { return cmp.Compare(x.String(), y.String()) })
-	if len(keys) <= MaxBudgetsPerQuery {
-		return keys, "", nil
-	}
-	keys = keys[:MaxBudgetsPerQuery]
-	return keys, keys[len(keys)-1].String(), nil
-}
-
-func unknownBudget(k ledger.BudgetKey) error {
-	return failure.New(failure.NotFound, "list the budgets with the query config; declare a new one before it is used",
-		"the configuration has no budget %s", k)
-}
-
 // readAll reads the records of keys. A record of an unknown format gives a nil
 // entry and a fault; any other error ends the query.
 func (b *StoreBackend) readAll(ctx context.Context, keys []ledger.BudgetKey) ([]*ledger.BudgetRecord, []error, error) {
--- a/pkg/operator/messages.go
+++ b/pkg/operator/messages.go
@@ -38,10 +38,18 @@
 // they last wrote the record, so it lags behind.
 type SpentReport struct {
 	Budgets []Spending `json:"budgets"`
+	// Faults names the indexes of budgets that could not be read.
+	Faults []string `json:"faults,omitempty"`
 	// Next is the value of BudgetSelection.After for the rest, or empty.
 	Next string `json:"next,omitempty"`
 }
 
+// BudgetsReport lists the names of budgets by workspace.
+type BudgetsReport struct {
+	Budgets declare.Budgets `json:"budgets"`
+	Next    string          `json:"next,omitempty"`
+}
+
 // StrandedGrant is a grant whose epoch was lost.
 type StrandedGrant struct {
 	Budget ledger.BudgetKey `json:"budget"`
@@ -163,6 +171,7 @@
 // ApplyRequest puts declarations in force.
 type ApplyRequest struct {
 	Document *config.Document  `json:"document"`
+	Budgets  declare.Budgets   `json:"budgets,omitempty"`
 	Openings []declare.Opening `json:"openings,omitempty"`
 	Expect   uint64            `json:"expect,omitempty"`
 }
@@ -180,6 +189,9 @@
 type ApplyResult struct {
 	ConfigResult
 	Openings []OpeningResult `json:"openings"`
+	// Faults names the indexes of budgets that were not written; a repeat of the
+	// command with the same id writes them.
+	Faults []string `json:"faults,omitempty"`
 }
 
 // StopRequest names the instance to stop.
--- a/pkg/operator/queries.go
+++ b/pkg/operator/queries.go
@@ -13,6 +13,7 @@
 	query(mux, "burn", s.backend.Burn)
 	budgetQuery(mux, "spent", s.backend.Spent)
 	budgetQuery(mux, "stranded", s.backend.Stranded)
+	budgetQuery(mux, "budgets", s.backend.Budgets)
 }
 
 func query[T any](mux *http.ServeMux, name string, run func(context.Context) (T, error)) {
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -26,9 +26,9 @@
 )
 
 const (
-	// maxBodyBytes bounds a command. JSON takes more room than the stored form
-	// of a configuration, which is at most 1 MB.
-	maxBodyBytes = 4 * platform.MaxValueBytes
+	// maxBodyBytes bounds a command. An apply at the target size names 230,000
+	// budgets of up to 63 characters, some with opening amounts.
+	maxBodyBytes = 64 * platform.MaxValueBytes
 	// requestTimeout bounds a request: ten attempts on a silent store.
 	requestTimeout = 30 * time.Second
 )
--- a/pkg/operator/storecommands.go
+++ b/pkg/operator/storecommands.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
@@ -21,7 +22,7 @@
 // reserved reports whether a command id is kept for opening amounts.
 func reserved(command string) bool { return command == declare.OpeningCommand }
 
-// TopUp pays an amount into a budget of the configuration.
+// TopUp pays an amount into a declared budget.
 func (b *StoreBackend) TopUp(ctx context.Context, by Issuer, req TopUpRequest) (BudgetResult, error) {
 	if err := b.known(ctx, req.Budget); err != nil {
 		return BudgetResult{}, err
@@ -43,7 +44,7 @@
 	if k.Workspace == "" || k.Budget == "" {
 		return failure.New(failure.Invalid, "name the budget as workspace/budget", "budget %s is incomplete", k)
 	}
-	_, _, err := b.selected(ctx, BudgetSelection{Workspace: k.Workspace, Budget: k.Budget})
+	_, err := b.selected(ctx, BudgetSelection{Workspace: k.Workspace, Budget: k.Budget})
 	return err
 }
 
@@ -138,18 +139,28 @@
 // generation.
 var errUnchanged = errors.New("the declarations are in force already")
 
-// Apply puts declarations in force and then pays in the opening amounts of
-// budgets that had none. Drained endpoints and applied commands stay.
+// Apply puts declarations in force, writes the indexes of budgets and then pays
+// in the opening amounts of budgets that had none. Drained endpoints and applied
+// commands stay. A change of budgets alone starts a new generation too, so that
+// the later of two applies decides about the indexes.
 func (b *StoreBackend) Apply(ctx context.Context, by Issuer, req ApplyRequest) (ApplyResult, error) {
 	if req.Document == nil {
 		return ApplyResult{}, failure.New(failure.Invalid, "send the document of the declarations", "the apply has no document")
 	}
+	if err := checkBudgets(req); err != nil {
+		return ApplyResult{}, err
+	}
 	if err := checkOpenings(req); err != nil {
 		return ApplyResult{}, err
 	}
-	summary := fmt.Sprintf("apply with %d services and %d workspaces", len(req.Document.Services), len(req.Document.Workspaces))
+	indexes, err := b.readIndexes(ctx, req.Document)
+	if err != nil {
+		return ApplyResult{}, err
+	}
+	changed := indexes.differFrom(req)
+	summary := fmt.Sprintf(applySummary+" %d services and %d workspaces", len(req.Document.Services), len(req.Document.Workspaces))
 	result, err := b.changeConfig(ctx, by, summary, req.Expect, func(d *config.Document) error {
-		if len(declare.Plan(d, &declare.Declarations{Document: req.Document})) == 0 {
+		if !changed && len(declare.Plan(d, nil, &declare.Declarations{Document: req.Document})) == 0 {
 			return errUnchanged
 		}
 		*d = *declare.Build(d, req.Document)
@@ -161,14 +172,48 @@
 	if err != nil {
 		return ApplyResult{}, err
 	}
-	return ApplyResult{result, b.open(ctx, req.Openings)}, nil
+	generation := b.generationOf(by.Command, result.Generation)
+	faults := b.writeIndexes(ctx, indexes, req, generation)
+	if changed {
+		faults = append(faults, b.overtaken(ctx, generation)...)
+	}
+	return ApplyResult{ConfigResult: result, Openings: b.open(ctx, req.Openings), Faults: faults}, nil
+}
+
+// applySummary begins the summaries of applies.
+const applySummary = "apply with"
+
+// overtaken reports an apply that came after generation while this one wrote its
+// indexes. That one may have seen indexes which were overwritten here since.
+func (b *StoreBackend) overtaken(ctx context.Context, generation uint64) []string {
+	d, err := b.stored(ctx)
+	if err != nil {
+		return []string{"whether another apply came in between is not known: " + err.Error()}
+	}
+	for _, c := range d.Applied {
+		if c.Generation > generation && strings.HasPrefix(c.Summary, applySummary) {
+			return []string{"command " + c.Command + " of " + c.Operator + " applied other declarations meanwhile; apply the newest declarations again"}
+		}
+	}
+	return nil
+}
+
+// generationOf returns the generation that a command created, which is older
+// than current when the command is a repeat.
+func (b *StoreBackend) generationOf(command string, current uint64) uint64 {
+	if d := b.replica.Current(); d != nil {
+		for _, c := range d.Applied {
+			if c.Command == command {
+				return c.Generation
+			}
+		}
+	}
+	return current
 }
 
 func checkOpenings(req ApplyRequest) error {
 	for _, o := range req.Openings {
-		declared := slices.ContainsFunc(req.Document.Workspaces, func(w config.Workspace) bool {
-			return w.Name == o.Budget.Workspace && slices.Contains(w.Budgets, o.Budget.Budget)
-		})
+		_, declared := slices.BinarySearch(req.Budgets[o.Budget.Workspace], o.Budget.Budget)
 		if !declared || o.Amount <= 0 || o.Amount > ledger.MaxTokens {
 			return failure.New(failure.Invalid, "declare the budget and give an amount between 1 and 2^42 tokens",
 				"the opening amount of %d tokens for budget %s is not valid", o.Amount, o.Budget)
--- a/pkg/operator/storequeries.go
+++ b/pkg/operator/storequeries.go
@@ -9,16 +9,16 @@
 
 // Spent reads the selected budgets.
 func (b *StoreBackend) Spent(ctx context.Context, sel BudgetSelection) (SpentReport, error) {
-	keys, next, err := b.selected(ctx, sel)
+	page, err := b.selected(ctx, sel)
 	if err != nil {
 		return SpentReport{}, err
 	}
-	records, faults, err := b.readAll(ctx, keys)
+	records, faults, err := b.readAll(ctx, page.keys)
 	if err != nil {
 		return SpentReport{}, err
 	}
-	report := SpentReport{Budgets: make([]Spending, len(keys)), Next: next}
-	for i, k := range keys {
+	report := SpentReport{Budgets: make([]Spending, len(page.keys)), Faults: page.faults, Next: page.next}
+	for i, k := range page.keys {
 		if faults[i] != nil {
 			report.Budgets[i] = Spending{Budget: k, Fault: faults[i].Error()}
 			continue
@@ -30,16 +30,16 @@
 
 // Stranded reads the stranded grants of the selected budgets.
 func (b *StoreBackend) Stranded(ctx context.Context, sel BudgetSelection) (StrandedReport, error) {
-	keys, next, err := b.selected(ctx, sel)
+	page, err := b.selected(ctx, sel)
 	if err != nil {
 		return StrandedReport{}, err
 	}
-	records, faults, err := b.readAll(ctx, keys)
+	records, faults, err := b.readAll(ctx, page.keys)
 	if err != nil {
 		return StrandedReport{}, err
 	}
-	report := StrandedReport{Grants: []StrandedGrant{}, Next: next}
-	for i, k := range keys {
+	report := StrandedReport{Grants: []StrandedGrant{}, Faults: page.faults, Next: page.next}
+	for i, k := range page.keys {
 		if faults[i] != nil {
 			report.Faults = append(report.Faults, k.String()+": "+faults[i].Error())
 			continue
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -96,6 +96,7 @@
 	swapping bool
 	draining bool
 	sessions uint64
+	asks     askLimits
 	replicas map[int]*replica
 }
 
@@ -113,7 +114,7 @@
 	return &Manager{
 		opts: opts, metrics: newMetrics(opts.Registerer), base: time.Now(),
 		events: make(chan func(), eventQueue), done: make(chan struct{}),
-		replicas: map[int]*replica{}, ctx: context.Background(),
+		asks: newAskLimits(), replicas: map[int]*replica{}, ctx: context.Background(),
 	}
 }
 
--- a/pkg/shard/metrics.go
+++ b/pkg/shard/metrics.go
@@ -15,6 +15,7 @@
 	granted     prometheus.Counter
 	returned    prometheus.Counter
 	billLines   prometheus.Counter
+	asksLimited prometheus.Counter
 	grantErrors *prometheus.CounterVec
 	owned       prometheus.Gauge
 	backups     prometheus.Gauge
@@ -37,6 +38,7 @@
 		takeovers:   counter("takeovers_total", "Attempts to take over a shard without a live owner."),
 		handovers:   counter("handovers_total", "Shards received from a stopping or loaded owner."),
 		lostEpochs:  counter("lost_epochs_total", "Epochs whose state was lost with both replicas."),
+		asksLimited: counter("asks_limited_total", "Requests refused because too many named unknown or empty budgets."),
 		recalls:     counter("recalls_total", "Requests of other domains to return idle rights."),
 		granted:     counter("granted_tokens_total", "Rights asked for, in tokens."),
 		returned:    counter("returned_tokens_total", "Rights returned, in tokens."),
@@ -47,7 +49,7 @@
 		blocked:     gauge("blocked", "Served shards with changes that wait for the backup."),
 	}
 	if reg != nil {
-		reg.MustRegister(m.decisions, m.grantErrors, m.takeovers, m.handovers, m.lostEpochs, m.recalls,
+		reg.MustRegister(m.decisions, m.grantErrors, m.takeovers, m.handovers, m.lostEpochs, m.recalls, m.asksLimited,
 			m.granted, m.returned, m.billLines, m.owned, m.backups, m.unprotected, m.blocked)
 	}
 	return m
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -69,6 +69,9 @@
 	waiting    []func()
 	need       ledger.Tokens
 	emptyUntil time.Time
+	// known is true once the store has shown a record of the budget, and empty
+	// while the last call for rights was not met.
+	known, empty bool
 	// askedAt is the time of the last call to the store for this budget.
 	askedAt time.Time
 }
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -43,21 +43,26 @@
 }
 
 // askFor asks the store for rights that cover need, and runs then on the control
-// goroutine when it knows the result.
-func (r *replica) askFor(b ledger.BudgetKey, need ledger.Tokens, then func()) {
+// goroutine when it knows the result. It returns false, and does not run then,
+// when the limit for unknown and empty budgets forbids the call.
+func (r *replica) askFor(b ledger.BudgetKey, need ledger.Tokens, then func()) bool {
 	d := r.demandOf(b)
 	if !d.busy && r.m.now().Before(d.emptyUntil) {
 		then()
-		return
+		return true
+	}
+	if !d.busy && !r.mayAsk(b.Workspace, d) {
+		r.m.metrics.asksLimited.Inc()
+		return false
 	}
 	if then != nil {
 		d.waiting = append(d.waiting, then)
 	}
 	d.need += need
-	if d.busy {
-		return
+	if !d.busy {
+		r.startJob(b, d)
 	}
-	r.startJob(b, d)
+	return true
 }
 
 func (r *replica) startJob(b ledger.BudgetKey, d *demand) {
@@ -68,7 +73,7 @@
 	r.m.background(r.m.opts.Timing.GrantWait, func(ctx context.Context) {
 		err := j.run(ctx)
 		r.m.post(func() {
-			if j.unmet {
+			if d.empty = j.unmet; j.unmet {
 				d.emptyUntil = r.m.now().Add(emptyPause)
 			}
 			r.jobDone(b, d, err)
@@ -112,6 +117,7 @@
 
 // reviewRights refills rights before they run out and returns idle ones.
 func (r *replica) reviewRights(now time.Time) {
+	r.forgetUnknown(now)
 	policy := r.m.opts.Policy()
 	changed := 0
 	for _, b := range r.state.Budgets() {
@@ -133,6 +139,16 @@
 	}
 }
 
+// forgetUnknown drops what is kept about budgets without a record, so that
+// made-up names do not fill the memory.
+func (r *replica) forgetUnknown(now time.Time) {
+	for b, d := range r.demand {
+		if !d.busy && !d.known && len(d.waiting) == 0 && now.After(d.emptyUntil) && r.state.Right(b) == (ledger.Right{}) {
+			delete(r.demand, b)
+		}
+	}
+}
+
 // recall returns idle rights because another domain has run out.
 func (m *Manager) recall(ctx context.Context, req recallRequest) (recallReply, error) {
 	return await(ctx, m, func(answer func(recallReply, error)) {
@@ -269,7 +285,8 @@
 	if !stranded {
 		r.commit(r.state.PlanGranted(j.budget, g.Granted, rec.Version))
 	}
-	r.demandOf(j.budget).unassigned = budget.Unassigned()
+	d := r.demandOf(j.budget)
+	d.unassigned, d.known = budget.Unassigned(), rec.Version > 0
 	next := j.nextGrant(budget, g, rec.Version)
 	if next.done && stranded {
 		next = step{granted: g.Granted}
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -70,8 +70,10 @@
 		return
 	}
 	if reply.Decision == ledger.Exhausted && !asked {
-		r.askFor(req.Budget, req.Amount, func() { r.reserve(req, true, answer) })
-		return
+		if r.askFor(req.Budget, req.Amount, func() { r.reserve(req, true, answer) }) {
+			return
+		}
+		reply.Kind, reply.Reason = failure.Limited, reasonNotAsked
 	}
 	if reply.Decision == ledger.Exhausted && req.KeepAnswer {
 		reply, mutation = r.refuseExhausted(req, reply)
