Count refusals and truncated answers in the burn report

The burn recorder saw dispatched requests only, without their workspace, and took every failure for a truncated answer. Requests refused before dispatch (no endpoint, full queue, silent ledger) used up no error budget.

The entry now gives one sample per request of a known workspace and service, with the kind of a refusal or the mark of a truncated answer; repeats that attach to or replay an answer count too. Refusals through a limit of the workspace itself are marked, because their kind equals that of a full queue, and are excluded like other faults of the caller.

--- a/cmd/clementinectl/cli_test.go
+++ b/cmd/clementinectl/cli_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/burn"
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/operator"
@@ -62,6 +63,14 @@
 	return operator.InstancesReport{Instances: []operator.InstanceStatus{{ID: "entry-1", Answered: true, Generation: 1}, second}}, nil
 }
 
+func (b *stubBackend) Burn(context.Context) (operator.BurnReport, error) {
+	s := burn.Series{Service: "llm", Workspace: "clinic", Target: 0.95, Truncated: 2, Refused: map[failure.Kind]uint64{failure.NoEndpoint: 3}}
+	for i, length := range burn.Windows {
+		s.Windows = append(s.Windows, burn.Window{Length: length, Good: 95, Bad: 5, Burn: float64(i) + 0.5})
+	}
+	return operator.BurnReport{Report: burn.Report{Series: []burn.Series{s}}, Silent: []string{"entry-2"}}, nil
+}
+
 func (b *stubBackend) TopUp(_ context.Context, by operator.Issuer, req operator.TopUpRequest) (operator.BudgetResult, error) {
 	if by.Command == "used" {
 		return operator.BudgetResult{}, failure.New(failure.Conflict, "choose another command id", "it was used")
@@ -105,6 +114,8 @@
 		{desc: "wrong argument", args: "topup main 50", code: exitUsage, want: []string{"workspace/budget"}},
 		{desc: "unknown command", args: "top-up", code: exitUsage, want: []string{"--help"}},
 		{desc: "help", args: "--help", want: []string{"Exit codes: 0 done"}},
+		{desc: "burn", args: "--address one report burn", want: []string{"BURN 5m", "BURN 6h", "0.50", "2.50", "no-endpoint=3", "no answer from: entry-2"}},
+		{desc: "burn as JSON", args: "--address one --output json report burn", want: []string{`"burn": 1.5`, `"truncated": 2`, `"no-endpoint": 3`, `"entry-2"`}},
 		{desc: "missing file", args: "--address one plan nowhere.ini", code: exitFailed, want: []string{"nowhere.ini"}},
 		{desc: "plan", args: "--address one plan " + file, want: []string{"+ add workspace clinic", "3 steps"}},
 		{desc: "diff", args: "--address one diff " + file, want: []string{"+ [budget clinic/main]", "+ opening = 5000"}},
--- a/pkg/burn/burn_test.go
+++ b/pkg/burn/burn_test.go
@@ -34,6 +34,8 @@
 		{"truncated", Sample{Service: "m", Truncated: true}, Window{Bad: 1}},
 		{"refused by the service", Sample{Service: "m", Refused: failure.NoEndpoint}, Window{Bad: 1}},
 		{"refused for the caller's fault", Sample{Service: "m", Refused: failure.BudgetExhausted}, Window{Excluded: 1}},
+		{"limit of the workspace", Sample{Service: "m", Refused: failure.Limited, CallerFault: true}, Window{Excluded: 1}},
+		{"full queue", Sample{Service: "m", Refused: failure.Limited}, Window{Bad: 1}},
 		{"slow without an objective", Sample{Service: "other", FirstToken: time.Hour}, Window{Good: 1}},
 	}
 	for _, c := range cases {
--- a/pkg/burn/recorder.go
+++ b/pkg/burn/recorder.go
@@ -38,6 +38,9 @@
 	// Refused is the kind of the error that the caller got before the answer
 	// began, or empty.
 	Refused failure.Kind
+	// CallerFault is true for a refusal through a limit of the workspace, which
+	// has the same kind as one through a full queue.
+	CallerFault bool
 	// Truncated is true when the answer began and did not end as it should.
 	Truncated bool
 }
@@ -59,7 +62,7 @@
 
 func judge(s Sample, o config.Objective) verdict {
 	switch {
-	case slices.Contains(callerFaults, s.Refused):
+	case s.CallerFault, slices.Contains(callerFaults, s.Refused):
 		return excluded
 	case s.Refused != "", s.Truncated:
 		return bad
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -212,5 +212,8 @@
 
 // Observe implements entry.Samples.
 func (s samples) Observe(o entry.Sample) {
-	s.recorder.Observe(burn.Sample{Service: o.Service, FirstToken: o.FirstToken, WorstGap: o.SlowestGap, Truncated: o.Failed})
+	s.recorder.Observe(burn.Sample{
+		Service: o.Service, Workspace: o.Workspace, FirstToken: o.FirstToken, WorstGap: o.SlowestGap,
+		Refused: o.Refused, CallerFault: o.CallerFault, Truncated: o.Truncated,
+	})
 }
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -68,7 +68,7 @@
 		return a.unconfirmed(ctx, err)
 	}
 	if reply.Decision == ledger.Exhausted && a.j.known {
-		a.refusal = exhausted(reply)
+		a.refusal = a.exhausted(reply)
 		a.req.Refuse = true
 		// The same call number: a copy of the first call that is still on its
 		// way is then refused too.
@@ -119,8 +119,9 @@
 }
 
 // exhausted returns the error of a reply with the decision Exhausted.
-func exhausted(reply ledger.ReserveReply) *failure.Error {
+func (a *admission) exhausted(reply ledger.ReserveReply) *failure.Error {
 	if reply.Kind == failure.Limited {
+		a.j.callerFault = true
 		return failure.New(failure.Limited, "check the name of the budget, or repeat the request later", "%s", reply.Reason)
 	}
 	return failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens", "%s", reply.Reason)
@@ -142,7 +143,7 @@
 	case ledger.Mismatch:
 		return a.told(failure.New(failure.Conflict, "use a new id for another request", "%s", reply.Reason))
 	case ledger.Exhausted:
-		return a.told(exhausted(reply).WithOutcome(failure.NotRun))
+		return a.told(a.exhausted(reply).WithOutcome(failure.NotRun))
 	case ledger.Refused:
 		return a.told(a.refusedAs().WithOutcome(failure.NotRun))
 	}
@@ -191,6 +192,7 @@
 	if !out.begun {
 		out.begin(stored.Status, contentType(stored.ContentType), len(stored.Body))
 	}
+	a.j.timing.part(a.s.now())
 	_, _ = out.Write(stored.Body[out.written:]) // the answer stays with the owner if the caller has left
 	return nil
 }
--- a/pkg/entry/attach.go
+++ b/pkg/entry/attach.go
@@ -148,6 +148,7 @@
 		out.begin(part.Status, contentType(part.ContentType), length)
 	}
 	if len(part.Data) > 0 {
+		a.j.timing.part(a.s.now())
 		if _, err := out.Write(part.Data); err != nil {
 			return "left", callerLeft()
 		}
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -5,10 +5,8 @@
 	"context"
 	"fmt"
 	"net/http"
-	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
-	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/relay"
 )
 
@@ -22,7 +20,7 @@
 		StreamID: fmt.Sprintf("%s-%d-%d", d.j.id, d.e.attempt, d.tries),
 		Priority: int(d.j.priority), Body: d.j.body, MaxTokens: d.j.maxTokens,
 		Event: func(seq uint64, data []byte) error {
-			d.timing.part(d.s.now())
+			d.j.timing.part(d.s.now())
 			if !d.j.stream {
 				return whole.add(data)
 			}
@@ -101,7 +99,7 @@
 
 func (a *appSink) Begin(status int, header http.Header, length int) error {
 	d := (*dispatch)(a)
-	d.timing.part(d.s.now())
+	d.j.timing.part(d.s.now())
 	d.begin(status, header, length)
 	return nil
 }
@@ -112,34 +110,3 @@
 	}
 	return len(part), nil
 }
-
-// timing measures the parts of an answer.
-type timing struct {
-	arrived, last      time.Time
-	first, slowestPart time.Duration
-}
-
-func (t *timing) part(now time.Time) {
-	if t.last.IsZero() {
-		t.first = now.Sub(t.arrived)
-	} else {
-		t.slowestPart = max(t.slowestPart, now.Sub(t.last))
-	}
-	t.last = now
-}
-
-// observe reports the request to the metrics and the burn of objectives. A
-// caller that left shows nothing about the service.
-func (d *dispatch) observe(ctx context.Context, err *failure.Error) {
-	name := d.j.service.Name
-	if !d.timing.last.IsZero() {
-		d.s.metrics.firstByte.WithLabelValues(name).Observe(d.timing.first.Seconds())
-	}
-	if d.s.opts.Samples == nil || err != nil && ctx.Err() == context.Canceled {
-		return
-	}
-	d.s.opts.Samples.Observe(Sample{
-		Service: name, At: d.s.now(), FirstToken: d.timing.first, SlowestGap: d.timing.slowestPart,
-		Failed: err != nil && err.Kind != failure.Invalid,
-	})
-}
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -36,14 +36,13 @@
 	tries      int
 	exclude    map[string]bool
 	// ran is the latest attempt of which bytes may have left, or nil.
-	ran    *relay.Result
-	timing timing
+	ran *relay.Result
 }
 
 // dispatch sends an admitted request to endpoints and settles its end. It
 // returns nil when the answer is whole.
 func (s *Server) dispatch(ctx context.Context, j *job, e *entry) *failure.Error {
-	d := &dispatch{s: s, j: j, e: e, exclude: map[string]bool{}, timing: timing{arrived: j.arrived}}
+	d := &dispatch{s: s, j: j, e: e, exclude: map[string]bool{}}
 	work, cancel := context.WithDeadline(context.WithoutCancel(ctx), j.deadline)
 	defer cancel()
 	stop := context.AfterFunc(ctx, func() {
@@ -55,7 +54,6 @@
 	s.retries.Attempt()
 	err := d.end(d.attempts(work))
 	e.answer.finish(err)
-	d.observe(ctx, err)
 	return err
 }
 
--- a/pkg/entry/interfaces.go
+++ b/pkg/entry/interfaces.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/routing"
@@ -59,17 +60,23 @@
 
 // Sample is what one request shows about the service level.
 type Sample struct {
-	Service string
-	At      time.Time
+	Service   string
+	Workspace string
 	// FirstToken is the time from the arrival of the request to the first part
 	// of its answer, and SlowestGap the longest time between two parts.
 	FirstToken, SlowestGap time.Duration
-	// Failed is true when the caller got no whole answer through no fault of
-	// its own.
-	Failed bool
+	// Refused is the kind of the error that the caller got instead of an answer,
+	// or empty.
+	Refused failure.Kind
+	// CallerFault is true when the request was refused for a limit of its
+	// workspace.
+	CallerFault bool
+	// Truncated is true when the answer broke off after it had begun.
+	Truncated bool
 }
 
-// Samples takes one sample per request that was dispatched.
+// Samples takes one sample per request of a known workspace and service, unless
+// the caller left before the end.
 type Samples interface {
 	Observe(s Sample)
 }
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -47,7 +47,11 @@
 	header http.Header
 	body   []byte
 
-	out *responder
+	out    *responder
+	timing timing
+	// callerFault is true when the request is refused for a limit of its
+	// workspace, which the kind of the error does not show.
+	callerFault bool
 }
 
 func (j *job) model() bool { return j.service.Kind == config.ModelService }
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -13,6 +13,7 @@
 	open := s.gate.enter()
 	defer s.gate.leave()
 	j := &job{arrived: s.now(), out: newResponder(w)}
+	j.timing.arrived = j.arrived
 	if err := s.prepare(r, j, parse); err != nil {
 		s.refuseMalformed(j, r, failure.From(err))
 		return
@@ -27,6 +28,7 @@
 	defer leave()
 	err := s.admit(ctx, j, refusal)
 	s.metrics.request(j.service.Name, err)
+	s.observe(r, j, err)
 	if err == nil {
 		return
 	}
@@ -48,6 +50,7 @@
 		err = err.WithOutcome(failure.NotRun)
 	}
 	s.metrics.request(j.service.Name, err)
+	s.observe(r, j, err)
 	j.out.fail(err)
 }
 
@@ -62,9 +65,11 @@
 		return failure.New(failure.Unavailable, "repeat the request later", "too many settlements wait for the owners of the ledger"), leave
 	}
 	if err := s.limits.allow(j.workspace); err != nil {
+		j.callerFault = true
 		return err, leave
 	}
 	if err := s.limits.enter(j.workspace); err != nil {
+		j.callerFault = true
 		return err, leave
 	}
 	leave = func() { s.limits.leave(j.workspace) }
