Show exact charges in spent and stop instances from the tool

The query spent showed only what the shards had written to the budget's record, which lags behind by minutes. The status of an instance carried the charges of all its budgets with every query.

spent now asks all instances for the budgets of the page and adds up what the owners of the shards have charged and reserved, with the later epoch where two instances claim a shard. Shards of which no owner answered are listed and contribute what the record shows; silent instances are named. Other queries carry no charges any more. running lists the dispatching incarnation and the age by the owner's clock, oldest first; its endpoint column was always empty and is gone. stop and instances count the requests that the instance serves and not those that its shards have admitted.

The daemon now closes the relay's idle connections when it stops. The demo stops an instance with clementinectl stop.

--- a/cmd/clementinectl/cli_test.go
+++ b/cmd/clementinectl/cli_test.go
@@ -20,6 +20,7 @@
 	"github.com/clementinerack/clementinerack/pkg/burn"
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/settings"
 )
@@ -71,6 +72,21 @@
 	return operator.BurnReport{Report: burn.Report{Series: []burn.Series{s}}, Silent: []string{"entry-2"}}, nil
 }
 
+func (b *stubBackend) Stop(_ context.Context, _ operator.Issuer, req operator.StopRequest) (operator.StopResult, error) {
+	if req.Instance != "entry-1" {
+		return operator.StopResult{}, failure.New(failure.NotFound, "list the instances with the query instances", "not known")
+	}
+	return operator.StopResult{Running: 3}, nil
+}
+
+func (b *stubBackend) Spent(context.Context, operator.BudgetSelection) (operator.SpentReport, error) {
+	all := []operator.Spending{
+		{Budget: ledger.BudgetKey{Workspace: "clinic", Budget: "main"}, Paid: 100, Now: &operator.CurrentSpending{Charged: 12, Reserved: 34}},
+		{Budget: ledger.BudgetKey{Workspace: "clinic", Budget: "old"}, Now: &operator.CurrentSpending{Charged: 56, Unheard: []string{"yaba/1"}}},
+	}
+	return operator.SpentReport{Budgets: all, Silent: []string{"entry-2"}}, nil
+}
+
 func (b *stubBackend) TopUp(_ context.Context, by operator.Issuer, req operator.TopUpRequest) (operator.BudgetResult, error) {
 	if by.Command == "used" {
 		return operator.BudgetResult{}, failure.New(failure.Conflict, "choose another command id", "it was used")
@@ -114,6 +130,9 @@
 		{desc: "wrong argument", args: "topup main 50", code: exitUsage, want: []string{"workspace/budget"}},
 		{desc: "unknown command", args: "top-up", code: exitUsage, want: []string{"--help"}},
 		{desc: "help", args: "--help", want: []string{"Exit codes: 0 done"}},
+		{desc: "stop", args: "--address one stop entry-1", want: []string{"entry-1 is stopping and finishes 3 requests"}},
+		{desc: "stop of an unknown instance", args: "--address one stop entry-9", code: exitFailed, want: []string{"remedy: list the instances"}},
+		{desc: "spent", args: "--address one spent", want: []string{"CHARGED NOW", "100   12", "at least 56", "no owner of yaba/1 answered", "no answer from: entry-2"}},
 		{desc: "burn", args: "--address one report burn", want: []string{"BURN 5m", "BURN 6h", "0.50", "2.50", "no-endpoint=3", "no answer from: entry-2"}},
 		{desc: "burn as JSON", args: "--address one --output json report burn", want: []string{`"burn": 1.5`, `"truncated": 2`, `"no-endpoint": 3`, `"entry-2"`}},
 		{desc: "missing file", args: "--address one plan nowhere.ini", code: exitFailed, want: []string{"nowhere.ini"}},
--- a/cmd/clementinectl/queries.go
+++ b/cmd/clementinectl/queries.go
@@ -1,8 +1,10 @@
 package main
 
 import (
+	"fmt"
 	"net/url"
 	"strings"
+	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/operator"
@@ -28,16 +30,35 @@
 		return err
 	}
 	s.show(r, func(t table) {
-		t.row("BUDGET", "PAID", "CHARGED", "GRANTED", "STRANDED", "UNASSIGNED", "FAULT")
+		t.row("BUDGET", "PAID", "CHARGED NOW", "RESERVED", "CHARGED IN RECORD", "GRANTED", "STRANDED", "UNASSIGNED", "NOTE")
 		for _, b := range r.Budgets {
-			t.row(b.Budget, b.Paid, b.Charged, b.Granted, b.Stranded, b.Unassigned, b.Fault)
+			t.row(append([]any{b.Budget, b.Paid}, append(current(b), b.Charged, b.Granted, b.Stranded, b.Unassigned, note(b))...)...)
 		}
 		t.faults(r.Faults)
+		t.silent(r.Silent)
 		t.more(r.Next)
 	})
 	return nil
 }
 
+// current returns the columns of what the owners know.
+func current(b operator.Spending) []any {
+	switch {
+	case b.Now == nil:
+		return []any{"-", "-"}
+	case len(b.Now.Unheard) > 0:
+		return []any{fmt.Sprintf("at least %d", b.Now.Charged), b.Now.Reserved}
+	}
+	return []any{b.Now.Charged, b.Now.Reserved}
+}
+
+func note(b operator.Spending) string {
+	if b.Fault == "" && b.Now != nil && len(b.Now.Unheard) > 0 {
+		return "no owner of " + strings.Join(b.Now.Unheard, ", ") + " answered"
+	}
+	return b.Fault
+}
+
 type strandedCmd struct{ selection }
 
 // Run shows stranded grants.
@@ -66,9 +87,9 @@
 		return err
 	}
 	s.show(r, func(t table) {
-		t.row("ID", "INSTANCE", "BUDGET", "SERVICE", "ENDPOINT", "RESERVED", "AGE")
+		t.row("ID", "DISPATCHER", "BUDGET", "SERVICE", "RESERVED", "AGE")
 		for _, q := range r.Requests {
-			t.row(q.ID, q.Instance, q.Budget, q.Service, q.Endpoint, q.Reserved, q.Age)
+			t.row(q.ID, q.Dispatcher, q.Budget, q.Service, q.Reserved, q.Age.Round(time.Millisecond))
 		}
 		t.silent(r.Silent)
 	})
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"net"
 	"net/url"
 	"sync"
 	"sync/atomic"
@@ -45,6 +46,7 @@
 	manager   *shard.Manager
 	router    *shard.Router
 	pool      *routing.Pool
+	relay     *relay.Client
 	tracker   *quarantine.Tracker
 	prober    *probe.Prober
 	orderer   *orders.Orderer
@@ -52,6 +54,9 @@
 	burn      *burn.Recorder
 	backend   operator.Backend
 
+	// open opens a listening address; tests replace it.
+	open func(address string) (net.Listener, error)
+
 	stopping atomic.Bool
 	stop     func() // asks Run to stop gracefully
 	loops    sync.WaitGroup
@@ -65,6 +70,7 @@
 	var nonce [incarnationBytes]byte
 	_, _ = rand.Read(nonce[:]) // crypto/rand.Read never fails
 	d := &Daemon{
+		open:     func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		settings: s, log: log, registry: prometheus.NewRegistry(), burn: burn.NewRecorder(),
 		self: peer.Identity{
 			Instance: s.Instance.ID, Domain: s.Instance.Domain, Address: s.Listen.Peers,
@@ -129,13 +135,13 @@
 	s := d.settings
 	d.pool = routing.New(d.self.Domain, routing.Options{QueueLimit: s.Callers.QueueLimit}, d.registry)
 	d.tracker = quarantine.New(quarantine.Options{}, d.registry)
-	client := relay.New(relay.Options{Instance: d.self.Instance, OnDraining: d.endpointDraining})
+	d.relay = relay.New(relay.Options{Instance: d.self.Instance, OnDraining: d.endpointDraining})
 	d.prober = probe.New(probe.Options{Instance: d.self.Instance, Domain: d.self.Domain},
-		observedPool{d.pool, client}, d.store, d.endpointDied, d.log, d.registry)
+		observedPool{d.pool, d.relay}, d.store, d.endpointDied, d.log, d.registry)
 	d.orderer = orders.New(orders.Options{Instance: d.self.Incarnation, Responsible: d.responsible}, d.store, d.log, d.registry)
 	d.entry = entry.New(entry.Options{
 		Self: d.self, Ledger: d.router, Configuration: d.replica, Peers: d.transport, Router: d.pool,
-		Quarantine: d.tracker, Relay: client, Notify: d.announceDeaths, Samples: samples{d.burn}, Registerer: d.registry, Log: d.log,
+		Quarantine: d.tracker, Relay: d.relay, Notify: d.announceDeaths, Samples: samples{d.burn}, Registerer: d.registry, Log: d.log,
 	})
 	d.replica.Subscribe(func(doc *config.Document) {
 		d.pool.Update(doc)
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -9,16 +9,18 @@
 
 	"github.com/clementinerack/clementinerack/pkg/burn"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/shard"
 )
 
 // Methods of operators' queries between instances.
 const (
 	methodStatus peer.Method = "fleet.status"
 	methodStop   peer.Method = "fleet.stop"
+	// methodCharges asks for the exact charges of some budgets.
+	methodCharges peer.Method = "fleet.charges"
 )
 
 // fleetTimeout bounds the wait for each instance of a query.
@@ -27,7 +29,7 @@
 // instanceReport is what one instance says about itself.
 type instanceReport struct {
 	Status   operator.InstanceStatus     `cbor:"1,keyasint"`
-	Shards   shard.Status                `cbor:"2,keyasint"`
+	Running  []operator.RunningRequest   `cbor:"2,keyasint"`
 	Draining []operator.DrainingEndpoint `cbor:"3,keyasint"`
 	Burn     burn.Report                 `cbor:"4,keyasint"`
 }
@@ -45,6 +47,7 @@
 	reg.Handle(methodStatus, func(ctx context.Context, _ peer.Identity, _ []byte) (any, error) {
 		return d.instanceReport(ctx)
 	})
+	reg.Handle(methodCharges, d.handleCharges)
 	reg.Handle(methodStop, func(context.Context, peer.Identity, []byte) (any, error) {
 		d.stop()
 		return operator.StopResult{}, nil
@@ -56,9 +59,9 @@
 	if err != nil {
 		return instanceReport{}, err
 	}
-	r := instanceReport{Shards: shards, Status: operator.InstanceStatus{
+	r := instanceReport{Running: running(shards.Running, time.Now()), Status: operator.InstanceStatus{
 		ID: d.self.Instance, Domain: d.self.Domain, Address: d.self.Address, Generation: d.replica.Generation(),
-		Ready: d.ready() == nil, Stopping: d.stopping.Load(), Running: len(shards.Running), Answered: true,
+		Ready: d.ready() == nil, Stopping: d.stopping.Load(), Running: d.entry.InFlight(), Answered: true,
 	}, Burn: d.burn.Report(time.Now())}
 	for _, v := range d.pool.View() {
 		if len(v.Drains) == 0 {
@@ -73,6 +76,18 @@
 	return r, nil
 }
 
+// running ages requests by the owner's own clock.
+func running(all []ledger.RequestStatus, now time.Time) []operator.RunningRequest {
+	var out []operator.RunningRequest
+	for _, s := range all {
+		out = append(out, operator.RunningRequest{
+			ID: s.ID, Dispatcher: s.Dispatcher, Budget: s.Budget, Service: s.Service, Reserved: s.Reserved,
+			Age: now.Sub(time.UnixMilli(s.At)),
+		})
+	}
+	return out
+}
+
 // ask collects the reports of all known instances. Those that do not answer are
 // returned with Answered false.
 func (d *Daemon) ask(ctx context.Context) []instanceReport {
@@ -150,13 +165,9 @@
 	reports := b.d.ask(ctx)
 	out := operator.RunningReport{Silent: silent(reports)}
 	for _, r := range reports {
-		for _, s := range r.Shards.Running {
-			out.Requests = append(out.Requests, operator.RunningRequest{
-				ID: s.ID, Instance: s.Dispatcher, Budget: s.Budget, Service: s.Service, Reserved: s.Reserved,
-				Age: time.Since(time.UnixMilli(s.At)),
-			})
-		}
+		out.Requests = append(out.Requests, r.Running...)
 	}
+	slices.SortFunc(out.Requests, func(a, b operator.RunningRequest) int { return cmp.Compare(b.Age, a.Age) })
 	return out, nil
 }
 
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -79,6 +79,7 @@
 		}
 	}
 	d.entry.Close()
+	d.relay.Close()
 	_ = d.transport.Close(ctx) // the process ends next
 	d.loops.Wait()
 	d.store.Close()
@@ -103,7 +104,7 @@
 	var servers []*http.Server
 	var open []net.Listener
 	for _, l := range all {
-		listener, err := l.open()
+		listener, err := l.listen(d.open)
 		if err != nil {
 			for _, o := range open {
 				_ = o.Close()
@@ -119,12 +120,12 @@
 	return servers, nil
 }
 
-func (l listener) open() (net.Listener, error) {
+func (l listener) listen(open func(string) (net.Listener, error)) (net.Listener, error) {
 	cfg, err := l.tls.Server()
 	if err != nil {
 		return nil, err
 	}
-	ln, err := net.Listen("tcp", l.address)
+	ln, err := open(l.address)
 	if err != nil {
 		return nil, failure.New(failure.Invalid, "choose a free address of this host", "[listen] %s = %s cannot be opened: %v", l.name, l.address, err)
 	}
--- a/pkg/entry/gate.go
+++ b/pkg/entry/gate.go
@@ -49,6 +49,13 @@
 	return g.emptied
 }
 
+// InFlight returns the number of requests that this instance serves now.
+func (s *Server) InFlight() int {
+	s.gate.mu.Lock()
+	defer s.gate.mu.Unlock()
+	return s.gate.inside
+}
+
 // Drain refuses new requests and waits until those in flight have ended and
 // their settlements are confirmed. It returns the error of ctx when that comes
 // first.
--- a/pkg/operator/budgets.go
+++ b/pkg/operator/budgets.go
@@ -169,12 +169,13 @@
 }
 
 func spendingOf(k ledger.BudgetKey, r *ledger.BudgetRecord) Spending {
-	s := Spending{Budget: k, Paid: r.Paid, Charged: r.Charged(), Unassigned: r.Unassigned()}
+	s := Spending{Budget: k, Paid: r.Paid, Charged: r.Charged(), Unassigned: r.Unassigned(), Grants: r.Grants}
 	for _, g := range r.Grants {
 		s.Granted += g.Granted
 	}
 	for _, st := range r.Stranded {
 		s.Stranded += st.Amount
+		s.StrandedCharged += st.Charged
 	}
 	return s
 }
--- a/pkg/operator/messages.go
+++ b/pkg/operator/messages.go
@@ -23,7 +23,8 @@
 	After string
 }
 
-// Spending is the state of one budget. Fault tells why it could not be read.
+// Spending is the state of one budget in its record. Fault tells why it could
+// not be read.
 type Spending struct {
 	Budget     ledger.BudgetKey `json:"budget"`
 	Paid       ledger.Tokens    `json:"paid"`
@@ -31,15 +32,33 @@
 	Granted    ledger.Tokens    `json:"granted"`
 	Stranded   ledger.Tokens    `json:"stranded"`
 	Unassigned ledger.Tokens    `json:"unassigned"`
-	Fault      string           `json:"fault,omitempty"`
-}
-
-// SpentReport lists budgets by name. Charged is what the shards had charged when
-// they last wrote the record, so it lags behind.
+	// Grants are those of the record by shard.
+	Grants []ledger.Grant `json:"grants,omitempty"`
+	// StrandedCharged is the part of Charged that belongs to stranded grants.
+	StrandedCharged ledger.Tokens `json:"stranded_charged,omitempty"`
+	// Now is what the owners of the shards know, or nil if none was asked.
+	Now   *CurrentSpending `json:"now,omitempty"`
+	Fault string           `json:"fault,omitempty"`
+}
+
+// CurrentSpending is what the owners of a budget's shards know now.
+type CurrentSpending struct {
+	// Charged is exact when Unheard is empty. For the shards in Unheard it
+	// contains what their record shows, which they may have exceeded.
+	Charged  ledger.Tokens `json:"charged"`
+	Reserved ledger.Tokens `json:"reserved"`
+	// Unheard are shards with a grant of which no owner answered.
+	Unheard []string `json:"unheard,omitempty"`
+}
+
+// SpentReport lists budgets by name. Spending.Charged is what the shards had
+// charged when they last wrote the record, so it lags behind Spending.Now.
 type SpentReport struct {
 	Budgets []Spending `json:"budgets"`
 	// Faults names the indexes of budgets that could not be read.
 	Faults []string `json:"faults,omitempty"`
+	// Silent are the instances that did not answer.
+	Silent []string `json:"silent,omitempty"`
 	// Next is the value of BudgetSelection.After for the rest, or empty.
 	Next string `json:"next,omitempty"`
 }
@@ -66,13 +85,15 @@
 
 // RunningRequest is a request in flight.
 type RunningRequest struct {
-	ID       string           `json:"id"`
-	Instance string           `json:"instance"`
-	Budget   ledger.BudgetKey `json:"budget"`
-	Service  string           `json:"service"`
-	Endpoint string           `json:"endpoint"`
-	Reserved ledger.Tokens    `json:"reserved"`
-	Age      time.Duration    `json:"age_ns"`
+	ID string `json:"id"`
+	// Dispatcher is the incarnation that sends the request to an endpoint.
+	Dispatcher string           `json:"dispatcher"`
+	Budget     ledger.BudgetKey `json:"budget"`
+	Service    string           `json:"service"`
+	Reserved   ledger.Tokens    `json:"reserved"`
+	// Age is the time since the owner of the shard admitted the attempt, by the
+	// owner's clock.
+	Age time.Duration `json:"age_ns"`
 }
 
 // RunningReport lists requests in flight.
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -147,17 +147,38 @@
 	Budgets int                    `cbor:"3,keyasint" json:"budgets"`
 	Records int                    `cbor:"4,keyasint" json:"records"`
 	Running []ledger.RequestStatus `cbor:"5,keyasint" json:"running"`
-	// Charged are the exact charges of the budgets on the owned shards.
-	Charged []BudgetCharge `cbor:"6,keyasint" json:"charged"`
 }
 
-// BudgetCharge is what one shard has charged to a budget.
+// BudgetCharge is what the owner of one shard knows about its right on a budget.
 type BudgetCharge struct {
 	Budget   ledger.BudgetKey `cbor:"1,keyasint" json:"budget"`
 	Shard    ledger.ShardID   `cbor:"2,keyasint" json:"shard"`
-	Granted  ledger.Tokens    `cbor:"3,keyasint" json:"granted"`
-	Charged  ledger.Tokens    `cbor:"4,keyasint" json:"charged"`
-	Reserved ledger.Tokens    `cbor:"5,keyasint" json:"reserved"`
+	Epoch    uint64           `cbor:"3,keyasint" json:"epoch"`
+	Granted  ledger.Tokens    `cbor:"4,keyasint" json:"granted"`
+	Charged  ledger.Tokens    `cbor:"5,keyasint" json:"charged"`
+	Reserved ledger.Tokens    `cbor:"6,keyasint" json:"reserved"`
+}
+
+// Charges returns the exact charges of those of the given budgets that belong to
+// a shard of this instance. A shard without a right on its budget is listed with
+// zeros.
+func (m *Manager) Charges(ctx context.Context, budgets []ledger.BudgetKey) ([]BudgetCharge, error) {
+	shards := m.opts.Shards()
+	return await(ctx, m, func(answer func([]BudgetCharge, error)) {
+		out := []BudgetCharge{}
+		for _, b := range budgets {
+			if shards == 0 {
+				break
+			}
+			r := m.replicas[ledger.ShardOf(b, shards)]
+			if r == nil || r.role != roleOwner {
+				continue
+			}
+			right := r.state.Right(b)
+			out = append(out, BudgetCharge{b, r.id(), r.epoch, right.Granted, right.Charged, right.Reserved})
+		}
+		answer(out, nil)
+	})
 }
 
 // Status returns the summary.
@@ -181,9 +202,5 @@
 		s.Budgets += budgets
 		s.Records += records
 		s.Running = append(s.Running, r.state.Running()...)
-		for _, b := range r.state.Budgets() {
-			right := r.state.Right(b)
-			s.Charged = append(s.Charged, BudgetCharge{b, r.id(), right.Granted, right.Charged, right.Reserved})
-		}
 	}
 }
--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -166,6 +166,7 @@
 type spentReport struct {
 	Budgets []struct {
 		Paid, Charged, Granted, Unassigned int64
+		Now                                struct{ Charged, Reserved int64 }
 	}
 }
 
@@ -236,7 +237,10 @@
 		results <- result{a, err}
 	}()
 	time.Sleep(200 * time.Millisecond) // the stream has begun
-	if err := d.fleet.Instances[0].Terminate(d.ctx); err != nil {
+	if out, err := d.fleet.Ctl(d.ctx, "stop", d.fleet.Instances[0].ID); err != nil {
+		return "", fmt.Errorf("%w: %s", err, out)
+	}
+	if err := d.fleet.Instances[0].Wait(d.ctx); err != nil {
 		return "", err
 	}
 	r := <-results
@@ -256,8 +260,8 @@
 		return "", err
 	}
 	b := r.Budgets[0]
-	if b.Charged <= 0 || b.Granted+b.Unassigned > b.Paid {
+	if b.Now.Charged <= 0 || b.Charged > b.Now.Charged || b.Granted+b.Unassigned > b.Paid {
 		return "", fmt.Errorf("unexpected figures %+v", b)
 	}
-	return fmt.Sprintf("paid %d, charged %d, granted to shards %d, unassigned %d", b.Paid, b.Charged, b.Granted, b.Unassigned), nil
+	return fmt.Sprintf("paid %d, charged now %d (in the record %d), granted to shards %d, unassigned %d", b.Paid, b.Now.Charged, b.Charged, b.Granted, b.Unassigned), nil
 }
--- a/standins/fleet/process.go
+++ b/standins/fleet/process.go
@@ -91,6 +91,12 @@
 // Terminate asks the process to stop gracefully and waits for its end.
 func (p *Process) Terminate(ctx context.Context) error {
 	_ = p.cmd.Process.Signal(syscall.SIGTERM)
+	return p.Wait(ctx)
+}
+
+// Wait waits for the end of a process that was asked to stop, and kills it when
+// ctx ends first.
+func (p *Process) Wait(ctx context.Context) error {
 	select {
 	case <-p.done:
 		return nil
