Wire the callers' limits and HTTP timeouts, test TLS end to end

[callers] max-body-bytes was read and then ignored; the entry used constants of its own. It now bounds the bodies of model and app requests.

The HTTP servers had a timeout for headers only, so an idle or stalled client held its connection without end. They now have idle and write timeouts; the entry replaces the write timeout by the request's own deadline, and bounds the upload also for requests that it refuses before it reads them. There is no read timeout of the server, because it would cancel long streams.

Tested against the assembled daemon: body limit, queue limit, a stream that outlives the write timeout (it is cut when the entry's deadline is left out), and TLS for callers, operators and peers with certificates made in the test, with a wrong CA, a missing client certificate, a wrong token, a wrong peer credential and plain connections.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -54,6 +54,7 @@
 	burn      *burn.Recorder
 	backend   operator.Backend
 
+	limits serverLimits
 	// open opens a listening address; tests replace it.
 	open func(address string) (net.Listener, error)
 
@@ -70,6 +71,7 @@
 	var nonce [incarnationBytes]byte
 	_, _ = rand.Read(nonce[:]) // crypto/rand.Read never fails
 	d := &Daemon{
+		limits:   defaultServerLimits(),
 		open:     func(address string) (net.Listener, error) { return net.Listen("tcp", address) },
 		settings: s, log: log, registry: prometheus.NewRegistry(), burn: burn.NewRecorder(),
 		self: peer.Identity{
@@ -141,7 +143,7 @@
 	d.orderer = orders.New(orders.Options{Instance: d.self.Incarnation, Responsible: d.responsible}, d.store, d.log, d.registry)
 	d.entry = entry.New(entry.Options{
 		Self: d.self, Ledger: d.router, Configuration: d.replica, Peers: d.transport, Router: d.pool,
-		Quarantine: d.tracker, Relay: d.relay, Notify: d.announceDeaths, Samples: samples{d.burn}, Registerer: d.registry, Log: d.log,
+		Quarantine: d.tracker, Relay: d.relay, MaxBodyBytes: s.Callers.MaxBodyBytes, Notify: d.announceDeaths, Samples: samples{d.burn}, Registerer: d.registry, Log: d.log,
 	})
 	d.replica.Subscribe(func(doc *config.Document) {
 		d.pool.Update(doc)
--- a/pkg/daemon/rig_test.go
+++ b/pkg/daemon/rig_test.go
@@ -45,14 +45,17 @@
 	address  string // of the platform
 	client   *http.Client
 	engines  []string // addresses
-	seeds    []string
+	scheme   string   // of the callers' and operators' APIs
+	// concurrency is the limit of requests per endpoint.
+	concurrency int
+	seeds       []string
 }
 
 func newRig(t *testing.T, engines ...engine.Options) *rig {
 	t.Helper()
 	leaks := goleak.IgnoreCurrent()
 	t.Cleanup(func() { goleak.VerifyNone(t, leaks) })
-	r := &rig{t: t, dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
+	r := &rig{t: t, scheme: "http://", concurrency: 64, dir: t.TempDir(), client: &http.Client{Transport: &http.Transport{}}}
 	var err error
 	if r.platform, err = platform.New(); err != nil {
 		t.Fatal(err)
@@ -131,14 +134,18 @@
 func (r *rig) start(id string, extra map[string]string) *instance {
 	r.t.Helper()
 	i := r.prepare(id, extra)
+	i.run()
+	return i
+}
+
+func (i *instance) run() {
 	ctx, cancel := context.WithCancel(context.Background())
 	i.cancel = cancel
 	go func() {
 		i.err = i.Run(ctx)
 		close(i.done)
 	}()
-	r.t.Cleanup(i.stopNow)
-	return i
+	i.rig.t.Cleanup(i.stopNow)
 }
 
 // stopNow asks for a graceful stop and waits for its end.
@@ -160,7 +167,7 @@
 }
 
 func (i *instance) operator() *operator.Client {
-	return &operator.Client{Addresses: []string{i.settings.Listen.Operators}, Token: settings.NewSecret([]byte(rigToken)), Operator: "ada", HTTP: i.rig.client}
+	return &operator.Client{Addresses: []string{i.rig.scheme + i.settings.Listen.Operators}, Token: settings.NewSecret([]byte(rigToken)), Operator: "ada", HTTP: i.rig.client}
 }
 
 // declarations are those of all rigs; the key of the workspace is "secret".
@@ -171,6 +178,7 @@
 [service llm]
 kind = model
 max-output-tokens = 4096
+concurrency = %d
 [objective llm]
 target = 0.95
 [workspace clinic]
@@ -182,7 +190,7 @@
 // apply puts the declarations in force and waits until the instance is ready.
 func (i *instance) apply() {
 	i.rig.t.Helper()
-	text := declarations
+	text := fmt.Sprintf(declarations, i.rig.concurrency)
 	for n, address := range i.rig.engines {
 		text += fmt.Sprintf("[endpoint llm-%d]\nservice = llm\naddress = %s\ndomain = ikeja\nchecks-fencing = %v\n", n, address, n == 0)
 	}
@@ -212,7 +220,7 @@
 
 // call sends a request of a caller. Headers have the form "Name: value".
 func (i *instance) call(method, path, body string, headers ...string) (answer, error) {
-	return i.callAt("http://", i.rig.client, method, path, body, headers...)
+	return i.callAt(i.rig.scheme, i.rig.client, method, path, body, headers...)
 }
 
 func (i *instance) callAt(scheme string, client *http.Client, method, path, body string, headers ...string) (answer, error) {
@@ -241,6 +249,11 @@
 	return fmt.Sprintf(`{"model":"llm","stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, maxTokens, prompt)
 }
 
+// fastEngine makes tokens without delay.
+func fastEngine(id string) engine.Options {
+	return engine.Options{ID: id, Model: "notas", Slots: 8, TokenInterval: time.Microsecond}
+}
+
 // background runs a call and returns its result later.
 func background(call func() (answer, error)) func() (answer, error) {
 	type result struct {
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -18,8 +18,6 @@
 )
 
 const (
-	// readHeaderTimeout bounds how long a client may take to send its headers.
-	readHeaderTimeout = 10 * time.Second
 	// closeTimeout bounds the end of listeners and connections after the drain.
 	closeTimeout = 2 * time.Second
 	// registerRetry is the pause between attempts to register with the platform.
@@ -28,6 +26,29 @@
 	maxHeaderBytes = 16 << 10
 )
 
+// serverLimits are the timeouts of the HTTP servers. There is no limit on the
+// time to read a whole request: it would end the background read by which
+// net/http notices during a stream that the caller has left. The entry bounds the
+// upload by itself.
+type serverLimits struct {
+	// header bounds how long a client may take to send its headers.
+	header time.Duration
+	// idle bounds how long an unused connection stays open. It is longer than the
+	// idle time of usual load balancers, so that these close first.
+	idle time.Duration
+	// write bounds a whole answer. For model and app requests the entry replaces
+	// it by the request's own deadline.
+	write time.Duration
+}
+
+func defaultServerLimits() serverLimits {
+	return serverLimits{header: 10 * time.Second, idle: 2 * time.Minute, write: time.Minute}
+}
+
+func (l serverLimits) server(h http.Handler) *http.Server {
+	return &http.Server{Handler: h, ReadHeaderTimeout: l.header, IdleTimeout: l.idle, WriteTimeout: l.write, MaxHeaderBytes: maxHeaderBytes}
+}
+
 // Run serves until ctx ends or an operator stops the instance, then stops
 // gracefully within the configured grace.
 func (d *Daemon) Run(ctx context.Context) error {
@@ -112,7 +133,7 @@
 			return nil, err
 		}
 		open = append(open, listener)
-		servers = append(servers, &http.Server{Handler: l.handler, ReadHeaderTimeout: readHeaderTimeout, MaxHeaderBytes: maxHeaderBytes})
+		servers = append(servers, d.limits.server(l.handler))
 	}
 	for i, srv := range servers {
 		d.loops.Go(func() { _ = srv.Serve(open[i]) }) // returns when the server is closed
--- a/pkg/entry/app.go
+++ b/pkg/entry/app.go
@@ -29,7 +29,7 @@
 	if r.Header.Get("Upgrade") != "" {
 		return failure.New(failure.Invalid, "send a plain HTTP request", "protocol upgrades are not supported")
 	}
-	body, err := readBody(j.out, r, maxAppBytes)
+	body, err := readBody(j.out, r, s.opts.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -34,7 +34,7 @@
 }
 
 func (s *Server) parseChat(doc *config.Document, j *job, r *http.Request) error {
-	body, err := readBody(j.out, r, maxChatBytes)
+	body, err := readBody(j.out, r, s.opts.MaxBodyBytes)
 	if err != nil {
 		return err
 	}
--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -14,8 +14,8 @@
 )
 
 const (
-	maxChatBytes = 4 << 20 // far above the longest prompt of the models
-	maxAppBytes  = 8 << 20
+	// defaultBodyBytes holds the longest patient histories.
+	defaultBodyBytes = 8 << 20
 	// bodyTimeout bounds the upload, so that slow senders do not hold requests.
 	bodyTimeout = 30 * time.Second
 )
--- a/pkg/entry/server.go
+++ b/pkg/entry/server.go
@@ -16,8 +16,8 @@
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
-// Options hold what a Server consumes. All fields but Notify, Samples,
-// Registerer and Log are required.
+// Options hold what a Server consumes. All fields but MaxBodyBytes,
+// Notify, Samples, Registerer and Log are required.
 type Options struct {
 	Self          peer.Identity
 	Ledger        Ledger
@@ -26,6 +26,8 @@
 	Router        Router
 	Quarantine    Quarantine
 	Relay         *relay.Client
+	// MaxBodyBytes bounds the body of a request; 0 means 8 MiB.
+	MaxBodyBytes int64
 	// Notify tells other instances about deaths of endpoints. It must not block.
 	Notify     func([]quarantine.Notice)
 	Samples    Samples
@@ -56,6 +58,9 @@
 	if opts.Notify == nil {
 		opts.Notify = func([]quarantine.Notice) {}
 	}
+	if opts.MaxBodyBytes <= 0 {
+		opts.MaxBodyBytes = defaultBodyBytes
+	}
 	m := newMetrics(opts.Registerer)
 	return &Server{
 		opts: opts, metrics: m, limits: newLimits(), table: newTable(),
@@ -74,6 +79,9 @@
 // not canonical with a redirect, which callers repeat with another method.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	path := r.URL.Path
+	// Until the body is read, and also when a refused request's body is discarded
+	// by net/http, a slow sender must not hold the connection.
+	newResponder(w).readDeadline(time.Now().Add(bodyTimeout))
 	switch {
 	case path == chatPath && r.Method == http.MethodPost:
 		s.serve(w, r, s.parseChat)
