--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -223,10 +223,23 @@
 	return cbor.Marshal(v)
 }
 
+// maxSnapshotElements bounds the records and rights of a snapshot. The library's
+// default of 131,072 is less than the records of a busy shard.
+const maxSnapshotElements = 1 << 24
+
+var snapshotMode = mustMode(cbor.DecOptions{MaxArrayElements: maxSnapshotElements, MaxMapPairs: maxSnapshotElements}.DecMode())
+
+func mustMode(m cbor.DecMode, err error) cbor.DecMode {
+	if err != nil {
+		panic(err) // the options are constants
+	}
+	return m
+}
+
 // Restore reads a snapshot.
 func Restore(data []byte, retention Retention) (*State, error) {
 	var v snapshot
-	if err := cbor.Unmarshal(data, &v); err != nil {
+	if err := snapshotMode.Unmarshal(data, &v); err != nil {
 		return nil, failure.New(failure.Format, "run the same release on all instances of the domain", "shard snapshot cannot be decoded: %v", err)
 	}
 	if v.Format != FormatVersion {
