--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -89,7 +89,8 @@
 func (s *State) planRepeatRunning(rec *Record, req ReserveRequest, now time.Time) (ReserveReply, *Mutation) {
 	sameCall := rec.Dispatcher == req.Dispatcher && rec.Call == req.Call
 	if sameCall {
-		return ReserveReply{Decision: Admitted, Attempt: rec.Attempt}, nil
+		reply := ReserveReply{Decision: Admitted, Attempt: rec.Attempt}
+		return s.withNotRun(reply, rec, now), nil
 	}
 	if req.DispatcherGone == "" || req.DispatcherGone != rec.Dispatcher {
 		return ReserveReply{Decision: Running, Attempt: rec.Attempt,
@@ -109,21 +110,40 @@
 	if rec.Dispatcher == req.Dispatcher && rec.Call == req.Call {
 		return ReserveReply{Decision: Refused}, nil
 	}
-	reply, m := s.planAttempt(rec, req, rec.Mint, now)
-	since := now.UnixMilli() - rec.At
-	if rec.Epoch != s.epoch {
+	return s.planAttempt(rec, req, rec.Mint, now)
+}
+
+// notRun returns when the last attempt that did not run was recorded as such,
+// and the epoch of that clock, or 0 if there was none.
+func (r *Record) notRun() (at int64, epoch uint64) {
+	if r.State == StateNotRun {
+		return r.At, r.Epoch
+	}
+	return r.NotRunAt, r.NotRunEpoch
+}
+
+// withNotRun adds to a reply when an earlier attempt was recorded as not run.
+// The clock of another epoch is not comparable; the record is older than the
+// present epoch then.
+func (s *State) withNotRun(reply ReserveReply, rec *Record, now time.Time) ReserveReply {
+	at, epoch := rec.notRun()
+	if epoch == 0 {
+		return reply
+	}
+	since := now.UnixMilli() - at
+	if epoch != s.epoch {
 		since = now.UnixMilli() - s.epochAt
 	}
 	reply.AfterNotRun = true
 	reply.SinceNotRun = time.Duration(max(since, 0)) * time.Millisecond
-	return reply, m
+	return reply
 }
 
 // planAttempt admits a new attempt of a request. What an earlier attempt has
 // reserved or been charged is replaced, so the request is billed once.
 func (s *State) planAttempt(prev *Record, req ReserveRequest, mint int64, now time.Time) (ReserveReply, *Mutation) {
 	if req.Refuse {
-		return ReserveReply{Decision: Refused}, s.refused(prev, req, mint, now)
+		return s.planRefusal(prev, req, mint, now)
 	}
 	available := s.Right(req.Budget).Available()
 	next := Record{
@@ -135,17 +155,22 @@
 	if prev != nil {
 		available += prev.Reserved + prev.Charged
 		next.Attempt = prev.Attempt + 1
+		next.NotRunAt, next.NotRunEpoch = prev.notRun()
 	}
 	if req.Amount > available {
 		return ReserveReply{Decision: Exhausted,
 			Reason: fmt.Sprintf("the shard holds rights for %d tokens, the request may cost %d", max(available, 0), req.Amount)}, nil
 	}
-	return ReserveReply{Decision: Admitted, Attempt: next.Attempt}, &Mutation{Op: OpRecord, Record: &next}
+	reply := ReserveReply{Decision: Admitted, Attempt: next.Attempt}
+	if prev != nil {
+		reply = s.withNotRun(reply, prev, now)
+	}
+	return reply, &Mutation{Op: OpRecord, Record: &next}
 }
 
-// refused returns the mutation that records a request as not run, or nil when
-// an earlier attempt left a record that says more.
-func (s *State) refused(prev *Record, req ReserveRequest, mint int64, now time.Time) *Mutation {
+// planRefusal records a request as not run. When an earlier attempt may have run,
+// the request as a whole cannot be reported as not run.
+func (s *State) planRefusal(prev *Record, req ReserveRequest, mint int64, now time.Time) (ReserveReply, *Mutation) {
 	next := Record{
 		ID: req.ID, Budget: req.Budget, Service: req.Service, Fingerprint: req.Fingerprint,
 		Repeatable: req.Repeatable, KeepAnswer: req.KeepAnswer, State: StateNotRun, Attempt: 1,
@@ -154,11 +179,11 @@
 	}
 	if prev != nil {
 		if prev.State != StateNotRun {
-			return nil
+			return ReserveReply{Decision: OutcomeUnknown, Reason: "an earlier attempt may have run"}, nil
 		}
 		next.Attempt = prev.Attempt + 1
 	}
-	return &Mutation{Op: OpRecord, Record: &next}
+	return ReserveReply{Decision: Refused}, &Mutation{Op: OpRecord, Record: &next}
 }
 
 // PlanSettle ends an attempt. A report of an attempt that has been replaced
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -79,6 +79,11 @@
 	// Epoch in which the state last changed; At of another epoch is on another
 	// owner's clock.
 	Epoch uint64 `cbor:"17,keyasint"`
+	// NotRunAt is the owner's wall clock in ms at which an earlier attempt was
+	// recorded as not run, and NotRunEpoch the epoch of that clock; both are 0
+	// when there was none. Every later attempt and every repeated call is told.
+	NotRunAt    int64  `cbor:"18,keyasint,omitempty"`
+	NotRunEpoch uint64 `cbor:"19,keyasint,omitempty"`
 }
 
 type endedRecord struct {
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -73,7 +73,7 @@
 		r.askFor(req.Budget, req.Amount, func() { r.reserve(req, true, answer) })
 		return
 	}
-	if reply.Decision == ledger.Exhausted && req.KeepAnswer {
+	if reply.Decision == ledger.Exhausted {
 		reply, mutation = r.refuseExhausted(req, reply)
 	}
 	if reply.Decision == ledger.Admitted && mutation != nil {
@@ -84,12 +84,16 @@
 	r.whenHeld(func(err error) { answer(reply, err) })
 }
 
-// refuseExhausted records that the request did not run, because its caller will
-// be told so and another attempt may still be on its way.
+// refuseExhausted records that a request with an id that its caller knows did not
+// run, because the caller will be told so and another attempt may still be on its
+// way. It changes the reply when an earlier attempt may have run.
 func (r *replica) refuseExhausted(req ledger.ReserveRequest, reply ledger.ReserveReply) (ledger.ReserveReply, *ledger.Mutation) {
 	req.Refuse = true
 	refused, mutation, err := r.state.PlanReserve(req, r.m.now())
-	if err != nil || refused.Decision != ledger.Refused {
+	switch {
+	case err == nil && refused.Decision == ledger.OutcomeUnknown:
+		return refused, nil
+	case err != nil || refused.Decision != ledger.Refused || !req.KeepAnswer:
 		return reply, nil
 	}
 	return reply, mutation
