--- a/pkg/ledger/id.go
+++ b/pkg/ledger/id.go
@@ -86,11 +86,20 @@
 	return strings.HasPrefix(text, string(Issued)+idSeparator)
 }
 
-// ParseRequestID reads the text form. It fails with failure.Invalid.
+// ParseRequestID reads the text form. It fails with failure.Invalid, also for a
+// text that String would not return, such as a number with a leading zero: records
+// are found by their text, so an id must not have two of them.
 func ParseRequestID(text string) (RequestID, error) {
 	malformed := failure.New(failure.Invalid,
 		"send the id exactly as POST /v1/request-ids returned it", "request id %q is malformed", text)
-	p := strings.Split(text, idSeparator)
+	id, err := parseID(strings.Split(text, idSeparator), malformed)
+	if err == nil && id.String() != text {
+		return RequestID{}, malformed
+	}
+	return id, err
+}
+
+func parseID(p []string, malformed error) (RequestID, error) {
 	switch {
 	case len(p) == 6 && IDKind(p[0]) == Issued:
 		return parseIssued(p, malformed)
--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -12,7 +12,7 @@
 // not change. The reply may be sent only after the state up to its current
 // index, including the returned mutation, is held by the backup.
 func (s *State) PlanReserve(req ReserveRequest, now time.Time) (ReserveReply, *Mutation, error) {
-	id, err := s.checkReserve(req)
+	id, err := s.checkReserve(req, now)
 	if err != nil {
 		return ReserveReply{}, nil, err
 	}
@@ -27,7 +27,7 @@
 	return reply, m, nil
 }
 
-func (s *State) checkReserve(req ReserveRequest) (RequestID, error) {
+func (s *State) checkReserve(req ReserveRequest, now time.Time) (RequestID, error) {
 	id, err := ParseRequestID(req.ID)
 	if err != nil {
 		return id, err
@@ -40,6 +40,12 @@
 		return id, failure.New(failure.NotOwner, "read the shard map again and retry",
 			"request %s was issued in epoch %d, this replica of shard %s is in epoch %d", req.ID, id.Epoch, s.shard, s.epoch)
 	}
+	if ahead := s.retentionOf(retentionClass(req.Repeatable)); id.Mint > now.Add(ahead).UnixMilli() {
+		// A record raises "purged through" to its mint time when it is dropped. A
+		// mint time that is later than the drop would outlaw ids not yet issued.
+		return id, failure.New(failure.Invalid, "get another id, or check the clock of the instance that issued it",
+			"request %s was minted more than %s ahead of the clock of shard %s", req.ID, ahead, s.shard)
+	}
 	if req.Amount < 0 || req.Amount > MaxTokens {
 		return id, failure.New(failure.Invalid, "ask for at most 2^42 tokens", "reservation of %d tokens is out of range", req.Amount)
 	}
