Fix three faults of handovers between instances

An owner that waited for its backup's acknowledgement before it sent a handover waited for ever when the backup went away, and nobody served the shard. When the answer to a handover was lost and the backup then died, the old owner repeated the handover for ever. A swap of the shard map without a known result can take effect after a later handover. It then named another backup, and the state of the one that had taken over was dropped: a request ran twice. A handover is not started until the map has moved past such a swap, and the owner settles it by another swap at the same version.

--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -72,21 +72,41 @@
 }
 
 // startHandover stops serving and makes the backup the owner within the epoch.
-// It reports false when there is no backup that holds the state.
+// It reports false when there is no backup that holds the state, and while a swap
+// of the map by this instance may still take effect: that swap could name another
+// backup, and the state of the one that took over would be dropped.
 func (r *replica) startHandover(backup peer.Identity) bool {
 	l := r.linkTo(backup)
-	if r.role != roleOwner || l == nil || l.gone || l.epoch != r.epoch || r.busy() {
+	if r.role != roleOwner || l == nil || l.gone || l.epoch != r.epoch || r.busy() || r.m.swapping || r.m.unresolved() {
 		return false
 	}
-	r.role, r.handoverSent = roleHandingOver, false
+	r.role, r.handoverCalled, r.handoverSent = roleHandingOver, false, false
+	r.handover++
+	r.handoverTo = backup
+	current := r.handover
 	r.whenHeld(func(err error) {
-		if err == nil {
+		if err == nil && r.handingOver(current) {
 			r.sendHandover(l)
 		}
 	})
 	return true
 }
 
+func (r *replica) handingOver(handover uint64) bool {
+	return r.role == roleHandingOver && r.handover == handover
+}
+
+// cancelHandover goes back to serving when the backup is gone before a handover
+// was sent to it.
+func (r *replica) cancelHandover() {
+	if r.role != roleHandingOver || r.handoverCalled {
+		return
+	}
+	if l := r.linkTo(r.handoverTo); l == nil || l.gone || !r.m.opts.Members.IsLive(r.handoverTo.Incarnation) {
+		r.role = roleOwner
+	}
+}
+
 // busy reports whether a call to the store is running whose result belongs into
 // the state that is handed over.
 func (r *replica) busy() bool {
@@ -100,8 +120,10 @@
 
 func (r *replica) sendHandover(l *link) {
 	req := handoverRequest{Shard: r.shard, Epoch: r.epoch, Session: l.session, Index: r.state.Index()}
+	current := r.handover
+	r.handoverCalled = true
 	l.call(MethodHandover, req, nil, func(err error) {
-		if r.role != roleHandingOver {
+		if !r.handingOver(current) {
 			return
 		}
 		switch failure.KindOf(err) {
@@ -125,11 +147,11 @@
 // retryHandover repeats a handover whose result is unknown. The replica must not
 // serve meanwhile, because the backup may be the owner already.
 func (r *replica) retryHandover(l *link) {
-	m := r.m
+	m, current := r.m, r.handover
 	m.background(m.opts.Timing.PeerTimeout, func(ctx context.Context) {
 		sleep(ctx, linkRetry)
 		m.post(func() {
-			if r.role == roleHandingOver {
+			if r.handingOver(current) {
 				r.sendHandover(l)
 			}
 		})
--- a/pkg/shard/handlers.go
+++ b/pkg/shard/handlers.go
@@ -91,10 +91,11 @@
 	if req.Target != m.opts.Self.Incarnation {
 		return fenceReply{}, nil
 	}
-	switch r.role {
-	case roleHandingOver:
+	if r.role == roleHandingOver && r.handoverCalled {
 		return fenceReply{}, failure.New(failure.Unavailable, "ask the backup or repeat the call", "shard %s is being handed over", r.id())
-	case roleOwner:
+	}
+	switch r.role {
+	case roleOwner, roleHandingOver:
 		if req.Epoch < r.epoch {
 			return fenceReply{}, nil
 		}
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -94,6 +94,10 @@
 	current  *Map
 	version  uint64
 	swapping bool
+	// unsure is true after a swap without a known result; it can take effect as
+	// long as the map is at version unsureAt.
+	unsure   bool
+	unsureAt uint64
 	draining bool
 	sessions uint64
 	replicas map[int]*replica
--- a/pkg/shard/mapsync.go
+++ b/pkg/shard/mapsync.go
@@ -108,6 +108,7 @@
 			m.post(func() { m.swapping = false })
 			return
 		}
+		m.post(func() { m.unsure, m.unsureAt = true, expect })
 		m.readBack(parent, key)
 	})
 }
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -27,11 +27,16 @@
 			changed = true
 		}
 	}
-	if changed {
+	if changed || m.unresolved() {
 		m.swap(next)
 	}
 }
 
+// unresolved reports whether an earlier swap without a known result may still
+// take effect. Another swap at the same version settles that, also one that
+// changes nothing.
+func (m *Manager) unresolved() bool { return m.unsure && m.unsureAt == m.version }
+
 // load counts the shards of an instance in the map.
 type load struct {
 	id             peer.Identity
@@ -121,10 +126,11 @@
 	return m.claim(r, e, loads)
 }
 
-// handedOver reports whether this instance gave the shard away within the epoch
-// to a backup that died before it wrote the map.
+// handedOver reports whether this instance gave, or may have given, the shard away
+// within the epoch to a backup that died before it wrote the map.
 func (r *replica) handedOver(e Entry) bool {
-	return r.role == roleNone && r.epoch == e.Epoch && assigned(e.Backup) && !r.m.opts.Members.IsLive(e.Backup.Incarnation)
+	given := r.role == roleNone || (r.role == roleHandingOver && r.handoverSent)
+	return given && r.epoch == e.Epoch && assigned(e.Backup) && !r.m.opts.Members.IsLive(e.Backup.Incarnation)
 }
 
 // ownerStays reports whether the shard is left to its owner. A stopping owner
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -44,8 +44,14 @@
 	sealing bool
 	sealAt  time.Time
 	review  time.Time
-	// handoverSent is true when a handover may have reached the backup.
-	handoverSent bool
+	// handover numbers the handovers of this replica, so that results of an
+	// earlier one are ignored. handoverTo is the backup that is to become owner.
+	handover   uint64
+	handoverTo peer.Identity
+	// handoverCalled is true once a handover was sent, handoverSent when one may
+	// have reached the backup.
+	handoverCalled bool
+	handoverSent   bool
 
 	// Takeover: the epoch that this instance claimed, and what it learned about
 	// the epoch before.
@@ -208,6 +214,7 @@
 
 // housekeeping runs at each tick.
 func (r *replica) housekeeping(now time.Time) {
+	r.cancelHandover()
 	if r.role != roleOwner {
 		return
 	}
