--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -27,11 +27,16 @@
 			changed = true
 		}
 	}
-	if changed {
+	if changed || m.unresolved() {
 		m.swap(next)
 	}
 }
 
+// unresolved reports whether an earlier swap without a known result may still
+// take effect. Another swap at the same version settles that, also one that
+// changes nothing.
+func (m *Manager) unresolved() bool { return m.unsure && m.unsureAt == m.version }
+
 // load counts the shards of an instance in the map.
 type load struct {
 	id             peer.Identity
@@ -46,8 +51,8 @@
 			continue
 		}
 		l := load{id: id}
-		for _, e := range m.current.Shards {
-			if same(e.Owner, id) {
+		for shard, e := range m.current.Shards {
+			if same(m.nextOwner(shard, e), id) {
 				l.owned++
 			}
 			if same(e.Backup, id) {
@@ -60,6 +65,18 @@
 	return out
 }
 
+// nextOwner returns the owner of a shard, or the backup to which this instance
+// hands it over. Counting a shard in handover at its old owner made the owner hand
+// over more of them before the map showed the first, and the new owner give them
+// back, without end.
+func (m *Manager) nextOwner(shard int, e Entry) peer.Identity {
+	if r := m.replicas[shard]; r != nil && r.epoch == e.Epoch && same(e.Owner, m.opts.Self) && e.Pending == nil &&
+		(r.role == roleHandingOver || r.role == roleNone) {
+		return e.Backup
+	}
+	return e.Owner
+}
+
 func find(loads []load, id peer.Identity) *load {
 	for i := range loads {
 		if same(loads[i].id, id) {
@@ -112,10 +129,11 @@
 	return m.claim(r, e, loads)
 }
 
-// handedOver reports whether this instance gave the shard away within the epoch
-// to a backup that died before it wrote the map.
+// handedOver reports whether this instance gave, or may have given, the shard away
+// within the epoch to a backup that died before it wrote the map.
 func (r *replica) handedOver(e Entry) bool {
-	return r.role == roleNone && r.epoch == e.Epoch && assigned(e.Backup) && !r.m.opts.Members.IsLive(e.Backup.Incarnation)
+	given := r.role == roleNone || (r.role == roleHandingOver && r.handoverSent)
+	return given && r.epoch == e.Epoch && assigned(e.Backup) && !r.m.opts.Members.IsLive(e.Backup.Incarnation)
 }
 
 // ownerStays reports whether the shard is left to its owner. A stopping owner
