--- a/pkg/shard/balance_test.go
+++ b/pkg/shard/balance_test.go
@@ -1,6 +1,7 @@
 package shard
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -32,3 +33,58 @@
 		})
 	}
 }
+
+// swapsPerShard bounds the map changes that the loss of an instance may cause:
+// claim, clear the pending epoch, name a new backup.
+const swapsPerShard = 3
+
+// Guards against shards that move back and forth: owners that saw the same
+// imbalance moved their shards together, for many seconds after a failure.
+func TestSwapsAfterFailure(t *testing.T) {
+	for _, instances := range []int{3, 4, 5, 7} {
+		t.Run(fmt.Sprintf("%d instances", instances), func(t *testing.T) {
+			runWorld(t, func(w *world) {
+				for i := range instances {
+					w.start(fmt.Sprintf("a%d", i+1), testDomainA)
+				}
+				w.settle(15 * time.Second)
+				w.mapChanges(10*time.Minute, 0)
+				w.ownerOf(testDomainA).kill()
+				w.mapChanges(20*time.Second, swapsPerShard*testShards)
+				w.mapChanges(10*time.Minute, 0)
+				w.checkBalance(instances - 1)
+			})
+		})
+	}
+}
+
+// mapChanges lets the fleet run for d and verifies how often its map changed.
+func (w *world) mapChanges(d time.Duration, most uint64) {
+	w.t.Helper()
+	before := w.store.Record(StoreKey(testDomainA)).Version
+	w.settle(d)
+	if n := w.store.Record(StoreKey(testDomainA)).Version - before; n > most {
+		w.t.Errorf("the shard map changed %d times within %s, want at most %d", n, d, most)
+	}
+}
+
+// checkBalance verifies that no instance owns more shards than an even share.
+func (w *world) checkBalance(instances int) {
+	w.t.Helper()
+	m, err := DecodeMap(w.store.Record(StoreKey(testDomainA)).Value)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	owned := map[string]int{}
+	for _, e := range m.Shards {
+		owned[e.Owner.Instance]++
+		if !assigned(e.Backup) {
+			w.t.Errorf("shard of %s has no backup", e.Owner.Instance)
+		}
+	}
+	for name, n := range owned {
+		if n > (testShards+instances-1)/instances+1 {
+			w.t.Errorf("%s owns %d of %d shards", name, n, testShards)
+		}
+	}
+}
