Name unreadable records and test bad input end to end

A budget record of another format, or a store that did not answer, was told to callers as an exhausted budget with the remedy to top it up. An instance with an unreadable configuration or shard map said that there was none, and logged the refused map twice a second.

The owner of a shard now says why it could not ask for rights: the caller gets "format" or "unavailable", both not run, and the burn report counts them against the service. Readiness gives the error of the record. A refused shard map is logged once.

--- a/pkg/config/replica.go
+++ b/pkg/config/replica.go
@@ -84,6 +84,8 @@
 	current atomic.Pointer[Document]
 	// lastRefused is the generation refused last, plus 1; it limits the log.
 	lastRefused atomic.Uint64
+	// fault is why the value of the store was refused last, or nil.
+	fault atomic.Pointer[failure.Error]
 
 	mu          sync.Mutex // guards adoption, so that subscribers see rising generations
 	subscribers []func(*Document)
@@ -115,6 +117,14 @@
 	return 0
 }
 
+// Fault returns why the value in the store cannot be used, or nil.
+func (r *Replica) Fault() error {
+	if f := r.fault.Load(); f != nil {
+		return f
+	}
+	return nil
+}
+
 // Subscribe registers f for every later document and calls it at once if one is
 // in force. Calls are made one at a time and in rising order of generations. f
 // must return quickly and must not call Subscribe, Offer or Change.
@@ -224,6 +234,7 @@
 // force if the store shows an older one.
 func (r *Replica) observe(ctx context.Context, rec platform.Record) {
 	stored, err := decodeRecord(rec)
+	r.fault.Store(failure.From(err))
 	if err != nil {
 		r.refused(sourceStore, 0, err)
 		return
--- a/pkg/daemon/operate_test.go
+++ b/pkg/daemon/operate_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"go.uber.org/goleak"
+
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/shard"
@@ -83,3 +85,23 @@
 		})
 	}
 }
+
+// Guards against goroutines and connections that a stopped instance leaves at
+// endpoints and a platform that go on.
+func TestStopLeavesNothing(t *testing.T) {
+	r := newRig(t, fastEngine("llm-0"))
+	leaks := goleak.IgnoreCurrent()
+	i := r.start("entry-1", nil)
+	i.apply()
+	if a, err := i.call("POST", "/v1/chat/completions", chat("x", 3)); err != nil || a.status != 200 {
+		t.Errorf("%+v, %v", a, err)
+	}
+	i.stopNow()
+	if i.err != nil {
+		t.Errorf("stopped with %v", i.err)
+	}
+	r.client.CloseIdleConnections()
+	if err := goleak.Find(leaks); err != nil {
+		t.Error(err)
+	}
+}
--- a/pkg/daemon/rig_test.go
+++ b/pkg/daemon/rig_test.go
@@ -189,6 +189,12 @@
 
 // apply puts the declarations in force and waits until the instance is ready.
 func (i *instance) apply() {
+	i.rig.t.Helper()
+	i.applyUnready()
+	i.waitReady()
+}
+
+func (i *instance) applyUnready() {
 	i.rig.t.Helper()
 	text := fmt.Sprintf(declarations, i.rig.concurrency)
 	for n, address := range i.rig.engines {
@@ -202,7 +208,6 @@
 	i.rig.until("apply", func() bool {
 		return i.operator().Command(i.rig.t.Context(), "apply", "apply-1", req, &operator.ApplyResult{}) == nil
 	})
-	i.waitReady()
 }
 
 func (i *instance) waitReady() {
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -186,6 +186,10 @@
 	switch m, _ := d.manager.MapView(); {
 	case d.stopping.Load():
 		return failure.New(failure.NotReady, "use another instance", "the instance is stopping")
+	case d.replica.Current() == nil && d.replica.Fault() != nil:
+		return d.replica.Fault()
+	case m == nil && d.manager.MapFault() != nil:
+		return d.manager.MapFault()
 	case d.replica.Current() == nil:
 		return failure.New(failure.NotReady, "apply declarations with clementinectl, or wait for the platform store", "there is no configuration yet")
 	case m == nil:
--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -120,9 +120,14 @@
 
 // exhausted returns the error of a reply with the decision Exhausted.
 func (a *admission) exhausted(reply ledger.ReserveReply) *failure.Error {
-	if reply.Kind == failure.Limited {
+	switch reply.Kind {
+	case failure.Limited:
 		a.j.callerFault = true
 		return failure.New(failure.Limited, "check the name of the budget, or repeat the request later", "%s", reply.Reason)
+	case failure.Unavailable:
+		return failure.New(failure.Unavailable, "repeat the request later", "%s", reply.Reason)
+	case failure.Format:
+		return failure.New(failure.Format, "tell the operators of the service", "%s", reply.Reason)
 	}
 	return failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens", "%s", reply.Reason)
 }
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -86,8 +86,10 @@
 	AfterNotRun bool          `cbor:"8,keyasint,omitempty"`
 	SinceNotRun time.Duration `cbor:"9,keyasint,omitempty"`
 	// Kind is the kind of error for Exhausted; empty means
-	// failure.BudgetExhausted, and failure.Limited that the store was not asked
-	// for rights because too many requests named unknown or empty budgets.
+	// failure.BudgetExhausted. failure.Limited means that the store was not asked
+	// for rights because too many requests named unknown or empty budgets,
+	// failure.Unavailable that it did not answer, and failure.Format that this
+	// release cannot read the budget's record.
 	Kind failure.Kind `cbor:"10,keyasint,omitempty"`
 }
 
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -89,6 +89,8 @@
 	tasks   sync.WaitGroup
 	ctx     context.Context
 	view    atomic.Pointer[mapView]
+	// mapFault is why the shard map of the store was refused last, or nil.
+	mapFault atomic.Pointer[failure.Error]
 
 	// The fields below belong to the control goroutine.
 	current  *Map
--- a/pkg/shard/mapsync.go
+++ b/pkg/shard/mapsync.go
@@ -48,13 +48,25 @@
 	}
 	next, err := DecodeMap(rec.Value)
 	if err != nil {
-		m.opts.Log.WithError(err).Error("shard map refused")
+		fault := failure.From(err)
+		if before := m.mapFault.Swap(fault); before == nil || before.Message != fault.Message {
+			m.opts.Log.WithError(err).Error("shard map refused")
+		}
 		return err
 	}
+	m.mapFault.Store(nil)
 	m.post(func() { m.adopt(rec.Version, next) })
 	return nil
 }
 
+// MapFault returns why the shard map of the store cannot be used, or nil.
+func (m *Manager) MapFault() error {
+	if f := m.mapFault.Load(); f != nil {
+		return f
+	}
+	return nil
+}
+
 // Heard is told that the instance at address knows a newer shard map.
 func (m *Manager) Heard(version uint64, address string) {
 	if _, known := m.MapView(); version <= known {
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -72,6 +72,8 @@
 	// known is true once the store has shown a record of the budget, and empty
 	// while the last call for rights was not met.
 	known, empty bool
+	// fault is why the last call for rights failed, or nil.
+	fault error
 	// askedAt is the time of the last call to the store for this budget.
 	askedAt time.Time
 }
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -82,7 +82,7 @@
 }
 
 func (r *replica) jobDone(b ledger.BudgetKey, d *demand, err error) {
-	d.busy = false
+	d.busy, d.fault = false, err
 	if err != nil {
 		r.m.metrics.grantErrors.WithLabelValues(string(failure.KindOf(err))).Inc()
 	}
@@ -92,6 +92,21 @@
 	}
 }
 
+// notMet names the reason for an exhausted reply when the store could not be
+// asked: the caller's budget may well have room.
+func (d *demand) notMet(reply ledger.ReserveReply) ledger.ReserveReply {
+	switch kind := failure.KindOf(d.fault); kind {
+	case "", failure.NotOwner, failure.Fenced:
+		return reply
+	case failure.Format:
+		reply.Kind = failure.Format
+	default:
+		reply.Kind = failure.Unavailable
+	}
+	reply.Reason = "the budget could not be asked for more rights: " + failure.From(d.fault).Message
+	return reply
+}
+
 // returnRights gives back part of the rights on a budget. amount is asked on the
 // control goroutine; done gets what was returned.
 func (r *replica) returnRights(b ledger.BudgetKey, amount func(ledger.Right) ledger.Tokens, done func(ledger.Tokens)) {
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -74,6 +74,8 @@
 			return
 		}
 		reply.Kind, reply.Reason = failure.Limited, reasonNotAsked
+	} else if reply.Decision == ledger.Exhausted {
+		reply = r.demandOf(req.Budget).notMet(reply)
 	}
 	if reply.Decision == ledger.Exhausted && req.KeepAnswer {
 		reply, mutation = r.refuseExhausted(req, reply)
