--- a/pkg/declare/parse.go
+++ b/pkg/declare/parse.go
@@ -75,6 +75,15 @@
 	{"objective", 1, []string{"target", "first-token", "between-tokens"}, (*parser).objective},
 }
 
+// Keys returns all keys of a file by kind of section.
+func Keys() map[string][]string {
+	out := map[string][]string{}
+	for _, k := range sectionKinds {
+		out[k.name] = slices.Clone(k.keys)
+	}
+	return out
+}
+
 type parser struct {
 	out      *Declarations
 	faults   settings.Faults
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -100,6 +100,16 @@
 	return s, faults.Err(path)
 }
 
+// Keys returns all keys of the file by section.
+func Keys() map[string][]string {
+	fields := (&Settings{}).fields()
+	out := map[string][]string{}
+	for _, section := range sectionsOf(fields) {
+		out[section] = keysOf(fields, section)
+	}
+	return out
+}
+
 func (s *Settings) read(sections []Section, faults *Faults) {
 	fields := s.fields()
 	given := map[string]string{}
