Measure the budget policy and the cost of a fleet

The targets of section 1 of the design had no run behind them. make bench runs the real shard managers, routers, ledger, membership and grant policy on a fake clock against a fixed split and a store call per request, then a fleet of real processes on loopback against direct calls, and Go benchmarks of the hot paths. make bench-grants compares parameters of the grant policy; the time an owner keeps on a recall and the pause after an empty budget became parameters for it.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 PACKAGES := ./...
 
-.PHONY: all build test lint demo bench faults clean
+.PHONY: all build test lint demo bench bench-grants faults clean
 
 all: lint test
 
@@ -16,6 +16,7 @@
 	@unformatted="$$(gofmt -l $$(git ls-files --cached --others --exclude-standard '*.go'))"; \
 	if [ -n "$$unformatted" ]; then echo "gofmt: run gofmt -w on:"; echo "$$unformatted"; exit 1; fi
 	$(GO) vet $(PACKAGES)
+	$(GO) vet -tags bench ./bench/...
 	$(GO) tool staticcheck $(PACKAGES)
 
 clean:
@@ -23,3 +24,15 @@
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
+
+# The figures of bench/ belong to the machine and its load at the time of the run.
+bench: build
+	$(GO) test -tags bench -timeout 8m -parallel 6 ./bench/policy -args -out $(CURDIR)/bench/policy.json
+	@cat bench/policy.txt
+	$(GO) test -run '^$$' -bench . -benchtime 0.3s ./pkg/ledger ./pkg/shard ./pkg/routing | tee bench/hotpaths.txt
+	$(BIN)/bench --bin $(BIN) --out bench/cost.json | tee bench/cost.txt
+
+# Compares grant policies; see docs/decisions/grant-policy.md.
+bench-grants:
+	$(GO) test -tags bench -timeout 10m -parallel 7 ./bench/policy -run 'TestPolicy/runs/./(healthy|end|demand|10_min_cut_of)' -args -variants -rate 8 -out $(CURDIR)/bench/grants.json
+	@cat bench/grants.txt
--- a/pkg/grant/policy.go
+++ b/pkg/grant/policy.go
@@ -16,6 +16,12 @@
 	// StandingDivisor sets the share of the unassigned rest that a shard takes
 	// without any known demand: 1/(StandingDivisor*Domains).
 	StandingDivisor int
+	// RecallKeep is the time for which a shard keeps rights for its own demand
+	// when another domain has run out.
+	RecallKeep time.Duration
+	// EmptyPause is how long a shard refuses by itself after it found a budget
+	// empty. It bounds the calls to the store for an exhausted budget.
+	EmptyPause time.Duration
 }
 
 // Defaults of the policy.
@@ -25,6 +31,11 @@
 	// DefaultStandingDivisor leaves three quarters of a new budget unassigned
 	// when every domain has asked once.
 	DefaultStandingDivisor = 4
+	// DefaultRecallKeep covers the requests that arrive during a recall.
+	DefaultRecallKeep = 5 * time.Second
+	// DefaultEmptyPause is the delay after which a top-up of an exhausted budget
+	// is noticed.
+	DefaultEmptyPause = 500 * time.Millisecond
 	// refillPoint is the part of the target below which a shard asks again. It
 	// keeps a shard from calling the store for each request.
 	refillPoint = 0.8
@@ -37,7 +48,10 @@
 
 // Default returns the policy for a number of failure domains.
 func Default(domains int) Policy {
-	return Policy{Horizon: DefaultHorizon, Domains: max(domains, 1), StandingDivisor: DefaultStandingDivisor}
+	return Policy{
+		Horizon: DefaultHorizon, Domains: max(domains, 1), StandingDivisor: DefaultStandingDivisor,
+		RecallKeep: DefaultRecallKeep, EmptyPause: DefaultEmptyPause,
+	}
 }
 
 // View is what the policy knows about one budget at one shard.
@@ -85,9 +99,9 @@
 }
 
 // Recall returns how much a shard gives back when another domain has run out
-// and asks for it. It keeps keepFor of its own demand.
-func (p Policy) Recall(v View, keepFor time.Duration) ledger.Tokens {
-	keep := ledger.Tokens(v.Rate * keepFor.Seconds())
+// and asks for it.
+func (p Policy) Recall(v View) ledger.Tokens {
+	keep := ledger.Tokens(v.Rate * p.RecallKeep.Seconds())
 	return max(v.Available-keep, 0)
 }
 
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -13,12 +13,6 @@
 const (
 	// grantRounds bounds the read-modify-swap rounds of one call for rights.
 	grantRounds = 8
-	// emptyPause is how long a shard refuses by itself after it found a budget
-	// empty. It bounds the calls to the store for an exhausted budget.
-	emptyPause = 500 * time.Millisecond
-	// recallKeep is the time for which an owner keeps rights of its own when
-	// another domain has run out.
-	recallKeep = 5 * time.Second
 	// recallTimeout bounds the wait for the owners of other domains.
 	recallTimeout = 500 * time.Millisecond
 	// reviewBatch bounds the budgets that one review of a shard may change, so
@@ -69,7 +63,7 @@
 		err := j.run(ctx)
 		r.m.post(func() {
 			if j.unmet {
-				d.emptyUntil = r.m.now().Add(emptyPause)
+				d.emptyUntil = r.m.now().Add(r.m.opts.Policy().EmptyPause)
 			}
 			r.jobDone(b, d, err)
 		})
@@ -142,7 +136,7 @@
 			return
 		}
 		policy := m.opts.Policy()
-		give := func(ledger.Right) ledger.Tokens { return policy.Recall(r.viewOf(req.Budget), recallKeep) }
+		give := func(ledger.Right) ledger.Tokens { return policy.Recall(r.viewOf(req.Budget)) }
 		if give(r.state.Right(req.Budget)) <= 0 {
 			answer(recallReply{}, nil)
 			return
--- a/standins/fleet/fleet.go
+++ b/standins/fleet/fleet.go
@@ -29,6 +29,8 @@
 	Slots int
 	// Budget is the opening amount of the budget "meals/rounds" in tokens.
 	Budget int64
+	// MoreBudgets are names of further budgets of the same workspace.
+	MoreBudgets []string
 	// Concurrency is the limit of requests in flight per endpoint and instance.
 	Concurrency int
 }
@@ -41,6 +43,8 @@
 	BudgetName   = "rounds"
 	// WorkspaceKey is the API key of the workspace.
 	WorkspaceKey = "demo-workspace-key"
+	// OperatorToken is the token of the operators' API.
+	OperatorToken = "demo-operator-token"
 )
 
 // Instance is a daemon process with its addresses.
@@ -151,7 +155,7 @@
 
 func (f *Fleet) writeSecrets() error {
 	f.tokenFile, f.credFile = filepath.Join(f.dir, "operator.token"), filepath.Join(f.dir, "peer.credential")
-	if err := os.WriteFile(f.tokenFile, []byte("demo-operator-token"), 0o600); err != nil {
+	if err := os.WriteFile(f.tokenFile, []byte(OperatorToken), 0o600); err != nil {
 		return err
 	}
 	return os.WriteFile(f.credFile, []byte("demo-peer-credential"), 0o600)
@@ -249,7 +253,9 @@
 	fmt.Fprintf(&b, "[objective %s]\ntarget = 0.95\nfirst-token = 1800ms\nbetween-tokens = 70ms\n", ModelService)
 	key := sha256.Sum256([]byte(WorkspaceKey))
 	fmt.Fprintf(&b, "[workspace %s]\nkey-sha256 = %s\ndefault-budget = %s\n", Workspace, hex.EncodeToString(key[:]), BudgetName)
-	fmt.Fprintf(&b, "[budget %s/%s]\nopening = %d\n", Workspace, BudgetName, f.opts.Budget)
+	for _, name := range append([]string{BudgetName}, f.opts.MoreBudgets...) {
+		fmt.Fprintf(&b, "[budget %s/%s]\nopening = %d\n", Workspace, name, f.opts.Budget)
+	}
 	for _, e := range f.Endpoints {
 		fmt.Fprintf(&b, "[endpoint %s]\nservice = %s\naddress = %s\ndomain = %s\n", e.ID, e.Service, e.Address, e.Domain)
 	}
