--- a/pkg/ledger/mutation.go
+++ b/pkg/ledger/mutation.go
@@ -23,6 +23,9 @@
 	OpConfirmed
 	// OpEpoch starts an epoch.
 	OpEpoch
+	// OpEnd ends the present attempt of a request. It carries only what changes,
+	// which is less than half of the record.
+	OpEnd
 )
 
 // Mutation is one change of a shard. Applying the same mutations in the same
@@ -39,6 +42,17 @@
 	Seq         uint64    `cbor:"9,keyasint,omitempty"`
 	LostThrough uint64    `cbor:"10,keyasint,omitempty"`
 	At          int64     `cbor:"11,keyasint,omitempty"`
+	End         *EndState `cbor:"12,keyasint,omitempty"`
+}
+
+// EndState is the part of a record that changes when an attempt ends.
+type EndState struct {
+	ID      string        `cbor:"1,keyasint"`
+	State   RecordState   `cbor:"2,keyasint"`
+	Charged Tokens        `cbor:"3,keyasint,omitempty"`
+	Answer  *StoredAnswer `cbor:"4,keyasint,omitempty"`
+	At      int64         `cbor:"5,keyasint"`
+	Epoch   uint64        `cbor:"6,keyasint"`
 }
 
 // Commit gives the mutation the next index and applies it at the owner.
@@ -79,7 +93,22 @@
 		s.sealed = slices.DeleteFunc(s.sealed, func(g Segment) bool { return g.Epoch == m.Epoch && g.Seq == m.Seq })
 	case OpEpoch:
 		s.applyEpoch(m)
+	case OpEnd:
+		s.applyEnd(m.End)
+	}
+}
+
+// applyEnd ends an attempt. The record exists on every replica, because records
+// are dropped only after their end.
+func (s *State) applyEnd(e *EndState) {
+	prev := s.records[e.ID]
+	if prev == nil {
+		return
 	}
+	next := *prev
+	next.State, next.Charged, next.Reserved, next.Answer = e.State, e.Charged, 0, e.Answer
+	next.At, next.Epoch = e.At, e.Epoch
+	s.applyRecord(&next)
 }
 
 func (s *State) applyRecord(next *Record) {
--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -179,7 +179,7 @@
 	if err != nil || m == nil {
 		return SettleReply{Charged: rec.Charged}, nil, err
 	}
-	return SettleReply{Charged: m.Record.Charged}, m, nil
+	return SettleReply{Charged: m.End.Charged}, m, nil
 }
 
 func (r *Record) namedBy(req SettleRequest) bool {
@@ -217,10 +217,9 @@
 }
 
 func (s *State) settled(rec *Record, state RecordState, charge Tokens, answer *StoredAnswer, now time.Time) *Mutation {
-	next := *rec
-	next.State, next.Charged, next.Reserved, next.Answer = state, charge, 0, answer
-	next.At, next.Epoch = now.UnixMilli(), s.epoch
-	return &Mutation{Op: OpRecord, Record: &next}
+	return &Mutation{Op: OpEnd, End: &EndState{
+		ID: rec.ID, State: state, Charged: charge, Answer: answer, At: now.UnixMilli(), Epoch: s.epoch,
+	}}
 }
 
 // PlanGranted mirrors the grant that a read of the budget record showed at the
