--- a/pkg/grant/policy_test.go
+++ b/pkg/grant/policy_test.go
@@ -50,7 +50,7 @@
 			if got := p.Return(tt.view); got != tt.give {
 				t.Errorf("return %d, want %d", got, tt.give)
 			}
-			if got := p.Recall(tt.view, 5*time.Second); got != tt.recall {
+			if got := p.Recall(tt.view); got != tt.recall {
 				t.Errorf("recall %d, want %d", got, tt.recall)
 			}
 			if got := p.NeedsRefill(tt.view); got != tt.refill {
@@ -81,9 +81,8 @@
 		if held+v.Unassigned >= need && held+ask < need {
 			t.Fatalf("asks for %d, holds %d, needs %d", ask, held, need)
 		}
-		for name, give := range map[string]ledger.Tokens{
-			"return": p.Return(v), "recall": p.Recall(v, time.Duration(rapid.IntRange(0, 600).Draw(t, "keep"))*time.Second),
-		} {
+		p.RecallKeep = time.Duration(rapid.IntRange(0, 600).Draw(t, "keep")) * time.Second
+		for name, give := range map[string]ledger.Tokens{"return": p.Return(v), "recall": p.Recall(v)} {
 			if give < 0 || give > held {
 				t.Fatalf("%s of %d, holds %d", name, give, v.Available)
 			}
--- a/pkg/ledger/machine_test.go
+++ b/pkg/ledger/machine_test.go
@@ -438,10 +438,10 @@
 	decided := m.real
 	m.commit(mutation, func() {
 		if h := m.seen[id.text]; h != nil && mutation != nil {
-			if mutation.Record.State == StateNotRun {
+			if mutation.End.State == StateNotRun {
 				h.open, h.refused = false, decided
 			}
-			h.owed = mutation.Record.State == StateAnswered
+			h.owed = mutation.End.State == StateAnswered
 		}
 	})
 }
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -13,12 +13,6 @@
 const (
 	// grantRounds bounds the read-modify-swap rounds of one call for rights.
 	grantRounds = 8
-	// emptyPause is how long a shard refuses by itself after it found a budget
-	// empty. It bounds the calls to the store for an exhausted budget.
-	emptyPause = 500 * time.Millisecond
-	// recallKeep is the time for which an owner keeps rights of its own when
-	// another domain has run out.
-	recallKeep = 5 * time.Second
 	// recallTimeout bounds the wait for the owners of other domains.
 	recallTimeout = 500 * time.Millisecond
 	// reviewBatch bounds the budgets that one review of a shard may change, so
@@ -74,7 +68,7 @@
 		err := j.run(ctx)
 		r.m.post(func() {
 			if d.empty = j.unmet; j.unmet {
-				d.emptyUntil = r.m.now().Add(emptyPause)
+				d.emptyUntil = r.m.now().Add(r.m.opts.Policy().EmptyPause)
 			}
 			r.jobDone(b, d, err)
 		})
@@ -82,7 +76,7 @@
 }
 
 func (r *replica) jobDone(b ledger.BudgetKey, d *demand, err error) {
-	d.busy = false
+	d.busy, d.fault = false, err
 	if err != nil {
 		r.m.metrics.grantErrors.WithLabelValues(string(failure.KindOf(err))).Inc()
 	}
@@ -92,6 +86,21 @@
 	}
 }
 
+// notMet names the reason for an exhausted reply when the store could not be
+// asked: the caller's budget may well have room.
+func (d *demand) notMet(reply ledger.ReserveReply) ledger.ReserveReply {
+	switch kind := failure.KindOf(d.fault); kind {
+	case "", failure.NotOwner, failure.Fenced:
+		return reply
+	case failure.Format:
+		reply.Kind = failure.Format
+	default:
+		reply.Kind = failure.Unavailable
+	}
+	reply.Reason = "the budget could not be asked for more rights: " + failure.From(d.fault).Message
+	return reply
+}
+
 // returnRights gives back part of the rights on a budget. amount is asked on the
 // control goroutine; done gets what was returned.
 func (r *replica) returnRights(b ledger.BudgetKey, amount func(ledger.Right) ledger.Tokens, done func(ledger.Tokens)) {
@@ -158,7 +167,7 @@
 			return
 		}
 		policy := m.opts.Policy()
-		give := func(ledger.Right) ledger.Tokens { return policy.Recall(r.viewOf(req.Budget), recallKeep) }
+		give := func(ledger.Right) ledger.Tokens { return policy.Recall(r.viewOf(req.Budget)) }
 		if give(r.state.Right(req.Budget)) <= 0 {
 			answer(recallReply{}, nil)
 			return
