Do not call a budget exhausted that could not be read

Cause: a shard without enough rights asks the store for more and then decides again. When the store did not answer, the decision was the same as for a budget without room, so callers got 402 "budget-exhausted; top the budget up" although the budget had room. It showed in the first draw of a domain during an outage, and for a moment after an outage while the circuit breaker was still open.

Change: the owner marks such a decision as unread, and the entry answers 503 "unavailable" with the outcome not-run, so that callers repeat the request.

Tests: TestFirstDrawWhileStoreIsDown, and a case of the entry's fault table.

--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -68,7 +68,7 @@
 		return a.unconfirmed(ctx, err)
 	}
 	if reply.Decision == ledger.Exhausted && a.j.known {
-		a.refusal = failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens", "%s", reply.Reason)
+		a.refusal = exhausted(reply)
 		a.req.Refuse = true
 		// The same call number: a copy of the first call that is still on its
 		// way is then refused too.
@@ -134,8 +134,7 @@
 	case ledger.Mismatch:
 		return a.told(failure.New(failure.Conflict, "use a new id for another request", "%s", reply.Reason))
 	case ledger.Exhausted:
-		return a.told(failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens",
-			"%s", reply.Reason).WithOutcome(failure.NotRun))
+		return a.told(exhausted(reply).WithOutcome(failure.NotRun))
 	case ledger.Refused:
 		return a.told(a.refusedAs().WithOutcome(failure.NotRun))
 	}
@@ -144,6 +143,15 @@
 		"unknown decision %d of the ledger", reply.Decision).WithOutcome(failure.Unknown))
 }
 
+// exhausted tells a budget without room from one that could not be read: only
+// the first is a reason to pay.
+func exhausted(reply ledger.ReserveReply) *failure.Error {
+	if reply.Unread {
+		return failure.New(failure.Unavailable, "repeat the request later", "%s, and the platform store did not answer", reply.Reason)
+	}
+	return failure.New(failure.BudgetExhausted, "top the budget up or ask for fewer tokens", "%s", reply.Reason)
+}
+
 // told adapts an error to an answer that has begun: part of the answer reached
 // the caller, so the request has run.
 func (a *admission) told(err *failure.Error) *failure.Error {
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -105,6 +105,14 @@
 		{desc: "exhausted, own id", status: 402, outcome: "not-run", body: "budget-exhausted", asked: 1, prepare: func(f *fixture) { f.ledger.state.Commit(f.ledger.state.PlanGranted(testBudget, 1, 2)) }},
 		{desc: "exhausted is recorded for the caller's id", known: true, status: 402, outcome: "not-run", body: "budget-exhausted", asked: 2,
 			prepare: func(f *fixture) { f.ledger.state.Commit(f.ledger.state.PlanGranted(testBudget, 1, 2)) }},
+		{desc: "no rights and no store", known: true, status: 503, outcome: "not-run", body: "unavailable", prepare: func(f *fixture) {
+			f.ledger.onReserve = func(req ledger.ReserveRequest) (*ledger.ReserveReply, error) {
+				if req.Refuse {
+					return &ledger.ReserveReply{Decision: ledger.Refused}, nil
+				}
+				return &ledger.ReserveReply{Decision: ledger.Exhausted, Unread: true}, nil
+			}
+		}},
 		{desc: "exhausted, record not confirmed", known: true, status: 402, outcome: "unknown", body: "budget-exhausted", prepare: func(f *fixture) {
 			f.ledger.onReserve = func(req ledger.ReserveRequest) (*ledger.ReserveReply, error) {
 				if req.Refuse {
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -81,6 +81,9 @@
 	// before the caller was told "not run", and must not send it.
 	AfterNotRun bool          `cbor:"8,keyasint,omitempty"`
 	SinceNotRun time.Duration `cbor:"9,keyasint,omitempty"`
+	// Unread is set for Exhausted when the shard could not read the budget, so
+	// the budget may have room.
+	Unread bool `cbor:"10,keyasint,omitempty"`
 }
 
 // StoredAnswer is a whole answer as it was sent to the caller.
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -71,6 +71,9 @@
 	emptyUntil time.Time
 	// askedAt is the time of the last call to the store for this budget.
 	askedAt time.Time
+	// unread is true when the last call to the store failed, so that the shard
+	// does not know whether the budget has room.
+	unread bool
 }
 
 func (m *Manager) replica(shard int) *replica {
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -77,7 +77,7 @@
 }
 
 func (r *replica) jobDone(b ledger.BudgetKey, d *demand, err error) {
-	d.busy = false
+	d.busy, d.unread = false, err != nil
 	if err != nil {
 		r.m.metrics.grantErrors.WithLabelValues(string(failure.KindOf(err))).Inc()
 	}
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -73,6 +73,9 @@
 		r.askFor(req.Budget, req.Amount, func() { r.reserve(req, true, answer) })
 		return
 	}
+	if reply.Decision == ledger.Exhausted {
+		reply.Unread = r.demandOf(req.Budget).unread
+	}
 	if reply.Decision == ledger.Exhausted && req.KeepAnswer {
 		reply, mutation = r.refuseExhausted(req, reply)
 	}
--- a/pkg/shard/shard_test.go
+++ b/pkg/shard/shard_test.go
@@ -67,6 +67,26 @@
 	})
 }
 
+// Guards against calling a budget exhausted that only could not be read.
+func TestFirstDrawWhileStoreIsDown(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 1_000)
+		n := w.nodes["a1"]
+		w.store.Down(true)
+		req := n.newRequest(100, 60)
+		reply, err := n.router.Reserve(w.ctx, ledger.ReserveRequest{ID: req.id, Budget: testBudget, Amount: 100, Dispatcher: n.id.Incarnation, Call: 1})
+		if err != nil || reply.Decision != ledger.Exhausted || !reply.Unread {
+			t.Errorf("reply %+v, %v; want Exhausted, Unread", reply, err)
+		}
+		w.store.Down(false)
+		n.expect(n.newRequest(100, 60), "answered")
+		reply, err = n.router.Reserve(w.ctx, ledger.ReserveRequest{ID: n.newRequest(1, 1).id, Budget: testBudget, Amount: 5_000, Dispatcher: n.id.Incarnation, Call: 2})
+		if err != nil || reply.Decision != ledger.Exhausted || reply.Unread {
+			t.Errorf("reply %+v, %v; want Exhausted from a budget that was read", reply, err)
+		}
+	})
+}
+
 // Guards against losing requests or rights when the owner is killed.
 func TestTakeoverAfterOwnerKilled(t *testing.T) {
 	runWorld(t, func(w *world) {
