Let the fleet of processes restart its stand-ins

Cause: fault tests over processes need a platform that keeps its contents over a restart, executions of endpoints that were killed, and stable ports.

Its ports now lie outside the range of outgoing connections, which could take the port of a stopped process.

--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -119,7 +119,7 @@
 		}
 		bodies = append(bodies, string(a.Body))
 	}
-	count, err := d.fleet.Executions(d.ctx, id)
+	count, err := d.fleet.Executions(id)
 	if err != nil || count != 1 || bodies[0] != bodies[1] || bodies[1] != bodies[2] {
 		return "", fmt.Errorf("ran %d times, answers %q %v", count, bodies, err)
 	}
--- a/standins/cmd/standin-engine/main.go
+++ b/standins/cmd/standin-engine/main.go
@@ -21,14 +21,19 @@
 	Slots         int           `default:"8" help:"Requests that generate at the same time."`
 	TokenInterval time.Duration `default:"20ms" help:"Time between two tokens of a stream."`
 	LoadLag       time.Duration `default:"500ms" help:"Age of the load report."`
+	Journal       bool          `help:"Print a line for each execution."`
 	IgnoreFencing bool          `help:"Accept orders with an old fencing number."`
 }
 
 func main() {
 	var f flags
 	k := kong.Parse(&f, kong.Description("Stand-in of a model engine for tests and the demo."))
-	k.FatalIfErrorf(endpoint.Main(f.Listen, engine.New(engine.Options{
+	e := engine.New(engine.Options{
 		ID: f.ID, Model: f.Model, Slots: f.Slots, TokenInterval: f.TokenInterval, LoadLag: f.LoadLag,
 		IgnoreFencing: f.IgnoreFencing, Crash: func() { os.Exit(crashStatus) },
-	})))
+	})
+	if f.Journal {
+		e.Journal = os.Stdout
+	}
+	k.FatalIfErrorf(endpoint.Main(f.Listen, e))
 }
--- a/standins/cmd/standin-platform/main_test.go
+++ b/standins/cmd/standin-platform/main_test.go
@@ -14,7 +14,7 @@
 	ctx, stop := context.WithCancel(t.Context())
 	out, in := io.Pipe()
 	ended := make(chan error, 1)
-	go func() { ended <- run(ctx, "127.0.0.1:0", in) }()
+	go func() { ended <- run(ctx, flags{Listen: "127.0.0.1:0"}, in) }()
 	line, err := bufio.NewReader(out).ReadString('\n')
 	address, ok := strings.CutPrefix(strings.TrimSpace(line), "listening ")
 	if err != nil || !ok {
--- a/standins/endpoint/server.go
+++ b/standins/endpoint/server.go
@@ -26,6 +26,9 @@
 	// App takes the routes of the endpoint before Run.
 	App         *iris.Application
 	Incarnation string
+	// Journal gets a line "executed <id>" for each execution; nil for none. It
+	// tells what ran after the process was killed.
+	Journal io.Writer
 
 	crash func()
 	http  *http.Server
@@ -123,6 +126,9 @@
 	defer s.mu.Unlock()
 	s.executions[id]++
 	s.total++
+	if s.Journal != nil {
+		_, _ = fmt.Fprintln(s.Journal, "executed", id) // a lost line shows as a missing execution
+	}
 }
 
 // Executions returns how often the request with the given id was executed.
--- a/standins/fleet/caller.go
+++ b/standins/fleet/caller.go
@@ -8,6 +8,8 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
+	"path/filepath"
 	"strings"
 )
 
@@ -21,12 +23,18 @@
 	Events int
 	Done   bool
 	Text   string
+	// Failure is the problem+json of the error event that ended a stream.
+	Failure []byte
 }
 
 // Problem returns the kind of a problem+json body, or "".
 func (a Answer) Problem() string {
 	var p struct{ Kind string }
-	_ = json.Unmarshal(a.Body, &p) // a body of another form has no kind
+	body := a.Body
+	if a.Failure != nil {
+		body = a.Failure
+	}
+	_ = json.Unmarshal(body, &p) // a body of another form has no kind
 	return p.Kind
 }
 
@@ -60,9 +68,15 @@
 func (a *Answer) readStream(body io.Reader) error {
 	lines := bufio.NewScanner(body)
 	lines.Buffer(nil, maxEventBytes)
+	failed := false
 	for lines.Scan() {
 		data, ok := strings.CutPrefix(lines.Text(), "data: ")
 		if !ok {
+			failed = failed || lines.Text() == "event: error"
+			continue
+		}
+		if failed {
+			a.fail([]byte(data))
 			continue
 		}
 		if data == "[DONE]" {
@@ -74,6 +88,13 @@
 	return lines.Err()
 }
 
+// fail takes the error event of a stream.
+func (a *Answer) fail(data []byte) {
+	var p struct{ Outcome string }
+	_ = json.Unmarshal(data, &p) // without an outcome the event tells nothing about the request
+	a.Failure, a.Outcome = data, p.Outcome
+}
+
 // maxEventBytes bounds one server-sent event of a stand-in.
 const maxEventBytes = 1 << 20
 
@@ -120,26 +141,39 @@
 	return Call(ctx, address, http.MethodPost, "/v1/apps/"+AppService+"/bookings", []byte(`{"street":"Allen Avenue 12"}`), Header{"Idempotency-Key", id})
 }
 
-// Executions asks all endpoints how often they ran a request.
-func (f *Fleet) Executions(ctx context.Context, id string) (int, error) {
+// Executions returns how often the endpoints ran a request, counting those that
+// have ended. An app sees the request id, an engine stream ids of the form
+// <id>-<attempt>-<try>.
+func (f *Fleet) Executions(id string) (int, error) {
+	all, err := f.AllExecutions()
 	total := 0
-	for _, e := range f.Endpoints {
-		if e.Ended() {
-			continue
+	for seen, n := range all {
+		if seen == id || strings.HasPrefix(seen, id+"-") {
+			total += n
 		}
-		resp, err := http.Get("http://" + e.Address + "/control/executions?id=" + id)
+	}
+	return total, err
+}
+
+// AllExecutions returns the executions by the id that the endpoints saw.
+func (f *Fleet) AllExecutions() (map[string]int, error) {
+	out := map[string]int{}
+	logs, err := filepath.Glob(filepath.Join(f.dir, "*.log"))
+	if err != nil {
+		return nil, err
+	}
+	for _, path := range logs {
+		data, err := os.ReadFile(path)
 		if err != nil {
-			return 0, err
+			return nil, err
 		}
-		var r struct{ Count int }
-		err = json.NewDecoder(resp.Body).Decode(&r)
-		_ = resp.Body.Close()
-		if err != nil {
-			return 0, err
+		for line := range strings.Lines(string(data)) {
+			if id, ok := strings.CutPrefix(line, "executed "); ok {
+				out[strings.TrimSpace(id)]++
+			}
 		}
-		total += r.Count
 	}
-	return total, nil
+	return out, nil
 }
 
 // Faults sets the test switches of a stand-in.
--- a/standins/fleet/ctl.go
+++ b/standins/fleet/ctl.go
@@ -10,8 +10,14 @@
 // Ctl runs clementinectl against the operators' APIs of all instances that have
 // not ended and returns what it printed.
 func (f *Fleet) Ctl(ctx context.Context, args ...string) (string, error) {
+	return f.CtlAt(ctx, f.Instances, args...)
+}
+
+// CtlAt is Ctl with a choice of instances. An exit code other than 0 is an
+// *exec.ExitError.
+func (f *Fleet) CtlAt(ctx context.Context, instances []*Instance, args ...string) (string, error) {
 	var all []string
-	for _, i := range f.Instances {
+	for _, i := range instances {
 		if i.Process != nil && !i.Ended() {
 			all = append(all, "--address", i.Operators)
 		}
--- a/standins/fleet/fleet.go
+++ b/standins/fleet/fleet.go
@@ -5,11 +5,13 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"time"
 )
 
@@ -55,6 +57,7 @@
 type Endpoint struct {
 	*Process
 	ID, Domain, Service string
+	binary              string
 }
 
 // Fleet is a running fleet.
@@ -111,12 +114,15 @@
 	return nil
 }
 
-// StartPlatform runs the platform stand-in; an empty address chooses one.
+// StartPlatform runs the platform stand-in; an empty address chooses one. What
+// an earlier platform held when it was terminated is kept.
 func (f *Fleet) StartPlatform(address string) (err error) {
 	if address == "" {
-		address = "127.0.0.1:0"
+		if address, err = freeAddress(); err != nil {
+			return err
+		}
 	}
-	if f.Platform, err = f.start("platform", "standin-platform", "--listen", address); err != nil {
+	if f.Platform, err = f.start("platform", "standin-platform", "--listen", address, "--state", filepath.Join(f.dir, "platform.json")); err != nil {
 		return err
 	}
 	return f.Platform.listening()
@@ -128,7 +134,13 @@
 	} {
 		for n := 1; n <= 2; n++ {
 			id := fmt.Sprintf("%s-%s-%d", kind.name, domain, n)
-			if err := f.startEndpoint(id, domain, kind.service, kind.binary, "127.0.0.1:0"); err != nil {
+			address, err := freeAddress()
+			if err != nil {
+				return err
+			}
+			e := &Endpoint{Process: &Process{Address: address}, ID: id, Domain: domain, Service: kind.service, binary: kind.binary}
+			f.Endpoints = append(f.Endpoints, e)
+			if err := f.StartEndpoint(e); err != nil {
 				return err
 			}
 		}
@@ -136,16 +148,17 @@
 	return nil
 }
 
-func (f *Fleet) startEndpoint(id, domain, service, binary, address string) error {
-	args := []string{"--listen", address, "--id", id}
-	if service == ModelService {
+// StartEndpoint runs an endpoint, for the first time or again at its address.
+func (f *Fleet) StartEndpoint(e *Endpoint) error {
+	args := []string{"--listen", e.Address, "--id", e.ID, "--journal"}
+	if e.Service == ModelService {
 		args = append(args, "--model", ModelService, "--token-interval", f.opts.TokenInterval.String(), "--slots", fmt.Sprint(max(f.opts.Slots, 8)))
 	}
-	p, err := f.start(id, binary, args...)
+	p, err := f.start(e.ID, e.binary, args...)
 	if err != nil {
 		return err
 	}
-	f.Endpoints = append(f.Endpoints, &Endpoint{Process: p, ID: id, Domain: domain, Service: service})
+	e.Process = p
 	return p.listening()
 }
 
@@ -218,24 +231,46 @@
 grace = 15s
 `
 
-// freeAddresses returns loopback addresses that were free a moment ago.
+// Ports of a fleet lie below the range from which systems usually choose the
+// ports of outgoing connections: a process that is started again needs its old
+// port, which another process's connection may otherwise hold.
+const firstPort, lastPort = 10_000, 30_000
+
+// nextPort is shared by the fleets of one process. It starts at random, so that
+// fleets of several processes seldom try the same ports.
+var nextPort = struct {
+	sync.Mutex
+	port int
+}{port: firstPort + rand.IntN(lastPort-firstPort)}
+
+// freeAddresses returns loopback addresses that were free a moment ago and that
+// no other fleet of this process uses.
 func freeAddresses(n int) ([]string, error) {
+	nextPort.Lock()
+	defer nextPort.Unlock()
 	var out []string
-	var open []net.Listener
-	defer func() {
-		for _, l := range open {
-			_ = l.Close()
+	for range lastPort - firstPort {
+		if len(out) == n {
+			return out, nil
 		}
-	}()
-	for range n {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			return nil, err
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort.port)
+		if nextPort.port++; nextPort.port == lastPort {
+			nextPort.port = firstPort
+		}
+		if l, err := net.Listen("tcp", address); err == nil {
+			_ = l.Close()
+			out = append(out, address)
 		}
-		open = append(open, l)
-		out = append(out, l.Addr().String())
 	}
-	return out, nil
+	return nil, fmt.Errorf("no free ports between %d and %d", firstPort, lastPort)
+}
+
+func freeAddress() (string, error) {
+	out, err := freeAddresses(1)
+	if err != nil {
+		return "", err
+	}
+	return out[0], nil
 }
 
 // Declarations returns the INI text that the fleet applies at its start.
--- a/standins/fleet/process.go
+++ b/standins/fleet/process.go
@@ -26,7 +26,9 @@
 
 // start runs a binary with its output in a log file.
 func (f *Fleet) start(name, binary string, args ...string) (*Process, error) {
-	log, err := os.Create(filepath.Join(f.dir, name+".log"))
+	// A process that is started again gets a log of its own: the old one tells
+	// what its predecessor executed.
+	log, err := os.Create(filepath.Join(f.dir, fmt.Sprintf("%s-%d.log", name, len(f.processes))))
 	if err != nil {
 		return nil, err
 	}
