--- a/Makefile
+++ b/Makefile
@@ -23,3 +23,8 @@
 
 demo: build
 	$(BIN)/demo --bin $(BIN)
+
+# faults runs the fault tests, in memory and over processes, and counts
+# violations by invariant.
+faults: build
+	$(BIN)/faultreport
--- a/pkg/shard/matrix_test.go
+++ b/pkg/shard/matrix_test.go
@@ -158,6 +158,7 @@
 }
 
 func runCell(t *testing.T, sc scenario, step string, index int) {
+	t.Logf("case: I1,I2,I4,I5 %s", t.Name()) // what world.check verifies
 	reached := false
 	runWorld(t, func(w *world) {
 		boot(w, 600)
