--- a/Makefile
+++ b/Makefile
@@ -36,3 +36,8 @@
 bench-grants:
 	$(GO) test -tags bench -timeout 10m -parallel 7 ./bench/policy -run 'TestPolicy/runs/./(healthy|end|demand|10_min_cut_of)' -args -variants -rate 8 -out $(CURDIR)/bench/grants.json
 	@cat bench/grants.txt
+
+# faults runs the fault tests, in memory and over processes, and counts
+# violations by invariant.
+faults: build
+	$(BIN)/faultreport
