Report a repeat as unknown when an earlier attempt may have run

Cause: a repeat of a request whose earlier attempt had run in part was told "not-run" when it was refused (instance stopping, budget exhausted) or when no endpoint could be chosen. The owner answered a refusal with Refused although its record said that the request had run, and the end "not run" of the new attempt replaced the record and the charge of the earlier one.

Change: the owner answers such a refusal with OutcomeUnknown; the entry tells the reason of the refusal with the outcome unknown. A record of a new attempt remembers that an earlier one may have run and what it was charged; if the new attempt ends as not run, that charge stands and the reply says so.

--- a/pkg/entry/admission.go
+++ b/pkg/entry/admission.go
@@ -197,6 +197,9 @@
 		a.j.out.id = a.j.id
 		return verdictAgain
 	}
+	if a.refusal != nil {
+		return a.told(a.refusal.WithOutcome(failure.Unknown))
+	}
 	return a.told(failure.New(failure.OutcomeUnknown, "find out whether the request ran before you send it under a new id",
 		"%s", reply.Reason).WithOutcome(failure.Unknown))
 }
--- a/pkg/entry/faults_test.go
+++ b/pkg/entry/faults_test.go
@@ -156,6 +156,43 @@
 	}
 }
 
+// Guards against "not run" about a request of which an earlier attempt ran, and
+// against the loss of that attempt's charge.
+func TestRefusedRepeatOfPartialRun(t *testing.T) {
+	tests := []struct {
+		desc, body string
+		refuse     func(f *fixture)
+	}{
+		{"instance is stopping", "not-ready", func(f *fixture) { f.gate.close() }},
+		{"budget is exhausted", "budget-exhausted", func(f *fixture) { f.ledger.state.Commit(f.ledger.state.PlanGranted(testBudget, 10, 2)) }},
+		{"no endpoint", "no-endpoint", func(f *fixture) {
+			f.doc.Drained = []string{"e0"}
+			f.pool.Update(f.doc)
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.desc, func(t *testing.T) {
+			f := newFixture(t, http.HandlerFunc(cutAfter))
+			if got := f.do("POST", chatPath, chatBody, keyHeader+": key"); !strings.Contains(got.body, "unknown") {
+				t.Fatalf("the first attempt ended with %+v", got)
+			}
+			if err := f.settles.wait(t.Context()); err != nil { // f.drain would stop the instance
+				t.Fatal(err)
+			}
+			before := f.ledger.right().Charged
+			tt.refuse(f)
+			got := f.do("POST", chatPath, chatBody, keyHeader+": key")
+			if got.outcome != "unknown" || !strings.Contains(got.body, tt.body) {
+				t.Errorf("the repeat was told %+v, want %q with outcome unknown", got, tt.body)
+			}
+			f.drain()
+			if after := f.ledger.right(); after.Charged != before || after.Reserved != 0 {
+				t.Errorf("%d tokens were charged before the repeat, now %+v", before, after)
+			}
+		})
+	}
+}
+
 // endpoint answers by its fault and counts the requests that it ran.
 type endpoint struct {
 	fault       func(w http.ResponseWriter, r *http.Request)
--- a/pkg/entry/settle.go
+++ b/pkg/entry/settle.go
@@ -26,11 +26,12 @@
 type verdict int
 
 const (
-	pending   verdict = iota
-	confirmed         // recorded
-	stale             // another attempt had replaced this one
-	norecord          // the owner has no record of the request
-	abandoned         // refused for good, or the instance stopped
+	pending    verdict = iota
+	confirmed          // recorded
+	stale              // another attempt had replaced this one
+	mayHaveRun         // recorded, but another attempt may have run
+	norecord           // the owner has no record of the request
+	abandoned          // refused for good, or the instance stopped
 )
 
 // settlement is a report that is repeated until its owner answers.
@@ -123,6 +124,8 @@
 	switch {
 	case err == nil && reply.Stale:
 		return stale
+	case err == nil && reply.MayHaveRun:
+		return mayHaveRun
 	case err == nil:
 		return confirmed
 	case failure.Is(err, failure.NotFound):
--- a/pkg/ledger/messages.go
+++ b/pkg/ledger/messages.go
@@ -131,6 +131,9 @@
 	Charged Tokens `cbor:"1,keyasint"`
 	// Stale is true when another attempt had replaced this one.
 	Stale bool `cbor:"2,keyasint,omitempty"`
+	// MayHaveRun is true when the attempt is settled as not run, but the request
+	// may have run in another attempt.
+	MayHaveRun bool `cbor:"3,keyasint,omitempty"`
 }
 
 // RecordState is the state of a request record.
--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -123,7 +123,7 @@
 // reserved or been charged is replaced, so the request is billed once.
 func (s *State) planAttempt(prev *Record, req ReserveRequest, mint int64, now time.Time) (ReserveReply, *Mutation) {
 	if req.Refuse {
-		return ReserveReply{Decision: Refused}, s.refused(prev, req, mint, now)
+		return s.planRefusal(prev, req, mint, now)
 	}
 	available := s.Right(req.Budget).Available()
 	next := Record{
@@ -135,6 +135,9 @@
 	if prev != nil {
 		available += prev.Reserved + prev.Charged
 		next.Attempt = prev.Attempt + 1
+		if prev.State != StateNotRun {
+			next.RanBefore, next.ChargedBefore = true, prev.Reserved+prev.Charged
+		}
 	}
 	if req.Amount > available {
 		return ReserveReply{Decision: Exhausted,
@@ -143,9 +146,9 @@
 	return ReserveReply{Decision: Admitted, Attempt: next.Attempt}, &Mutation{Op: OpRecord, Record: &next}
 }
 
-// refused returns the mutation that records a request as not run, or nil when
-// an earlier attempt left a record that says more.
-func (s *State) refused(prev *Record, req ReserveRequest, mint int64, now time.Time) *Mutation {
+// planRefusal records a request as not run, unless an earlier attempt may have
+// run: "not run" is about the request, not about one attempt.
+func (s *State) planRefusal(prev *Record, req ReserveRequest, mint int64, now time.Time) (ReserveReply, *Mutation) {
 	next := Record{
 		ID: req.ID, Budget: req.Budget, Service: req.Service, Fingerprint: req.Fingerprint,
 		Repeatable: req.Repeatable, KeepAnswer: req.KeepAnswer, State: StateNotRun, Attempt: 1,
@@ -154,11 +157,11 @@
 	}
 	if prev != nil {
 		if prev.State != StateNotRun {
-			return nil
+			return ReserveReply{Decision: OutcomeUnknown, Reason: "an earlier attempt may have run"}, nil
 		}
 		next.Attempt = prev.Attempt + 1
 	}
-	return &Mutation{Op: OpRecord, Record: &next}
+	return ReserveReply{Decision: Refused}, &Mutation{Op: OpRecord, Record: &next}
 }
 
 // PlanSettle ends an attempt. A report of an attempt that has been replaced
@@ -172,14 +175,15 @@
 	if !rec.namedBy(req) {
 		return SettleReply{Charged: rec.Charged, Stale: true}, nil, nil
 	}
-	if rec.State != StateRunning && rec.State != StateUnknown {
-		return SettleReply{Charged: rec.Charged}, nil, nil
+	var m *Mutation
+	var err error
+	if rec.State == StateRunning || rec.State == StateUnknown {
+		m, err = s.planEnd(rec, req, now)
 	}
-	m, err := s.planEnd(rec, req, now)
-	if err != nil || m == nil {
-		return SettleReply{Charged: rec.Charged}, nil, err
+	if m != nil {
+		rec = m.Record
 	}
-	return SettleReply{Charged: m.Record.Charged}, m, nil
+	return SettleReply{Charged: rec.Charged, MayHaveRun: req.End == EndNotRun && rec.State != StateNotRun}, m, err
 }
 
 func (r *Record) namedBy(req SettleRequest) bool {
@@ -197,6 +201,9 @@
 	case EndPartial:
 		return s.settled(rec, StatePartial, clamp(req.Charge, held), nil, now), nil
 	case EndNotRun:
+		if rec.RanBefore {
+			return s.settled(rec, StatePartial, clamp(rec.ChargedBefore, held), nil, now), nil
+		}
 		return s.settled(rec, StateNotRun, 0, nil, now), nil
 	case EndUnknown:
 		if rec.State == StateUnknown {
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -79,6 +79,10 @@
 	// Epoch in which the state last changed; At of another epoch is on another
 	// owner's clock.
 	Epoch uint64 `cbor:"17,keyasint"`
+	// RanBefore is true when an attempt before this one may have run, and
+	// ChargedBefore is the charge that stands if this one does not run.
+	RanBefore     bool   `cbor:"18,keyasint,omitempty"`
+	ChargedBefore Tokens `cbor:"19,keyasint,omitempty"`
 }
 
 type endedRecord struct {
