--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -35,6 +35,9 @@
 	OnDraining func(endpointID string)
 	// MaxResponse bounds the body of an app's answer in bytes; 0 means 16 MiB.
 	MaxResponse int64
+	// Dial opens the connections to endpoints; nil means TCP with a timeout of
+	// 2 s.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
 // Client sends attempts to endpoints. It is safe for concurrent use.
@@ -57,15 +60,18 @@
 	if opts.MaxResponse <= 0 {
 		opts.MaxResponse = defaultMaxResponse
 	}
-	pooled := transport()
-	fresh := transport()
+	if opts.Dial == nil {
+		opts.Dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	pooled := transport(opts)
+	fresh := transport(opts)
 	fresh.DisableKeepAlives = true
 	return &Client{opts: opts, pooled: pooled, fresh: fresh, incarnations: map[string]string{}}
 }
 
-func transport() *http.Transport {
+func transport(opts Options) *http.Transport {
 	return &http.Transport{
-		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:         opts.Dial,
 		MaxIdleConnsPerHost: idlePerEndpoint,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true, // bodies pass through unchanged
