Stop shards from changing owners without need

Cause 1: while an owner hands a shard over, the map still names it. Its balance counted that shard as its own and handed over another one, so that the receiver had the larger share and handed them back, about once a second and for good. Bill lines waited meanwhile, which made tests of pkg/shard fail now and then. Cause 2: of two instances that hear the store but not each other, each takes the other for dead, and they took the shard from each other as fast as the store answered. The watch of the map was also repeated with the old version until the control goroutine had adopted the new one.

Change: a shard that this instance hands over counts for its backup. An instance from which a shard was taken leaves it alone for 3 s. The watch goes on after the version that it returned last.

--- a/pkg/shard/mapsync.go
+++ b/pkg/shard/mapsync.go
@@ -17,14 +17,18 @@
 
 // watchMap follows the shard map in the store.
 func (m *Manager) watchMap(ctx context.Context) {
-	for ctx.Err() == nil {
+	for posted := uint64(0); ctx.Err() == nil; {
 		_, known := m.MapView()
+		known = max(known, posted) // the control goroutine may still have to adopt it
 		wait, cancel := context.WithTimeout(ctx, mapWatchWait)
 		rec, err := m.readMap(wait, known)
 		cancel()
 		if err == nil {
 			err = m.learn(rec)
 		}
+		if err == nil {
+			posted = max(posted, rec.Version)
+		}
 		if err != nil || rec.Version <= known {
 			sleep(ctx, storeRetry)
 		}
@@ -136,10 +140,15 @@
 	if version <= m.version {
 		return
 	}
+	previous := m.current
 	m.current, m.version = next, version
 	m.view.Store(&mapView{version, next})
 	for shard, e := range next.Shards {
-		m.replica(shard).reconcile(e)
+		r := m.replica(shard)
+		if previous != nil && same(previous.Shards[shard].Owner, m.opts.Self) && !same(e.Owner, m.opts.Self) {
+			r.evicted = time.Now()
+		}
+		r.reconcile(e)
 	}
 	m.assign()
 }
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -13,6 +13,12 @@
 // an owner that it has not heard of: longer than the heartbeat silence limit.
 const startupGrace = 5 * time.Second
 
+// claimPause is how long an instance leaves a shard to the one that took it away.
+// Two instances that hear the store but not each other would otherwise take the
+// shard from each other as fast as the store answers. The death of the other one
+// is not noticed sooner than after this silence limit.
+const claimPause = 3 * time.Second
+
 // assign decides on all shards of the domain and writes the changes that are
 // this instance's to make in one swap.
 func (m *Manager) assign() {
@@ -46,8 +52,8 @@
 			continue
 		}
 		l := load{id: id}
-		for _, e := range m.current.Shards {
-			if same(e.Owner, id) {
+		for shard, e := range m.current.Shards {
+			if same(m.ownerOf(shard, e), id) {
 				l.owned++
 			}
 			if same(e.Backup, id) {
@@ -60,6 +66,18 @@
 	return out
 }
 
+// ownerOf returns the owner of a shard. While this instance hands a shard over
+// within its epoch, the map does not show the new owner yet; counting it as the
+// own one would hand over more shards than the balance needs, and the other
+// instance would then hand them back.
+func (m *Manager) ownerOf(shard int, e Entry) peer.Identity {
+	r := m.replicas[shard]
+	if r != nil && same(e.Owner, m.opts.Self) && r.epoch == e.Epoch && (r.role == roleHandingOver || r.role == roleNone) {
+		return e.Backup
+	}
+	return e.Owner
+}
+
 func find(loads []load, id peer.Identity) *load {
 	for i := range loads {
 		if same(loads[i].id, id) {
@@ -142,7 +160,7 @@
 
 func (m *Manager) claim(r *replica, e *Entry, loads []load) bool {
 	fresh := !assigned(e.Owner)
-	if !fresh && time.Since(m.base) < startupGrace {
+	if !fresh && (time.Since(m.base) < startupGrace || time.Since(r.evicted) < claimPause) {
 		return false
 	}
 	pending := e.Pending
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -52,6 +52,8 @@
 	claimed uint64
 	fencing bool
 	fenced  *fenceResult
+	// evicted is when the map showed another owner instead of this instance.
+	evicted time.Time
 }
 
 // waiter runs when the state up to index is held by all links, or with an error
--- a/pkg/shard/shard_test.go
+++ b/pkg/shard/shard_test.go
@@ -88,6 +88,22 @@
 	})
 }
 
+// Guards against shards that are handed back and forth for the sake of balance.
+func TestBalanceSettles(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 10_000)
+		owner := w.ownerOf(testDomainA)
+		n := w.other(testDomainA, owner)
+		owner.kill()
+		w.settle(30 * time.Second)
+		_, before := n.manager.MapView()
+		w.settle(30 * time.Second)
+		if m, after := n.manager.MapView(); after != before {
+			t.Errorf("the map went from version %d to %d without a fault: %+v", before, after, m.Shards)
+		}
+	})
+}
+
 // Guards against an owner that was paused past its replacement and spends on.
 func TestPausedOwnerIsFenced(t *testing.T) {
 	runWorld(t, func(w *world) {
--- a/test/integration/matrix_test.go
+++ b/test/integration/matrix_test.go
@@ -13,6 +13,7 @@
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 const (
@@ -46,6 +47,23 @@
 	}
 }
 
+// TestSilentPairSparesStore guards against two instances that hear the store but
+// not each other and take the shard from each other as fast as the store answers.
+func TestSilentPairSparesStore(t *testing.T) {
+	runWorld(t, func(w *world) {
+		w.boot()
+		r := w.roles()
+		before := w.shardMap(domainA).Shards[0].Epoch
+		w.store.ResetCalls()
+		w.net.Silence(r.entry.id.Address, r.owner.id.Address)
+		time.Sleep(time.Minute)
+		calls, epochs := w.store.AllCalls(), w.shardMap(domainA).Shards[0].Epoch-before
+		if epochs > 60 || calls[platform.CallSwap] > 120 || calls[platform.CallWatch] > 240 {
+			t.Errorf("%d epochs and the store calls %v in a minute", epochs, calls)
+		}
+	})
+}
+
 func runCell(t *testing.T, f fault, step string) {
 	runWorld(t, func(w *world) {
 		w.boot()
