--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -162,6 +162,9 @@
 		available += prev.Reserved + prev.Charged
 		next.Attempt = prev.Attempt + 1
 		next.NotRunAt, next.NotRunEpoch = prev.notRun()
+		if prev.State != StateNotRun {
+			next.RanBefore, next.ChargedBefore = true, prev.Reserved+prev.Charged
+		}
 	}
 	if req.Amount > available {
 		return ReserveReply{Decision: Exhausted,
@@ -203,14 +206,16 @@
 	if !rec.namedBy(req) {
 		return SettleReply{Charged: rec.Charged, Stale: true}, nil, nil
 	}
-	if rec.State != StateRunning && rec.State != StateUnknown {
-		return SettleReply{Charged: rec.Charged}, nil, nil
+	var m *Mutation
+	var err error
+	if rec.State == StateRunning || rec.State == StateUnknown {
+		m, err = s.planEnd(rec, req, now)
 	}
-	m, err := s.planEnd(rec, req, now)
-	if err != nil || m == nil {
-		return SettleReply{Charged: rec.Charged}, nil, err
+	state, charged := rec.State, rec.Charged
+	if m != nil {
+		state, charged = m.End.State, m.End.Charged
 	}
-	return SettleReply{Charged: m.End.Charged}, m, nil
+	return SettleReply{Charged: charged, MayHaveRun: req.End == EndNotRun && state != StateNotRun}, m, err
 }
 
 func (r *Record) namedBy(req SettleRequest) bool {
@@ -228,6 +233,9 @@
 	case EndPartial:
 		return s.settled(rec, StatePartial, clamp(req.Charge, held), nil, now), nil
 	case EndNotRun:
+		if rec.RanBefore {
+			return s.settled(rec, StatePartial, clamp(rec.ChargedBefore, held), nil, now), nil
+		}
 		return s.settled(rec, StateNotRun, 0, nil, now), nil
 	case EndUnknown:
 		if rec.State == StateUnknown {
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -84,6 +84,10 @@
 	// when there was none. Every later attempt and every repeated call is told.
 	NotRunAt    int64  `cbor:"18,keyasint,omitempty"`
 	NotRunEpoch uint64 `cbor:"19,keyasint,omitempty"`
+	// RanBefore is true when an attempt before this one may have run, and
+	// ChargedBefore is the charge that stands if this one does not run.
+	RanBefore     bool   `cbor:"20,keyasint,omitempty"`
+	ChargedBefore Tokens `cbor:"21,keyasint,omitempty"`
 }
 
 type endedRecord struct {
--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -13,6 +13,12 @@
 // an owner that it has not heard of: longer than the heartbeat silence limit.
 const startupGrace = 5 * time.Second
 
+// claimPause is how long an instance leaves a shard to the one that took it away.
+// Two instances that hear the store but not each other would otherwise take the
+// shard from each other as fast as the store answers. The death of the other one
+// is not noticed sooner than after this silence limit.
+const claimPause = 3 * time.Second
+
 // assign decides on all shards of the domain and writes the changes that are
 // this instance's to make in one swap.
 func (m *Manager) assign() {
@@ -163,7 +169,7 @@
 
 func (m *Manager) claim(r *replica, e *Entry, loads []load) bool {
 	fresh := !assigned(e.Owner)
-	if !fresh && time.Since(m.base) < startupGrace {
+	if !fresh && (time.Since(m.base) < startupGrace || time.Since(r.evicted) < claimPause) {
 		return false
 	}
 	pending := e.Pending
