Add the operators' manual and pages on design choices

Settings, declarations, commands and alerts were documented in the code only.

docs/operators.md lists them with runbooks for each fault of section 1.5 of the design page: what is seen, what the system does, what to do. Tests compare the page with the code: settings with their defaults, declarations, commands and exit codes of the tool, and the names of all metrics.

docs/decisions/ has a page on each choice weighed in section 2 and on the budget index.

--- a/cmd/clementinectl/cli_test.go
+++ b/cmd/clementinectl/cli_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -15,6 +16,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/alecthomas/kong"
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/burn"
@@ -106,6 +108,30 @@
 	return w.Result(), nil
 }
 
+// Guards against a manual that lacks a command or an exit code of the tool.
+func TestManual(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var flags cli
+	parser, err := kong.New(&flags)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, leaf := range parser.Model.Leaves(false) {
+		name := strings.TrimPrefix(leaf.Path(), parser.Model.Name+" ")
+		if !strings.Contains(string(page), "`"+name) {
+			t.Errorf("command %q is missing", name)
+		}
+	}
+	for code := exitDone; code <= exitUnreachable; code++ {
+		if !strings.Contains(string(page), fmt.Sprintf("\n| %d | ", code)) {
+			t.Errorf("exit code %d is missing", code)
+		}
+	}
+}
+
 // Guards against exit codes and texts that scripts and operators rely on.
 func TestRun(t *testing.T) {
 	dir := t.TempDir()
--- a/pkg/daemon/rig_test.go
+++ b/pkg/daemon/rig_test.go
@@ -106,6 +106,7 @@
 		if err != nil {
 			r.t.Fatal(err)
 		}
+		r.t.Cleanup(func() { _ = l.Close() }) // closed before when the instance ran
 		addresses[i] = l.Addr().String()
 		listeners[l.Addr().String()] = l
 	}
--- a/pkg/daemon/wiring_test.go
+++ b/pkg/daemon/wiring_test.go
@@ -1,10 +1,15 @@
 package daemon
 
 import (
+	"fmt"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/clementinerack/clementinerack/pkg/routing"
 	"github.com/clementinerack/clementinerack/standins/engine"
 )
@@ -41,6 +46,33 @@
 	}
 }
 
+// Guards against runbooks and alerts that name metrics which do not exist.
+func TestManualNamesRealMetrics(t *testing.T) {
+	page, err := os.ReadFile("../../docs/operators.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	i := newRig(t).prepare("entry-1", nil)
+	descriptions := make(chan *prometheus.Desc)
+	go func() {
+		i.registry.Describe(descriptions)
+		close(descriptions)
+	}()
+	var known strings.Builder
+	for d := range descriptions {
+		known.WriteString(d.String())
+	}
+	names := regexp.MustCompile(`clementinerack_[a-z_]+`).FindAllString(string(page), -1)
+	for _, name := range names {
+		if !strings.Contains(known.String(), fmt.Sprintf("fqName: %q", name)) {
+			t.Errorf("%s is no metric of the daemon", name)
+		}
+	}
+	if len(names) < 20 {
+		t.Errorf("the page names only %d metrics", len(names))
+	}
+}
+
 // Guards against a timeout of the HTTP server that cuts a stream.
 func TestStreamOutlivesWriteTimeout(t *testing.T) {
 	r := newRig(t, engine.Options{ID: "llm-0", Model: "notas", Slots: 1, TokenInterval: 10 * time.Millisecond})
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -100,12 +100,18 @@
 	return s, faults.Err(path)
 }
 
-// Keys returns all keys of the file by section.
-func Keys() map[string][]string {
-	fields := (&Settings{}).fields()
-	out := map[string][]string{}
-	for _, section := range sectionsOf(fields) {
-		out[section] = keysOf(fields, section)
+// Key describes one key of the file. A key without a default is required unless
+// it is optional.
+type Key struct {
+	Section, Name, Default string
+	Optional               bool
+}
+
+// Reference returns all keys in the order of the manual.
+func Reference() []Key {
+	var out []Key
+	for _, f := range (&Settings{}).fields() {
+		out = append(out, Key{f.section, f.key, f.fallback, f.optional})
 	}
 	return out
 }
