Ask the store again for requests that arrive during a call for rights

A request that came while its shard asked the store for rights on the same budget, or returned some, was woken with the result of a call that had not asked for it, and was refused as exhausted although the budget had room. The same happened when another request took the rights that a call had brought.

--- a/pkg/shard/asks_test.go
+++ b/pkg/shard/asks_test.go
@@ -59,3 +59,29 @@
 		t.Error("a workspace that did not ask before is refused")
 	}
 }
+
+// Guards against refusing requests that arrive while the store is being asked,
+// although the budget has room for all of them.
+func TestConcurrentFirstUse(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 10_000)
+		n := w.ownerOf(testDomainA)
+		const requests = 8
+		told := make(chan string)
+		for range requests {
+			req := n.newRequest(1_200, 1_200)
+			go func() {
+				got := n.send(req, 30*time.Second)
+				w.mu.Lock()
+				w.told[req.id] = got
+				w.mu.Unlock()
+				told <- got
+			}()
+		}
+		for range requests {
+			if got := <-told; got != "answered" {
+				t.Errorf("a caller was told %q", got)
+			}
+		}
+	})
+}
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -72,7 +72,9 @@
 	rate       grant.Rate
 	unassigned ledger.Tokens
 	busy       bool
+	// waiting wait for the next call to the store, served for the running one.
 	waiting    []func()
+	served     []func()
 	need       ledger.Tokens
 	emptyUntil time.Time
 	// known is true once the store has shown a record of the budget, and empty
@@ -137,9 +139,9 @@
 }
 
 func (d *demand) wake() {
-	waiting := d.waiting
-	d.waiting = nil
-	for _, fn := range waiting {
+	all := append(d.served, d.waiting...)
+	d.served, d.waiting = nil, nil
+	for _, fn := range all {
 		fn()
 	}
 }
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -54,11 +54,14 @@
 			answer(ledger.ReserveReply{}, err)
 			return
 		}
-		r.reserve(req, false, answer)
+		r.reserve(req, 0, answer)
 	})
 }
 
-func (r *replica) reserve(req ledger.ReserveRequest, asked bool, answer func(ledger.ReserveReply, error)) {
+// reserve decides on a request that has led to the given number of calls to the
+// store. Another request may take the rights that such a call brought, so it asks
+// again unless the budget is empty or the store cannot be asked.
+func (r *replica) reserve(req ledger.ReserveRequest, asks int, answer func(ledger.ReserveReply, error)) {
 	if r.role != roleOwner {
 		answer(ledger.ReserveReply{}, r.errNotOwner())
 		return
@@ -69,19 +72,21 @@
 		answer(reply, err)
 		return
 	}
-	if reply.Decision == ledger.Exhausted && !asked {
-		if r.askFor(req.Budget, req.Amount, func() { r.reserve(req, true, answer) }) {
+	d := r.demandOf(req.Budget)
+	again := asks < maxAsks && d.fault == nil && !d.empty
+	if reply.Decision == ledger.Exhausted && (asks == 0 || again) {
+		if r.askFor(req.Budget, req.Amount, func() { r.reserve(req, asks+1, answer) }) {
 			return
 		}
 		reply.Kind, reply.Reason = failure.Limited, reasonNotAsked
 	} else if reply.Decision == ledger.Exhausted {
-		reply = r.demandOf(req.Budget).notMet(reply)
+		reply = d.notMet(reply)
 	}
 	if reply.Decision == ledger.Exhausted {
 		reply, mutation = r.refuseExhausted(req, reply)
 	}
 	if reply.Decision == ledger.Admitted && mutation != nil {
-		r.demandOf(req.Budget).rate.Add(req.Amount, now)
+		d.rate.Add(req.Amount, now)
 	}
 	r.m.metrics.decisions.WithLabelValues(decisionName(reply.Decision)).Inc()
 	r.commit(mutation)
