--- a/pkg/shard/ownership.go
+++ b/pkg/shard/ownership.go
@@ -49,6 +49,22 @@
 	owned, backups int
 }
 
+// ownerOf returns who serves a shard as far as this instance knows. After a
+// handover within the epoch that is not the owner of the map; counting by the map
+// would hand over a second shard before the first one shows, and the receiver
+// would hand both back.
+func (m *Manager) ownerOf(shard int, e Entry) peer.Identity {
+	r, self := m.replicas[shard], m.opts.Self
+	switch {
+	case r == nil:
+	case r.role == roleOwner:
+		return self
+	case same(e.Owner, self) && (r.role == roleHandingOver || r.role == roleNone && r.epoch == e.Epoch):
+		return e.Backup
+	}
+	return e.Owner
+}
+
 // loads returns the load of the live instances that are not stopping.
 func (m *Manager) loads() []load {
 	var out []load
@@ -58,7 +74,7 @@
 		}
 		l := load{id: id}
 		for shard, e := range m.current.Shards {
-			if same(m.nextOwner(shard, e), id) {
+			if same(m.ownerOf(shard, e), id) {
 				l.owned++
 			}
 			if same(e.Backup, id) {
@@ -71,18 +87,6 @@
 	return out
 }
 
-// nextOwner returns the owner of a shard, or the backup to which this instance
-// hands it over. Counting a shard in handover at its old owner made the owner hand
-// over more of them before the map showed the first, and the new owner give them
-// back, without end.
-func (m *Manager) nextOwner(shard int, e Entry) peer.Identity {
-	if r := m.replicas[shard]; r != nil && r.epoch == e.Epoch && same(e.Owner, m.opts.Self) && e.Pending == nil &&
-		(r.role == roleHandingOver || r.role == roleNone) {
-		return e.Backup
-	}
-	return e.Owner
-}
-
 func find(loads []load, id peer.Identity) *load {
 	for i := range loads {
 		if same(loads[i].id, id) {
