--- a/pkg/ledger/mutation.go
+++ b/pkg/ledger/mutation.go
@@ -23,6 +23,8 @@
 	OpConfirmed
 	// OpEpoch starts an epoch.
 	OpEpoch
+	// OpBarrier changes nothing.
+	OpBarrier
 )
 
 // Mutation is one change of a shard. Applying the same mutations in the same
--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -336,3 +336,7 @@
 func (s *State) PlanEpoch(epoch, lostThrough uint64, now time.Time) *Mutation {
 	return &Mutation{Op: OpEpoch, Epoch: epoch, LostThrough: lostThrough, At: now.UnixMilli()}
 }
+
+// PlanBarrier returns a mutation that changes nothing. A backup acknowledges it
+// only while it follows this owner, so a state that was read before is current.
+func (s *State) PlanBarrier() *Mutation { return &Mutation{Op: OpBarrier} }
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -24,7 +24,10 @@
 	}
 	select {
 	case r := <-ch:
-		return r.value, r.err
+		if r.err != nil {
+			return zero, r.err // a refused decision must not leak into the reply of the next owner
+		}
+		return r.value, nil
 	case <-ctx.Done():
 		return zero, failure.New(failure.Uncertain, "repeat the call with the same request id", "the owner of the shard did not answer in time")
 	case <-m.done:
@@ -42,7 +45,10 @@
 }
 
 // Reserve admits a request at the shard that its id names. It fails with
-// failure.NotOwner when this instance does not serve the shard.
+// failure.NotOwner when this instance does not serve the shard. The backup
+// confirms each reply that lets a request run or says that it did not run. Running
+// and OutcomeUnknown may come from an owner that was replaced: the dispatcher
+// knows the truth about the first, and the second is safe at any time.
 func (m *Manager) Reserve(ctx context.Context, req ledger.ReserveRequest) (ledger.ReserveReply, error) {
 	id, err := ledger.ParseRequestID(req.ID)
 	if err != nil {
@@ -80,6 +86,9 @@
 		r.demandOf(req.Budget).rate.Add(req.Amount, now)
 	}
 	r.m.metrics.decisions.WithLabelValues(decisionName(reply.Decision)).Inc()
+	if mutation == nil && (reply.Decision == ledger.Admitted || reply.Decision == ledger.Refused) {
+		mutation = r.state.PlanBarrier()
+	}
 	r.commit(mutation)
 	r.whenHeld(func(err error) { answer(reply, err) })
 }
@@ -116,12 +125,16 @@
 			answer(reply, err)
 			return
 		}
+		if mutation == nil {
+			mutation = r.state.PlanBarrier()
+		}
 		r.commit(mutation)
 		r.whenHeld(func(err error) { answer(reply, err) })
 	})
 }
 
-// Lookup returns the public view of a request.
+// Lookup returns the public view of a request. The backup confirms it, because an
+// owner that is cut off may have been replaced, and what it knows may be out of date.
 func (m *Manager) Lookup(ctx context.Context, id string) (ledger.RequestStatus, error) {
 	parsed, err := ledger.ParseRequestID(id)
 	if err != nil {
@@ -134,11 +147,13 @@
 			return
 		}
 		status, ok := r.state.Lookup(id)
-		if !ok {
-			answer(status, failure.New(failure.NotFound, "check the id; records are kept for the retention window only", "shard %s has no record of request %s", r.id(), id))
-			return
-		}
-		r.whenHeld(func(err error) { answer(status, err) })
+		r.commit(r.state.PlanBarrier())
+		r.whenHeld(func(err error) {
+			if err == nil && !ok {
+				err = failure.New(failure.NotFound, "check the id; records are kept for the retention window only", "shard %s has no record of request %s", r.id(), id)
+			}
+			answer(status, err)
+		})
 	})
 }
 
