Ask for late requests too, and bound the replies that wait for the backup

A request that came while a call for rights was under way was woken with the requests of that call, although its need had not been asked for, and was refused as exhausted while the budget had room. Requests that come later now wait for a call of their own.

While the backup was silent and the store down, each call added a waiter and a mutation to the owner's memory. Above 1,024 waiting replies a call is now refused as unavailable and changes nothing.

--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -72,7 +72,10 @@
 	rate       grant.Rate
 	unassigned ledger.Tokens
 	busy       bool
+	// waiting are the requests whose need is not yet part of a call to the store,
+	// asked those that wait for the call under way.
 	waiting    []func()
+	asked      []func()
 	need       ledger.Tokens
 	emptyUntil time.Time
 	// askedAt is the time of the last call to the store for this budget.
@@ -128,17 +131,34 @@
 	}
 	for _, d := range r.demand {
 		d.wake()
+		d.asked, d.waiting = d.waiting, nil
+		d.wake()
 	}
 }
 
+// wake runs the requests that wait for the call under way.
 func (d *demand) wake() {
-	waiting := d.waiting
-	d.waiting = nil
-	for _, fn := range waiting {
+	asked := d.asked
+	d.asked = nil
+	for _, fn := range asked {
 		fn()
 	}
 }
 
+// maxBacklog bounds the replies that wait for the backup. Without it they, and the
+// mutations behind them, grow with each call while the backup is silent and the
+// store is down. A healthy shard has a few dozen.
+const maxBacklog = 1024
+
+// errBacklog returns an error while too many replies wait for the backup. The
+// caller changes nothing then.
+func (r *replica) errBacklog() error {
+	if len(r.waiters) < maxBacklog {
+		return nil
+	}
+	return failure.New(failure.Unavailable, "retry later", "the backup of shard %s has not answered %d calls", r.id(), len(r.waiters))
+}
+
 // commit applies a mutation and queues it for the links.
 func (r *replica) commit(mutation *ledger.Mutation) {
 	if mutation == nil {
--- /dev/null
+++ b/pkg/shard/replica_test.go
@@ -0,0 +1,288 @@
+package shard
+
+import (
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+const (
+	replicaEpoch   = 5
+	replicaSession = 3
+)
+
+// newReplica returns a backup of shard 0 in replicaEpoch and replicaSession that
+// runs no goroutine, and a mutation that it has not applied.
+func newReplica(t *testing.T) (*Manager, *ledger.Mutation) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m := NewManager(Options{Self: peer.Identity{Instance: "a1", Incarnation: "a1-1", Domain: testDomainA, Address: "a1:7000"}, Log: log, Timing: DefaultTiming()})
+	owner := ledger.NewState(ledger.ShardID{Domain: testDomainA}, replicaEpoch, ledger.Retention{})
+	owner.Commit(owner.PlanEpoch(replicaEpoch, 0, time.UnixMilli(0)))
+	if _, err := m.onInstall(install(t, owner, replicaEpoch, replicaSession)); err != nil {
+		t.Fatal(err)
+	}
+	next := owner.PlanBarrier()
+	owner.Commit(next)
+	return m, next
+}
+
+func install(t *testing.T, s *ledger.State, epoch, session uint64) installRequest {
+	data, err := s.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return installRequest{Epoch: epoch, Session: session, Snapshot: data}
+}
+
+// Guards against a replica that obeys a message which is late, repeated, or meant
+// for another epoch, session or incarnation.
+func TestReplicaRefusesMessages(t *testing.T) {
+	fence := func(m *Manager, epoch uint64) { _, _ = m.onFence(fenceRequest{Epoch: epoch, Target: "a1-1"}) }
+	serve := func(m *Manager, _ uint64) {
+		_, _ = m.onHandover(handoverRequest{Epoch: replicaEpoch, Session: replicaSession, Index: 1})
+	}
+	nothing := func(*Manager, uint64) {}
+	replicate := func(epoch, session uint64) func(*testing.T, *Manager, *ledger.Mutation) error {
+		return func(_ *testing.T, m *Manager, next *ledger.Mutation) error {
+			_, err := m.onReplicate(replicateRequest{Epoch: epoch, Session: session, Mutations: []*ledger.Mutation{next}})
+			return err
+		}
+	}
+	installs := func(epoch, session uint64) func(*testing.T, *Manager, *ledger.Mutation) error {
+		return func(t *testing.T, m *Manager, _ *ledger.Mutation) error {
+			_, err := m.onInstall(install(t, ledger.NewState(ledger.ShardID{Domain: testDomainA}, epoch, ledger.Retention{}), epoch, session))
+			return err
+		}
+	}
+	handover := func(epoch, session, index uint64) func(*testing.T, *Manager, *ledger.Mutation) error {
+		return func(_ *testing.T, m *Manager, _ *ledger.Mutation) error {
+			_, err := m.onHandover(handoverRequest{Epoch: epoch, Session: session, Index: index})
+			return err
+		}
+	}
+	for _, tt := range []struct {
+		desc  string
+		first func(*Manager, uint64)
+		send  func(*testing.T, *Manager, *ledger.Mutation) error
+		kind  failure.Kind
+		role  role
+	}{
+		{"next mutation", nothing, replicate(replicaEpoch, replicaSession), "", roleBackup},
+		{"mutation after the fence", fence, replicate(replicaEpoch, replicaSession), failure.Fenced, roleFenced},
+		{"mutation after the handover", serve, replicate(replicaEpoch, replicaSession), failure.Fenced, roleOwner},
+		{"mutation of an earlier epoch", nothing, replicate(replicaEpoch-1, replicaSession), failure.Fenced, roleBackup},
+		{"mutation of an earlier session", nothing, replicate(replicaEpoch, replicaSession-1), failure.Fenced, roleBackup},
+		{"later snapshot", nothing, installs(replicaEpoch, replicaSession+1), "", roleBackup},
+		{"same snapshot again", nothing, installs(replicaEpoch, replicaSession), failure.Fenced, roleBackup},
+		{"snapshot of an earlier epoch", nothing, installs(replicaEpoch-1, replicaSession+1), failure.Fenced, roleBackup},
+		{"snapshot while it serves", serve, installs(replicaEpoch+1, 1), failure.Fenced, roleOwner},
+		{"handover", nothing, handover(replicaEpoch, replicaSession, 1), "", roleOwner},
+		{"handover again", serve, handover(replicaEpoch, replicaSession, 1), "", roleOwner},
+		{"handover before the last mutation", nothing, handover(replicaEpoch, replicaSession, 2), failure.Conflict, roleBackup},
+		{"handover of an earlier session", nothing, handover(replicaEpoch, replicaSession-1, 1), failure.Fenced, roleBackup},
+		{"handover after the fence", fence, handover(replicaEpoch, replicaSession, 1), failure.Fenced, roleFenced},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			m, next := newReplica(t)
+			tt.first(m, replicaEpoch)
+			err := tt.send(t, m, next)
+			if got := failure.KindOf(err); got != tt.kind || m.replicas[0].role != tt.role {
+				t.Errorf("error %v and role %d, want kind %q and role %d", err, m.replicas[0].role, tt.kind, tt.role)
+			}
+		})
+	}
+}
+
+// Guards against a fence that leaves the replica serving, that takes the state of
+// another epoch or incarnation, or that can be asked only once.
+func TestFence(t *testing.T) {
+	serve := func(m *Manager) { m.replicas[0].serve(m.replicas[0].state, replicaEpoch) }
+	handOver := func(m *Manager) { serve(m); m.replicas[0].role = roleHandingOver }
+	for _, tt := range []struct {
+		desc   string
+		first  func(*Manager)
+		target string
+		epoch  uint64
+		state  bool
+		kind   failure.Kind
+		role   role
+	}{
+		{"backup", func(*Manager) {}, "a1-1", replicaEpoch, true, "", roleFenced},
+		{"backup of another epoch", func(*Manager) {}, "a1-1", replicaEpoch + 1, false, "", roleBackup},
+		{"owner", serve, "a1-1", replicaEpoch, true, "", roleFenced},
+		{"owner that has not seen its epoch in the map", serve, "a1-1", replicaEpoch + 1, true, "", roleFenced},
+		{"owner of a later epoch", serve, "a1-1", replicaEpoch - 1, false, "", roleOwner},
+		{"earlier incarnation", func(*Manager) {}, "a1-0", replicaEpoch, false, "", roleBackup},
+		{"owner before it sent a handover", handOver, "a1-1", replicaEpoch, true, "", roleFenced},
+		{"owner after it sent a handover", func(m *Manager) { handOver(m); m.replicas[0].handoverCalled = true },
+			"a1-1", replicaEpoch, false, failure.Unavailable, roleHandingOver},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			m, _ := newReplica(t)
+			tt.first(m)
+			for range 2 {
+				reply, err := m.onFence(fenceRequest{Epoch: tt.epoch, Target: tt.target})
+				if failure.KindOf(err) != tt.kind || reply.HasState != tt.state || m.replicas[0].role != tt.role {
+					t.Errorf("error %v, state %v, role %d; want kind %q, %v, %d", err, reply.HasState, m.replicas[0].role, tt.kind, tt.state, tt.role)
+				}
+			}
+		})
+	}
+}
+
+// Guards against an owner that drops its backup on a late release message.
+func TestReleaseOfEarlierEpoch(t *testing.T) {
+	for _, tt := range []struct {
+		desc  string
+		epoch uint64
+		links int
+	}{{"this epoch", replicaEpoch, 0}, {"earlier epoch", replicaEpoch - 1, 1}} {
+		t.Run(tt.desc, func(t *testing.T) {
+			m, _ := newReplica(t)
+			r := m.replicas[0]
+			r.serve(r.state, replicaEpoch)
+			r.links = []*link{{r: r, to: peer.Identity{Incarnation: "a2-1"}, epoch: replicaEpoch, naming: true}}
+			if _, err := m.onRelease(releaseRequest{Epoch: tt.epoch, Backup: "a2-1"}); err != nil || len(r.links) != tt.links {
+				t.Errorf("%v, %d links, want %d", err, len(r.links), tt.links)
+			}
+		})
+	}
+}
+
+// Guards against a takeover that starts empty although the old owner still has the
+// state.
+func TestTakeoverFetchesState(t *testing.T) {
+	runWorld(t, func(w *world) {
+		boot(w, 10_000)
+		owner, backup := w.ownerOf(testDomainA), w.backupOf(testDomainA)
+		n := w.other(testDomainA, owner, backup)
+		req := n.newRequest(100, 60)
+		n.expect(req, "answered")
+		w.store.CutClient(owner.id.Instance) // or it would drop the backup from the map
+		backup.kill()
+		owner.setLive(false)
+		w.settle(15 * time.Second)
+		n.expect(req, "answered")
+		if stranded := w.budget().Stranded; len(stranded) != 0 {
+			t.Errorf("stranded %+v", stranded)
+		}
+	})
+}
+
+// Guards against a replica that forgets the state of an epoch that a takeover still
+// needs, or that keeps one which nobody needs.
+func TestReconcileKeepsPendingState(t *testing.T) {
+	other := peer.Identity{Incarnation: "a2-1"}
+	pending := &Pending{Epoch: replicaEpoch}
+	for _, tt := range []struct {
+		desc  string
+		start role
+		entry Entry
+		want  role
+	}{
+		{"backup, taken over", roleBackup, Entry{Epoch: replicaEpoch + 1, Owner: other, Pending: pending}, roleBackup},
+		{"backup, next epoch serves", roleBackup, Entry{Epoch: replicaEpoch + 1, Owner: other}, roleNone},
+		{"fenced, taken over twice", roleFenced, Entry{Epoch: replicaEpoch + 2, Owner: other, Pending: pending}, roleFenced},
+		{"fenced, later epoch serves", roleFenced, Entry{Epoch: replicaEpoch + 2, Owner: other}, roleNone},
+		{"owner, taken over", roleOwner, Entry{Epoch: replicaEpoch + 1, Owner: other, Pending: pending}, roleFenced},
+		{"owner, next epoch serves", roleOwner, Entry{Epoch: replicaEpoch + 1, Owner: other}, roleNone},
+		{"owner, older map", roleOwner, Entry{Epoch: replicaEpoch, Owner: other}, roleOwner},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			m, _ := newReplica(t)
+			r := m.replicas[0]
+			r.role = tt.start
+			r.reconcile(tt.entry)
+			if r.role != tt.want || (r.state == nil) != (tt.want == roleNone) {
+				t.Errorf("role %d, want %d", r.role, tt.want)
+			}
+		})
+	}
+}
+
+// Guards against replies that leave before a replica that may be named in the map
+// at any time holds what they report.
+func TestRequiredLinks(t *testing.T) {
+	for _, tt := range []struct {
+		desc     string
+		link     link
+		required bool
+	}{
+		{"snapshot on its way", link{}, false},
+		{"caught up once", link{synced: true}, true},
+		{"being named", link{naming: true}, true},
+		{"named, refused for good", link{naming: true, gone: true}, true},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			m, _ := newReplica(t)
+			r := m.replicas[0]
+			r.serve(r.state, replicaEpoch)
+			l := tt.link
+			l.r, l.epoch = r, replicaEpoch+1
+			r.links = []*link{&l}
+			held := false
+			r.whenHeld(func(error) { held = true })
+			if held == tt.required {
+				t.Errorf("reply sent: %v, want %v", held, !tt.required)
+			}
+		})
+	}
+}
+
+// Guards against the loss of a replica that a swap under way may name as backup:
+// only a later epoch makes sure that it is not the backup.
+func TestAbandonJoin(t *testing.T) {
+	for _, tt := range []struct {
+		desc   string
+		naming bool
+		epoch  uint64
+		links  int
+	}{{"not named", false, replicaEpoch, 0}, {"may be named", true, replicaEpoch + 1, 1}} {
+		t.Run(tt.desc, func(t *testing.T) {
+			m, _ := newReplica(t)
+			r := m.replicas[0]
+			r.serve(r.state, replicaEpoch)
+			l := &link{r: r, to: peer.Identity{Incarnation: "a2-1"}, epoch: replicaEpoch + 1, synced: true, naming: tt.naming}
+			r.links = []*link{l}
+			e := Entry{Epoch: replicaEpoch, Owner: m.opts.Self}
+			if changed := r.abandonJoin(l, &e); changed != tt.naming || e.Epoch != tt.epoch || len(r.links) != tt.links {
+				t.Errorf("changed %v, entry %+v, %d links", changed, e, len(r.links))
+			}
+		})
+	}
+}
+
+// Guards against a handover while something is under way whose result belongs into
+// the state that is handed over, or that may still name another backup.
+func TestHandoverPreconditions(t *testing.T) {
+	for _, tt := range []struct {
+		desc  string
+		spoil func(m *Manager, r *replica)
+		want  bool
+	}{
+		{"nothing under way", func(*Manager, *replica) {}, true},
+		{"swap under way", func(m *Manager, _ *replica) { m.swapping = true }, false},
+		{"swap without a known result", func(m *Manager, _ *replica) { m.unsure = true }, false},
+		{"call for rights", func(_ *Manager, r *replica) { r.demandOf(testBudget).busy = true }, false},
+		{"backup refused", func(_ *Manager, r *replica) { r.links[0].gone = true }, false},
+		{"backup not named yet", func(_ *Manager, r *replica) { r.links[0].epoch++ }, false},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			m, _ := newReplica(t)
+			r, backup := m.replicas[0], peer.Identity{Incarnation: "a2-1"}
+			r.serve(r.state, replicaEpoch)
+			r.links = []*link{{r: r, to: backup, epoch: replicaEpoch, naming: true}}
+			tt.spoil(m, r)
+			if got := r.startHandover(backup); got != tt.want || (r.role == roleHandingOver) != tt.want {
+				t.Errorf("started %v, role %d", got, r.role)
+			}
+		})
+	}
+}
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -64,6 +64,7 @@
 	d.busy, d.askedAt = true, r.m.now()
 	need := d.need
 	d.need = 0
+	d.asked, d.waiting = append(d.asked, d.waiting...), nil
 	j := &grantJob{r: r, epoch: r.epoch, budget: b, need: need}
 	r.m.background(r.m.opts.Timing.GrantWait, func(ctx context.Context) {
 		err := j.run(ctx)
@@ -82,9 +83,15 @@
 		r.m.metrics.grantErrors.WithLabelValues(string(failure.KindOf(err))).Inc()
 	}
 	d.wake()
-	if r.role == roleOwner && d.need > 0 && len(d.waiting) > 0 {
-		r.startJob(b, d)
+	if len(d.waiting) == 0 || d.busy {
+		return
+	}
+	if r.role == roleOwner {
+		r.startJob(b, d) // for requests that came after the call had begun
+		return
 	}
+	d.asked, d.waiting = d.waiting, nil
+	d.wake()
 }
 
 // returnRights gives back part of the rights on a budget. amount is asked on the
--- a/pkg/shard/serve.go
+++ b/pkg/shard/serve.go
@@ -44,6 +44,16 @@
 	return r, nil
 }
 
+// ready returns the replica of a shard that this instance serves, unless too many
+// replies wait for its backup.
+func (m *Manager) ready(id ledger.ShardID) (*replica, error) {
+	r, err := m.owned(id)
+	if err == nil {
+		err = r.errBacklog()
+	}
+	return r, err
+}
+
 // Reserve admits a request at the shard that its id names. It fails with
 // failure.NotOwner when this instance does not serve the shard. The backup
 // confirms each reply that lets a request run or says that it did not run. Running
@@ -69,6 +79,10 @@
 		answer(ledger.ReserveReply{}, r.errNotOwner())
 		return
 	}
+	if err := r.errBacklog(); err != nil {
+		answer(ledger.ReserveReply{}, err)
+		return
+	}
 	now := r.m.now()
 	reply, mutation, err := r.state.PlanReserve(req, now)
 	if err != nil {
@@ -115,7 +129,7 @@
 		return ledger.SettleReply{}, err
 	}
 	return await(ctx, m, func(answer func(ledger.SettleReply, error)) {
-		r, err := m.owned(id.Shard)
+		r, err := m.ready(id.Shard)
 		if err != nil {
 			answer(ledger.SettleReply{}, err)
 			return
@@ -141,7 +155,7 @@
 		return ledger.RequestStatus{}, err
 	}
 	return await(ctx, m, func(answer func(ledger.RequestStatus, error)) {
-		r, err := m.owned(parsed.Shard)
+		r, err := m.ready(parsed.Shard)
 		if err != nil {
 			answer(ledger.RequestStatus{}, err)
 			return
