Test the guards of a shard replica one by one

Removing single guards showed that the fault matrix and the linearizability tests did not notice some of them, or only in some runs.

--- a/pkg/shard/linear_test.go
+++ b/pkg/shard/linear_test.go
@@ -396,3 +396,38 @@
 		})
 	}
 }
+
+// Guards against an owner that was replaced while it was cut off and answers its
+// own clients from its old state.
+func TestIsolatedOwnerAnswersNothingOld(t *testing.T) {
+	for _, tt := range []struct {
+		desc string
+		op   func(req ledger.ReserveRequest) recordOp
+	}{
+		{"lookup", func(req ledger.ReserveRequest) recordOp { return recordOp{id: req.ID} }},
+		{"refused call again", func(req ledger.ReserveRequest) recordOp { return recordOp{reserve: &req} }},
+		{"settled attempt again", func(req ledger.ReserveRequest) recordOp {
+			return recordOp{settle: &ledger.SettleRequest{ID: req.ID, Attempt: 1, End: ledger.EndNotRun}}
+		}},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			runWorld(t, func(w *world) {
+				boot(w, 10_000)
+				owner, backup := w.ownerOf(testDomainA), w.backupOf(testDomainA)
+				req := owner.newRequest(100, 60)
+				refused := ledger.ReserveRequest{ID: req.id, Budget: testBudget, Service: "rounds-app", Fingerprint: []byte(req.id[:2]),
+					Amount: 100, KeepAnswer: true, Dispatcher: owner.id.Incarnation, Call: 1 << 40, Refuse: true}
+				if r, err := owner.perform(w.ctx, recordOp{reserve: &refused}); err != nil || r.decision != ledger.Refused {
+					t.Fatalf("%+v, %v", r, err)
+				}
+				heal := isolate(w, owner, backup)
+				w.settle(15 * time.Second)
+				backup.expect(req, "answered")
+				if r, err := owner.perform(w.ctx, tt.op(refused)); err == nil {
+					t.Errorf("the replaced owner answered %+v", r)
+				}
+				heal()
+			})
+		})
+	}
+}
