--- a/pkg/ledger/mutation.go
+++ b/pkg/ledger/mutation.go
@@ -26,6 +26,8 @@
 	// OpEnd ends the present attempt of a request. It carries only what changes,
 	// which is less than half of the record.
 	OpEnd
+	// OpBarrier changes nothing.
+	OpBarrier
 )
 
 // Mutation is one change of a shard. Applying the same mutations in the same
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -140,6 +140,7 @@
 	}
 }
 
+// wake runs the requests that wait for the call under way.
 func (d *demand) wake() {
 	all := append(d.served, d.waiting...)
 	d.served, d.waiting = nil, nil
@@ -148,6 +149,20 @@
 	}
 }
 
+// maxBacklog bounds the replies that wait for the backup. Without it they, and the
+// mutations behind them, grow with each call while the backup is silent and the
+// store is down. A healthy shard has a few dozen.
+const maxBacklog = 1024
+
+// errBacklog returns an error while too many replies wait for the backup. The
+// caller changes nothing then.
+func (r *replica) errBacklog() error {
+	if len(r.waiters) < maxBacklog {
+		return nil
+	}
+	return failure.New(failure.Unavailable, "retry later", "the backup of shard %s has not answered %d calls", r.id(), len(r.waiters))
+}
+
 // commit applies a mutation and queues it for the links.
 func (r *replica) commit(mutation *ledger.Mutation) {
 	if mutation == nil {
