--- a/pkg/ledger/table_test.go
+++ b/pkg/ledger/table_test.go
@@ -253,3 +253,39 @@
 		t.Errorf("an id issued after the drop got decision %d", d)
 	}
 }
+
+// Guards against a backup that skips a mutation, and against a return of rights
+// that are in use.
+func TestApplyAndReturnLimits(t *testing.T) {
+	s := NewState(machineShard, 1, retention)
+	wantKind(t, s.Apply(&Mutation{Index: 2, Op: OpBarrier}), failure.Conflict)
+	s.Commit(s.PlanGranted(machineBudget, 100, 1))
+	_, m, _ := s.PlanReserve(ReserveRequest{ID: RequestID{Issued, machineShard, 1, 1, "n"}.String(), Budget: machineBudget, Amount: 60}, time.UnixMilli(2))
+	s.Commit(m)
+	s.Commit(s.PlanReturn(machineBudget, 10, 1))
+	if r := s.Right(machineBudget); r.ReturnTo != 60 || r.Available() != 0 {
+		t.Errorf("right %+v after a return to less than what is reserved", r)
+	}
+}
+
+// Guards against dropping a record by an earlier end of the request, when a later
+// attempt has ended since.
+func TestChangedRecordIsKept(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	s := NewState(machineShard, 1, retention)
+	id := RequestID{Issued, machineShard, 1, 1, "n"}.String()
+	for attempt, end := range []End{EndNotRun, EndComplete} {
+		_, m, _ := s.PlanReserve(ReserveRequest{ID: id, Budget: machineBudget, Repeatable: true, Call: uint64(attempt)}, now)
+		s.Commit(m)
+		_, m, _ = s.PlanSettle(SettleRequest{ID: id, Attempt: uint32(attempt + 1), End: end}, now)
+		s.Commit(m)
+		now = now.Add(retention.Repeatable / 2)
+	}
+	now = now.Add(time.Millisecond) // the first end is older than the retention, the second is not
+	for _, m := range s.PlanExpire(now, now, 10) {
+		s.Commit(m)
+	}
+	if _, ok := s.Lookup(id); !ok {
+		t.Error("the answered request was dropped by the time of its first attempt")
+	}
+}
--- a/pkg/shard/replica_test.go
+++ b/pkg/shard/replica_test.go
@@ -8,6 +8,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/grant"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 )
@@ -22,7 +23,8 @@
 func newReplica(t *testing.T) (*Manager, *ledger.Mutation) {
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	m := NewManager(Options{Self: peer.Identity{Instance: "a1", Incarnation: "a1-1", Domain: testDomainA, Address: "a1:7000"}, Log: log, Timing: DefaultTiming()})
+	m := NewManager(Options{Self: peer.Identity{Instance: "a1", Incarnation: "a1-1", Domain: testDomainA, Address: "a1:7000"}, Log: log, Timing: DefaultTiming(),
+		Policy: func() grant.Policy { return grant.Default(1) }})
 	owner := ledger.NewState(ledger.ShardID{Domain: testDomainA}, replicaEpoch, ledger.Retention{})
 	owner.Commit(owner.PlanEpoch(replicaEpoch, 0, time.UnixMilli(0)))
 	if _, err := m.onInstall(install(t, owner, replicaEpoch, replicaSession)); err != nil {
