--- a/pkg/shard/handlers.go
+++ b/pkg/shard/handlers.go
@@ -55,7 +55,12 @@
 	if older || serving || req.Epoch < m.epochOf(req.Shard) {
 		return replicateReply{}, errFenced(r, req.Epoch)
 	}
-	state, err := ledger.Restore(req.Snapshot, m.opts.Retention)
+	complete, err := r.incoming.add(req)
+	if err != nil || !complete {
+		return replicateReply{}, err
+	}
+	state, err := ledger.Restore(r.incoming.data, m.opts.Retention)
+	r.incoming = incoming{}
 	if err != nil {
 		return replicateReply{}, err
 	}
@@ -113,8 +118,7 @@
 	default:
 		return fenceReply{}, nil
 	}
-	snapshot, err := r.state.Snapshot()
-	return fenceReply{HasState: err == nil, Snapshot: snapshot}, err
+	return r.statePart(req.Offset)
 }
 
 // onRelease lets the owner go on alone: its backup has dropped its copy and will
--- a/pkg/shard/link.go
+++ b/pkg/shard/link.go
@@ -54,7 +54,7 @@
 	r.m.sessions++
 	l := &link{r: r, to: to, epoch: r.epoch + 1, session: r.m.sessions}
 	r.links = append(r.links, l)
-	l.install(installRequest{Shard: r.shard, Epoch: l.epoch, Session: l.session, Snapshot: snapshot}, r.state.Index())
+	l.install(snapshot, 0, r.state.Index())
 }
 
 // required reports whether waiters need the acknowledgement of this link. A
@@ -64,11 +64,18 @@
 // ready reports whether the replica may be named as backup.
 func (l *link) ready() bool { return l.synced && !l.gone }
 
-func (l *link) install(req installRequest, index uint64) {
+// install sends the snapshot from offset on, one part at a time.
+func (l *link) install(snapshot []byte, offset int, index uint64) {
 	l.sending = true
+	part := partOf(snapshot, offset, l.r.m.opts.TransferPart)
+	req := installRequest{Shard: l.r.shard, Epoch: l.epoch, Session: l.session, Part: part, Offset: offset, Total: len(snapshot)}
 	l.call(MethodInstall, req, nil, func(err error) {
 		if err != nil {
-			l.failed(err, func() { l.install(req, index) })
+			l.failed(err, func() { l.install(snapshot, offset, index) })
+			return
+		}
+		if next := offset + len(part); next < len(snapshot) && !l.closed {
+			l.install(snapshot, next, index)
 			return
 		}
 		l.installed = true
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -49,6 +49,10 @@
 	AbandonAfter time.Duration
 }
 
+// DefaultTransferPart keeps a part well below the size limit of a message (8 MiB),
+// which the state of a shard with more than 21,500 records exceeds.
+const DefaultTransferPart = 1 << 20
+
 // DefaultTiming returns the intervals for production.
 func DefaultTiming() Timing {
 	return Timing{
@@ -74,7 +78,10 @@
 	Recall    func(ctx context.Context, shard ledger.ShardID, budget ledger.BudgetKey) (ledger.Tokens, error)
 	Retention ledger.Retention
 	Timing    Timing
-	Log       logrus.FieldLogger
+	// TransferPart is the size in bytes of one message of a state transfer; 0
+	// means DefaultTransferPart.
+	TransferPart int
+	Log          logrus.FieldLogger
 	// Registerer takes the metrics; nil leaves them unregistered.
 	Registerer prometheus.Registerer
 }
@@ -117,6 +124,9 @@
 
 // NewManager returns a Manager. Run must be called for it to serve.
 func NewManager(opts Options) *Manager {
+	if opts.TransferPart <= 0 {
+		opts.TransferPart = DefaultTransferPart
+	}
 	return &Manager{
 		opts: opts, metrics: newMetrics(opts.Registerer), base: time.Now(),
 		events: make(chan func(), eventQueue), done: make(chan struct{}),
--- a/pkg/shard/messages.go
+++ b/pkg/shard/messages.go
@@ -19,14 +19,18 @@
 	MethodMapFetch  peer.Method = "shardmap.fetch"
 )
 
-// installRequest gives a replica the whole state of a shard.
+// installRequest gives a replica one part of the whole state of a shard. The
+// replica takes the state over with the last part.
 type installRequest struct {
 	Shard int    `cbor:"1,keyasint"`
 	Epoch uint64 `cbor:"2,keyasint"`
 	// Session grows with each install by the same owner, so that late messages
 	// of an earlier session are refused.
-	Session  uint64 `cbor:"3,keyasint"`
-	Snapshot []byte `cbor:"4,keyasint"`
+	Session uint64 `cbor:"3,keyasint"`
+	// Part begins at Offset of the snapshot, which has Total bytes.
+	Part   []byte `cbor:"4,keyasint"`
+	Offset int    `cbor:"5,keyasint,omitempty"`
+	Total  int    `cbor:"6,keyasint"`
 }
 
 // replicateRequest carries mutations in order.
@@ -49,12 +53,16 @@
 	// Target is the incarnation that the shard map names; another incarnation
 	// at the same address holds no state.
 	Target string `cbor:"3,keyasint"`
+	// Offset is where the wanted part of the state begins.
+	Offset int `cbor:"4,keyasint,omitempty"`
 }
 
-// fenceReply carries the state, if the replica holds it.
+// fenceReply carries one part of the state, if the replica holds it.
 type fenceReply struct {
 	HasState bool   `cbor:"1,keyasint"`
-	Snapshot []byte `cbor:"2,keyasint,omitempty"`
+	Part     []byte `cbor:"2,keyasint,omitempty"`
+	// Total is the size of the whole snapshot in bytes.
+	Total int `cbor:"3,keyasint,omitempty"`
 }
 
 // releaseRequest tells the owner that its backup has dropped its copy for good.
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -36,6 +36,10 @@
 	epoch   uint64
 	session uint64
 	state   *ledger.State
+	// incoming is the part of a snapshot that has arrived so far.
+	incoming incoming
+	// snapshot is the encoded state of a fenced replica.
+	snapshot []byte
 
 	// Owner only.
 	links   []*link
@@ -117,14 +121,14 @@
 // fence stops the replica from serving or acknowledging. The state is kept for
 // the owner of a later epoch.
 func (r *replica) fence() {
-	r.role = roleFenced
+	r.role, r.snapshot = roleFenced, nil
 	r.dropLinks()
 	r.failWaiters(r.errNotOwner())
 }
 
 // drop forgets the state.
 func (r *replica) drop() {
-	r.role, r.state = roleNone, nil
+	r.role, r.state, r.snapshot = roleNone, nil, nil
 	r.dropLinks()
 	r.failWaiters(r.errNotOwner())
 }
--- a/pkg/shard/replica_test.go
+++ b/pkg/shard/replica_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return installRequest{Epoch: epoch, Session: session, Snapshot: data}
+	return installRequest{Epoch: epoch, Session: session, Part: data, Total: len(data)}
 }
 
 // Guards against a replica that obeys a message which is late, repeated, or meant
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -30,7 +30,7 @@
 	}
 	r.fencing = true
 	claimed := r.claimed
-	m.background(m.opts.Timing.FenceWait, func(ctx context.Context) {
+	m.background(transferLimit, func(ctx context.Context) {
 		state := m.collect(ctx, r.shard, pending)
 		m.post(func() { r.fenceDone(claimed, state) })
 	})
@@ -63,7 +63,7 @@
 }
 
 // collect returns the state of an epoch, or nil when it is lost: both replicas
-// answered that they have none, or stayed silent until ctx ended.
+// answered that they have none, or stayed silent for FenceWait.
 func (m *Manager) collect(ctx context.Context, shard int, p Pending) *ledger.State {
 	var targets []peer.Identity
 	for _, id := range []peer.Identity{p.Owner, p.Backup} {
@@ -71,7 +71,8 @@
 			targets = append(targets, id)
 		}
 	}
-	for len(targets) > 0 && ctx.Err() == nil {
+	deadline := time.Now().Add(m.opts.Timing.FenceWait)
+	for len(targets) > 0 && ctx.Err() == nil && time.Now().Before(deadline) {
 		state, rest := m.askReplicas(ctx, shard, p.Epoch, targets)
 		if state != nil {
 			return state
@@ -89,28 +90,23 @@
 func (m *Manager) askReplicas(ctx context.Context, shard int, epoch uint64, targets []peer.Identity) (*ledger.State, []peer.Identity) {
 	type answer struct {
 		from  peer.Identity
-		reply fenceReply
+		state *ledger.State
 		err   error
 	}
-	ctx, cancel := context.WithTimeout(ctx, m.opts.Timing.PeerTimeout)
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	answers := make(chan answer, len(targets))
 	for _, to := range targets {
 		go func() {
-			a := answer{from: to}
-			a.err = m.opts.Peers.Call(ctx, to.Address, MethodFence, fenceRequest{Shard: shard, Epoch: epoch, Target: to.Incarnation}, &a.reply)
-			answers <- a
+			state, err := m.fetchState(ctx, shard, epoch, to)
+			answers <- answer{to, state, err}
 		}()
 	}
 	var silent []peer.Identity
 	for range targets {
 		a := <-answers
-		if a.err == nil && a.reply.HasState {
-			state, err := ledger.Restore(a.reply.Snapshot, m.opts.Retention)
-			if err == nil {
-				return state, nil
-			}
-			a.err = err
+		if a.state != nil {
+			return a.state, nil
 		}
 		if a.err != nil {
 			silent = append(silent, a.from)
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -53,9 +53,11 @@
 }
 
 const (
-	testShards  = 2
-	testDomainA = "ikeja"
-	testDomainB = "yaba"
+	testShards = 2
+	// testTransferPart is small, so that each state travels in several parts.
+	testTransferPart = 200
+	testDomainA      = "ikeja"
+	testDomainB      = "yaba"
 )
 
 var testBudget = ledger.BudgetKey{Workspace: "meals", Budget: "rounds"}
@@ -103,7 +105,7 @@
 		Recall: func(ctx context.Context, s ledger.ShardID, b ledger.BudgetKey) (ledger.Tokens, error) {
 			return n.router.Recall(ctx, s, b)
 		},
-		Timing: timing, Log: log,
+		Timing: timing, Log: log, TransferPart: testTransferPart,
 	})
 	n.router = NewRouter(RouterOptions{Manager: n.manager, Peers: caller, Members: n, Domains: domains, Shards: shards})
 	n.manager.Register(end)
