Let a stopping instance wait until nobody needs it

Cause: process runs now and then lost all bills of a domain whose instances stopped one after another. A backup's release could be cut off by the end of its process; the owner, stopping too, was then fenced by the third instance and ended before its state was fetched, so the epoch was lost. Change: a drain also waits for fenced states and for the answers to releases; an emptied shard starts a new epoch, so that its state is dropped.

--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -13,7 +13,8 @@
 const drainPoll = 100 * time.Millisecond
 
 // Drain moves all shards to other instances: owned ones to their backups, and
-// copies held as a backup are released. It returns when none is left or ctx ends.
+// copies held as a backup are released. It returns when no other instance needs
+// this one any more, or when ctx ends.
 func (m *Manager) Drain(ctx context.Context) error {
 	for {
 		left := 0
@@ -46,14 +47,14 @@
 			} else {
 				r.startHandover(m.current.Shards[shard].Backup)
 			}
-		case roleHandingOver:
-			left++
+		case roleHandingOver, roleFenced:
+			left++ // a fenced state is dropped when the map shows that its next owner serves
 		}
 	}
 	if !alone {
 		m.assign()
 	}
-	return left
+	return left + m.releasing
 }
 
 // release drops the copy of a backup for good and tells the owner, who may then
@@ -66,8 +67,10 @@
 	owner := m.current.Shards[r.shard].Owner
 	req := releaseRequest{Shard: r.shard, Epoch: r.epoch, Backup: m.opts.Self.Incarnation}
 	r.drop()
+	m.releasing++
 	m.background(m.opts.Timing.PeerTimeout, func(ctx context.Context) {
 		_ = m.opts.Peers.Call(ctx, owner.Address, MethodRelease, req, nil) // the owner also notices by the refused messages
+		m.post(func() { m.releasing-- })
 	})
 }
 
@@ -175,7 +178,7 @@
 		return
 	}
 	next := r.m.current.Clone()
-	next.Shards[r.shard] = Entry{Epoch: e.Epoch, LostThrough: e.Epoch}
+	next.Shards[r.shard] = Entry{Epoch: e.Epoch + 1, LostThrough: e.Epoch}
 	r.role = roleFenced
 	r.m.swap(next)
 }
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -108,9 +108,11 @@
 	unsure   bool
 	unsureAt uint64
 	draining bool
-	sessions uint64
-	asks     askLimits
-	replicas map[int]*replica
+	// releasing counts releases that their owners have not answered yet.
+	releasing int
+	sessions  uint64
+	asks      askLimits
+	replicas  map[int]*replica
 }
 
 // mapView is a shard map with its store version, for readers on the request path.
--- a/pkg/shard/shard_test.go
+++ b/pkg/shard/shard_test.go
@@ -1,6 +1,8 @@
 package shard
 
 import (
+	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -247,3 +249,81 @@
 		a.expect(a.newRequest(1, 1), "not-run")
 	})
 }
+
+// Guards against losing bill lines when all instances of a domain stop one after
+// another, with different waits in between.
+func TestStopWholeDomain(t *testing.T) {
+	for _, wait := range []time.Duration{0, 200 * time.Millisecond, time.Second, 4 * time.Second} {
+		for _, order := range [][]int{{1, 2, 3}, {2, 3, 1}, {3, 1, 2}, {3, 2, 1}} {
+			t.Run(fmt.Sprintf("wait %s, order %v", wait, order), func(t *testing.T) {
+				runWorld(t, func(w *world) {
+					if err := w.topUp("first", 10_000); err != nil {
+						t.Fatal(err)
+					}
+					for i := range 3 {
+						w.start(fmt.Sprintf("a%d", i+1), testDomainA)
+						w.settleQuietly(300 * time.Millisecond) // their ticks differ
+					}
+					w.settle(15 * time.Second)
+					for _, n := range w.nodes {
+						n.expect(n.newRequest(100, 60), "answered")
+					}
+					w.every("before "+string(MethodRelease), func() { time.Sleep(500 * time.Millisecond) })
+					for _, i := range order {
+						n := w.nodes[fmt.Sprintf("a%d", i)]
+						n.setDraining()
+						ctx, cancel := context.WithTimeout(w.ctx, 30*time.Second)
+						if err := n.manager.Drain(ctx); err != nil {
+							t.Errorf("drain of %s: %v", n.id.Instance, err)
+						}
+						cancel()
+						n.exit()
+						w.settleQuietly(wait)
+					}
+					w.settle(5 * time.Second)
+					if got := len(w.bills()); got != 3 {
+						t.Errorf("%d bill lines, want 3", got)
+					}
+					if len(w.budget().Stranded) != 0 {
+						t.Errorf("rights were stranded by a graceful stop: %+v", w.budget().Stranded)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Guards against an instance that ends while the next owner still needs its
+// state, or before its release has reached the owner: the epoch was then lost
+// with its bill lines, or the owner waited for the silence of its backup.
+func TestDrainWaits(t *testing.T) {
+	for _, tt := range []struct {
+		desc    string
+		prepare func(w *world, owner, backup *node) *node
+	}{
+		{"until the state of a fenced epoch was fetched", func(w *world, owner, _ *node) *node {
+			_ = owner.manager.do(w.ctx, func() { owner.manager.replica(ledger.ShardOf(testBudget, testShards)).fence() })
+			return owner
+		}},
+		{"until the owner has answered the release", func(w *world, owner, backup *node) *node {
+			w.net.Silence(owner.id.Address, backup.id.Address)
+			return backup
+		}},
+	} {
+		t.Run(tt.desc, func(t *testing.T) {
+			runWorld(t, func(w *world) {
+				boot(w, 1_000)
+				owner, backup := w.ownerOf(testDomainA), w.backupOf(testDomainA)
+				n := tt.prepare(w, owner, backup)
+				n.setDraining()
+				ctx, cancel := context.WithTimeout(w.ctx, 500*time.Millisecond)
+				defer cancel()
+				if err := n.manager.Drain(ctx); err == nil {
+					t.Error("the drain ended although another instance still needs this one")
+				}
+				w.net.Heal(owner.id.Address, backup.id.Address)
+				w.settle(10 * time.Second)
+			})
+		})
+	}
+}
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -35,6 +35,7 @@
 	mu       sync.Mutex
 	live     map[string]peer.Identity // by incarnation
 	draining map[string]bool          // by incarnation
+	silent   map[string]bool          // by incarnation: gone, as instances that do not stop see it
 	hook     func(point string)
 	runs     map[string]int           // executions by request id
 	spent    map[string]ledger.Tokens // true cost by request id
@@ -69,7 +70,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{
 			t: t, ctx: ctx, net: peertest.NewNetwork(), store: platformtest.NewFake(),
-			nodes: map[string]*node{}, live: map[string]peer.Identity{}, draining: map[string]bool{},
+			nodes: map[string]*node{}, live: map[string]peer.Identity{}, draining: map[string]bool{}, silent: map[string]bool{},
 			runs: map[string]int{}, spent: map[string]ledger.Tokens{}, told: map[string]string{},
 		}
 		fn(w)
@@ -131,6 +132,22 @@
 	n.cancel()
 }
 
+// exit ends an instance right after its drain, as a process does. The others
+// notice by the silence of its heartbeats, those that stop a little later.
+func (n *node) exit() {
+	n.w.net.Stop(n.id.Address)
+	n.cancel()
+	n.dead = true
+	go func() {
+		time.Sleep(2500 * time.Millisecond)
+		n.w.mu.Lock()
+		n.w.silent[n.id.Incarnation] = true
+		n.w.mu.Unlock()
+		time.Sleep(1500 * time.Millisecond)
+		n.setLive(false)
+	}()
+}
+
 // pause freezes the control goroutine and all messages of an instance.
 func (n *node) pause() {
 	if n.thaw != nil {
@@ -180,6 +197,9 @@
 	n.w.mu.Lock()
 	defer n.w.mu.Unlock()
 	_, ok := n.w.live[incarnation]
+	if n.w.silent[incarnation] && !n.w.draining[n.id.Incarnation] {
+		return false
+	}
 	return ok || incarnation == n.id.Incarnation
 }
 
@@ -254,6 +274,17 @@
 	}
 }
 
+// every sets a hook that runs fn each time that point is reached.
+func (w *world) every(point string, fn func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.hook = func(p string) {
+		if p == point {
+			fn()
+		}
+	}
+}
+
 // topUp pays tokens into a budget as an operator would.
 func (w *world) topUp(command string, amount ledger.Tokens) error {
 	store := w.store.Client("operator")
