Reach the fence steps in the fault matrix

Cause: 40 cells of the scenario "takeover" were never reached. Its candidate is the old backup, which holds the state and sends no fence request.

Change: the steps around ledger.fence belong to a new scenario in which the backup is stopping, so that the third instance takes over and asks for the state.

--- a/pkg/shard/matrix_test.go
+++ b/pkg/shard/matrix_test.go
@@ -112,8 +112,12 @@
 	return []scenario{
 		{"request", []string{stepReserve, stepRecord, stepRecorded, stepAdmitted, stepExecuted, stepSettle, stepSettled, stepBill, stepBilled, stepGrant, stepGranted},
 			func(w *world, v *victims) { driveRequests(w, v, 12) }},
-		{"takeover", []string{stepTakeover, stepFence, stepFenced},
+		{"takeover", []string{stepTakeover},
 			func(w *world, v *victims) { v.owner.kill(); driveRequests(w, v, 6) }},
+		// A stopping backup is no candidate, so the third instance asks it for the
+		// state. A candidate that is the backup asks nobody.
+		{"takeover by a third instance", []string{stepTakeover, stepFence, stepFenced},
+			func(w *world, v *victims) { v.backup.setDraining(); v.owner.kill(); driveRequests(w, v, 6) }},
 		{"handover", []string{stepHandover, stepHanded},
 			func(w *world, v *victims) {
 				v.owner.setDraining()
