Use one form of known red entries in both readers

Cause: the in-memory matrix and faultreport read different first lines. Change: both read "test: <package> <test>".

--- a/test/integration/knownred_test.go
+++ b/test/integration/knownred_test.go
@@ -7,7 +7,7 @@
 )
 
 // knownRedFile lists the tests that fail because of faults that are not
-// corrected yet. An entry begins with a line "test: <name>"; a name also covers
+// corrected yet. An entry begins with a line "test: test/integration <name>"; a name also covers
 // the subtests under it.
 const knownRedFile = "../../KNOWN-RED.txt"
 
@@ -22,7 +22,7 @@
 		t.Fatal(err)
 	}
 	for entry := range strings.SplitSeq(string(data), "\n\n") {
-		name, ok := strings.CutPrefix(strings.TrimSpace(strings.SplitN(strings.TrimSpace(entry), "\n", 2)[0]), "test: ")
+		name, ok := strings.CutPrefix(strings.TrimSpace(strings.SplitN(strings.TrimSpace(entry), "\n", 2)[0]), "test: test/integration ")
 		if ok && (t.Name() == name || strings.HasPrefix(t.Name(), name+"/")) {
 			t.Skipf("known red:\n%s", strings.TrimSpace(entry))
 		}
