Hold a standing share of each workspace's default budget in every domain

Cause: a shard asked for rights only with the first request, so a domain whose first request for a budget came while the store was out of reach refused it, although the budget had room.

--- a/pkg/config/replica_test.go
+++ b/pkg/config/replica_test.go
@@ -196,6 +196,31 @@
 	})
 }
 
+// Guards against a second document of a generation that was accepted before: a
+// change that builds on the older value of a store, or without the generation that
+// a peer announced.
+func TestChangeBuildsOnNewest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		source := NewReplica(store, ReplicaOptions{}, nil)
+		for i, command := range []string{"c1", "c2"} {
+			if _, err := source.Change(t.Context(), changeBy(command, 0, []func(*Document) error{establish, retire("llm-1")}[i])); err != nil {
+				t.Fatal(err)
+			}
+		}
+		store.put(store.history[1].Value) // generation 1 again
+		behind := NewReplica(store, ReplicaOptions{Peers: fakePeers{}}, nil)
+		behind.Heard(2, "10.0.0.8:1") // nobody answers there
+		if _, err := behind.Change(t.Context(), changeBy("c3", 0, retire("llm-2"))); failure.KindOf(err) != failure.Unavailable {
+			t.Errorf("change without the announced generation: %v, want kind unavailable", err)
+		}
+		d, err := source.Change(t.Context(), changeBy("c4", 0, retire("llm-2")))
+		if err != nil || d.Generation != 3 {
+			t.Errorf("change on an older value: %+v, %v; want generation 3", d, err)
+		}
+	})
+}
+
 // Guards against an instance that waits for a silent store although a peer has
 // the configuration, and against one that never returns to the store.
 func TestSpreadFromPeers(t *testing.T) {
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -122,7 +122,7 @@
 	}, d.registry)
 	d.manager = shard.NewManager(shard.Options{
 		Self: d.self, Store: d.store, Peers: d.transport, Members: d.members,
-		Shards: d.shards, Policy: d.policy, Recall: d.recall,
+		Shards: d.shards, Policy: d.policy, Standing: d.standing, Recall: d.recall,
 		Retention: ledger.Retention{Repeatable: s.Ledger.RetentionRepeatable, NonRepeatable: s.Ledger.RetentionNonRepeatable},
 		Timing:    shard.DefaultTiming(), Log: d.log, Registerer: d.registry,
 	})
@@ -202,6 +202,19 @@
 	return p
 }
 
+// standing returns the default budget of each workspace.
+func (d *Daemon) standing() []ledger.BudgetKey {
+	doc := d.replica.Current()
+	if doc == nil {
+		return nil
+	}
+	out := make([]ledger.BudgetKey, 0, len(doc.Workspaces))
+	for _, w := range doc.Workspaces {
+		out = append(out, ledger.BudgetKey{Workspace: w.Name, Budget: w.DefaultBudget})
+	}
+	return out
+}
+
 func (d *Daemon) recall(ctx context.Context, id ledger.ShardID, b ledger.BudgetKey) (ledger.Tokens, error) {
 	return d.router.Recall(ctx, id, b)
 }
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -73,6 +73,9 @@
 	Shards func() int
 	// Policy returns the grant policy.
 	Policy func() grant.Policy
+	// Standing returns the budgets of which each domain holds a standing share
+	// before its first request; nil means none.
+	Standing func() []ledger.BudgetKey
 	// Recall asks the owner of a shard of another domain to return idle rights
 	// on a budget; nil turns recalls off.
 	Recall    func(ctx context.Context, shard ledger.ShardID, budget ledger.BudgetKey) (ledger.Tokens, error)
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -48,6 +48,8 @@
 	sealing bool
 	sealAt  time.Time
 	review  time.Time
+	// standingAt is the time of the next look for budgets without any right.
+	standingAt time.Time
 	// handover numbers the handovers of this replica, so that results of an
 	// earlier one are ignored. handoverTo is the backup that is to become owner.
 	handover   uint64
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -136,6 +136,7 @@
 // reviewRights refills rights before they run out and returns idle ones.
 func (r *replica) reviewRights(now time.Time) {
 	r.forgetUnknown(now)
+	r.askStanding(now)
 	policy := r.m.opts.Policy()
 	changed := 0
 	for _, b := range r.state.Budgets() {
@@ -157,6 +158,34 @@
 	}
 }
 
+// standingInterval is the time between two looks for budgets without any right.
+const standingInterval = time.Minute
+
+// askStanding asks for a standing share of budgets that requests are expected to
+// draw on, so that this domain can serve them when its first request comes while
+// the store is out of reach.
+func (r *replica) askStanding(now time.Time) {
+	if r.m.opts.Standing == nil || now.Before(r.standingAt) {
+		return
+	}
+	r.standingAt = now.Add(standingInterval)
+	shards := r.m.opts.Shards()
+	asked := 0
+	for _, b := range r.m.opts.Standing() {
+		if asked >= reviewBatch {
+			r.standingAt = now // the rest at the next review
+			return
+		}
+		if ledger.ShardOf(b, shards) != r.shard || r.state.Right(b).Granted > 0 || r.demandOf(b).busy {
+			continue
+		}
+		if !r.askFor(b, 0, nil) {
+			return // the limit for unknown budgets is used up
+		}
+		asked++
+	}
+}
+
 // forgetUnknown drops what is kept about budgets without a record, so that
 // made-up names do not fill the memory.
 func (r *replica) forgetUnknown(now time.Time) {
--- a/pkg/shard/shard_test.go
+++ b/pkg/shard/shard_test.go
@@ -327,3 +327,25 @@
 		})
 	}
 }
+
+// Guards against refusing the first request of a domain while the store is down,
+// although the budget has room.
+func TestStandingShare(t *testing.T) {
+	for _, tt := range []struct {
+		desc     string
+		standing []ledger.BudgetKey
+		want     string
+	}{{"no standing share", nil, "not-run"}, {"standing share", []ledger.BudgetKey{testBudget}, "answered"}} {
+		t.Run(tt.desc, func(t *testing.T) {
+			runWorld(t, func(w *world) {
+				w.standing = tt.standing
+				boot(w, 10_000)
+				w.settle(15 * time.Second)
+				w.store.Down(true)
+				n := w.nodes["a1"]
+				n.expect(n.newRequest(100, 60), tt.want)
+				w.store.Down(false)
+			})
+		})
+	}
+}
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -37,6 +37,7 @@
 	draining map[string]bool          // by incarnation
 	silent   map[string]bool          // by incarnation: gone, as instances that do not stop see it
 	hook     func(point string)
+	standing []ledger.BudgetKey       // budgets of which owners hold a standing share
 	runs     map[string]int           // executions by request id
 	spent    map[string]ledger.Tokens // true cost by request id
 	told     map[string]string        // what the caller was told last, by request id
@@ -101,7 +102,12 @@
 	timing.SealInterval = 5 * time.Second
 	n.manager = NewManager(Options{
 		Self: id, Store: &hookedStore{w, w.store.Client(name)}, Peers: caller, Members: n, Shards: shards,
-		Policy:    func() grant.Policy { return grant.Default(len(domains())) },
+		Policy: func() grant.Policy { return grant.Default(len(domains())) },
+		Standing: func() []ledger.BudgetKey {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.standing
+		},
 		Retention: ledger.Retention{Repeatable: 10 * time.Minute, NonRepeatable: 24 * time.Hour},
 		Recall: func(ctx context.Context, s ledger.ShardID, b ledger.BudgetKey) (ledger.Tokens, error) {
 			return n.router.Recall(ctx, s, b)
--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -98,7 +98,8 @@
 		Recall: func(ctx context.Context, s ledger.ShardID, b ledger.BudgetKey) (ledger.Tokens, error) {
 			return n.router.Recall(ctx, s, b)
 		},
-		Timing: timing, Log: log,
+		Standing: func() []ledger.BudgetKey { return []ledger.BudgetKey{{Workspace: workspace, Budget: ampleBudget}} },
+		Timing:   timing, Log: log,
 	})
 	n.router = shard.NewRouter(shard.RouterOptions{Manager: n.manager, Peers: peers, Members: n.members, Domains: n.domains, Shards: n.shards})
 	n.pool = routing.New(n.id.Domain, routing.Options{Seed: 1}, nil)
