Keep records of internal ids for 2 minutes; bound only failed asks of the store

Change: internal ids have a prefix and a retention class of their own; a call for rights counts against the limits only when it brought none.

--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -120,6 +120,7 @@
 	if err != nil {
 		return err
 	}
+	id.Kind = ledger.Internal
 	j.id = id.String()
 	return nil
 }
--- a/pkg/ledger/id.go
+++ b/pkg/ledger/id.go
@@ -19,6 +19,9 @@
 const (
 	// Issued ids are made by an instance and name the epoch of their shard.
 	Issued IDKind = "r1"
+	// Internal ids are made by an instance for a request whose caller sent none. No
+	// caller repeats them, so their records are kept for a short time only.
+	Internal IDKind = "i1"
 	// CallerKey ids are derived from the caller's own idempotency key.
 	CallerKey IDKind = "k1"
 )
@@ -75,7 +78,7 @@
 // String returns the text form, which callers send as Idempotency-Key.
 func (id RequestID) String() string {
 	parts := []string{string(id.Kind), id.Shard.Domain, strconv.Itoa(id.Shard.Shard)}
-	if id.Kind == Issued {
+	if id.Kind != CallerKey {
 		parts = append(parts, strconv.FormatUint(id.Epoch, 10), strconv.FormatInt(id.Mint, 10))
 	}
 	return strings.Join(append(parts, id.Nonce), idSeparator)
@@ -101,7 +104,7 @@
 
 func parseID(p []string, malformed error) (RequestID, error) {
 	switch {
-	case len(p) == 6 && IDKind(p[0]) == Issued:
+	case len(p) == 6 && (IDKind(p[0]) == Issued || IDKind(p[0]) == Internal):
 		return parseIssued(p, malformed)
 	case len(p) == 4 && IDKind(p[0]) == CallerKey:
 		shard, err := strconv.Atoi(p[2])
@@ -120,7 +123,7 @@
 	if err1 != nil || err2 != nil || err3 != nil || shard < 0 || mint < 0 || p[1] == "" || p[5] == "" {
 		return RequestID{}, malformed
 	}
-	return RequestID{Kind: Issued, Shard: ShardID{p[1], shard}, Epoch: epoch, Mint: mint, Nonce: p[5]}, nil
+	return RequestID{Kind: IDKind(p[0]), Shard: ShardID{p[1], shard}, Epoch: epoch, Mint: mint, Nonce: p[5]}, nil
 }
 
 // BudgetKey names a budget.
--- a/pkg/ledger/mutation.go
+++ b/pkg/ledger/mutation.go
@@ -125,7 +125,7 @@
 	if next.State == StateRunning {
 		return
 	}
-	class := retentionClass(next.Repeatable)
+	class := next.class()
 	s.ended[class] = append(s.ended[class], endedRecord{next.ID, next.At})
 	if next.State == StateAnswered {
 		s.addBill(next, true)
@@ -155,7 +155,7 @@
 	if rec.Charged > 0 && rec.State != StateAnswered {
 		s.addBill(rec, false)
 	}
-	class := retentionClass(rec.Repeatable)
+	class := rec.class()
 	s.purged[class] = max(s.purged[class], rec.Mint)
 	delete(s.records, id)
 }
--- a/pkg/ledger/plan.go
+++ b/pkg/ledger/plan.go
@@ -40,7 +40,7 @@
 		return id, failure.New(failure.NotOwner, "read the shard map again and retry",
 			"request %s was issued in epoch %d, this replica of shard %s is in epoch %d", req.ID, id.Epoch, s.shard, s.epoch)
 	}
-	if ahead := s.retentionOf(retentionClass(req.Repeatable)); id.Mint > now.Add(ahead).UnixMilli() {
+	if ahead := s.retentionOf(retentionClass(id.Kind, req.Repeatable)); id.Mint > now.Add(ahead).UnixMilli() {
 		// A record raises "purged through" to its mint time when it is dropped. A
 		// mint time that is later than the drop would outlaw ids not yet issued.
 		return id, failure.New(failure.Invalid, "get another id, or check the clock of the instance that issued it",
@@ -54,7 +54,7 @@
 
 // mayHaveRun returns why a request without a record may have run before, or "".
 func (s *State) mayHaveRun(id RequestID, repeatable bool, now time.Time) string {
-	class := retentionClass(repeatable)
+	class := retentionClass(id.Kind, repeatable)
 	if id.Kind == CallerKey {
 		if s.lostAt != 0 && now.UnixMilli()-s.lostAt < s.retentionOf(class).Milliseconds() {
 			return fmt.Sprintf("the records of shard %s up to epoch %d were lost", s.shard, s.lostThrough)
--- a/pkg/ledger/state.go
+++ b/pkg/ledger/state.go
@@ -1,6 +1,7 @@
 package ledger
 
 import (
+	"strings"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -21,8 +22,8 @@
 	index    uint64
 	rights   map[BudgetKey]*Right
 	records  map[string]*Record
-	ended    [2][]endedRecord // by retention class, in order of their end
-	purged   [2]int64         // highest mint time of a dropped record, by class
+	ended    [classes][]endedRecord // by retention class, in order of their end
+	purged   [classes]int64         // highest mint time of a dropped record, by class
 	unsealed []BillLine
 	sealed   []Segment
 	nextSeal uint64
@@ -186,37 +187,56 @@
 const (
 	classRepeatable = iota
 	classNonRepeatable
+	classInternal
+	classes
 )
 
-func retentionClass(repeatable bool) int {
-	if repeatable {
+// internalRetention is how long the record of an internal id is kept after its
+// end: late messages between instances are older than that only if a clock is
+// wrong by as much.
+const internalRetention = 2 * time.Minute
+
+func retentionClass(kind IDKind, repeatable bool) int {
+	switch {
+	case kind == Internal:
+		return classInternal
+	case repeatable:
 		return classRepeatable
 	}
 	return classNonRepeatable
 }
 
+// class returns the retention class of the record.
+func (r *Record) class() int {
+	kind, _, _ := strings.Cut(r.ID, idSeparator)
+	return retentionClass(IDKind(kind), r.Repeatable)
+}
+
 func (s *State) retentionOf(class int) time.Duration {
-	if class == classRepeatable {
+	switch class {
+	case classInternal:
+		return min(internalRetention, s.retention.Repeatable)
+	case classRepeatable:
 		return s.retention.Repeatable
 	}
 	return s.retention.NonRepeatable
 }
 
 type snapshot struct {
-	Format      int                  `cbor:"1,keyasint"`
-	Shard       ShardID              `cbor:"2,keyasint"`
-	Epoch       uint64               `cbor:"3,keyasint"`
-	LostThrough uint64               `cbor:"4,keyasint"`
-	LostAt      int64                `cbor:"5,keyasint"`
-	Index       uint64               `cbor:"6,keyasint"`
-	Rights      map[BudgetKey]*Right `cbor:"7,keyasint"`
-	Records     []*Record            `cbor:"8,keyasint"`
-	Ended       [2][]endedRecord     `cbor:"9,keyasint"`
-	Purged      [2]int64             `cbor:"10,keyasint"`
-	Unsealed    []BillLine           `cbor:"11,keyasint"`
-	Sealed      []Segment            `cbor:"12,keyasint"`
-	NextSeal    uint64               `cbor:"13,keyasint"`
-	EpochAt     int64                `cbor:"14,keyasint"`
+	Format      int                    `cbor:"1,keyasint"`
+	Shard       ShardID                `cbor:"2,keyasint"`
+	Epoch       uint64                 `cbor:"3,keyasint"`
+	LostThrough uint64                 `cbor:"4,keyasint"`
+	LostAt      int64                  `cbor:"5,keyasint"`
+	Index       uint64                 `cbor:"6,keyasint"`
+	Rights      map[BudgetKey]*Right   `cbor:"7,keyasint"`
+	Records     []*Record              `cbor:"8,keyasint"`
+	Ended       [classes][]endedRecord `cbor:"9,keyasint"`
+	Purged      [classes]int64         `cbor:"10,keyasint"`
+	Unsealed    []BillLine             `cbor:"11,keyasint"`
+	Sealed      []Segment              `cbor:"12,keyasint"`
+	NextSeal    uint64                 `cbor:"13,keyasint"`
+	EpochAt     int64                  `cbor:"14,keyasint"`
 }
 
 // Snapshot returns the whole state as CBOR.
--- a/pkg/ledger/table_test.go
+++ b/pkg/ledger/table_test.go
@@ -289,3 +289,43 @@
 		t.Error("the answered request was dropped by the time of its first attempt")
 	}
 }
+
+// Guards against records of internal ids that fill the memory for the whole
+// retention of repeatable requests, and against ids of callers that a drop of
+// internal records outlaws.
+func TestInternalRecordsAreDroppedEarly(t *testing.T) {
+	now := time.UnixMilli(1_000_000)
+	s := NewState(machineShard, 1, Retention{Repeatable: 10 * time.Minute, NonRepeatable: 24 * time.Hour})
+	id := func(kind IDKind) string { return RequestID{kind, machineShard, 1, 900_000, "n"}.String() }
+	reserve := func(kind IDKind) Decision {
+		reply, m, err := s.PlanReserve(ReserveRequest{ID: id(kind), Repeatable: true, Call: uint64(now.UnixMilli())}, now)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m != nil {
+			s.Commit(m)
+		}
+		return reply.Decision
+	}
+	end := func(kind IDKind) {
+		_, m, _ := s.PlanSettle(SettleRequest{ID: id(kind), Attempt: 1, End: EndComplete}, now)
+		s.Commit(m)
+	}
+	if d := reserve(Internal); d != Admitted {
+		t.Fatalf("decision %d", d)
+	}
+	end(Internal)
+	now = now.Add(internalRetention)
+	for _, m := range s.PlanExpire(now, now, 10) {
+		s.Commit(m)
+	}
+	if _, records := s.Sizes(); records != 0 {
+		t.Errorf("%d records of internal ids are kept", records)
+	}
+	if d := reserve(Internal); d != OutcomeUnknown {
+		t.Errorf("a dropped internal id got decision %d, want unknown", d)
+	}
+	if d := reserve(Issued); d != Admitted {
+		t.Errorf("an issued id of the same age got decision %d, want admitted", d)
+	}
+}
--- a/pkg/shard/asks_test.go
+++ b/pkg/shard/asks_test.go
@@ -48,18 +48,29 @@
 	l, now := newAskLimit(), time.Now()
 	passed := 0
 	for i := range 100 * workspaceAskBurst {
-		if l.allow(fmt.Sprintf("rogue%d", i%100), now) {
+		if l.begin(fmt.Sprintf("rogue%d", i%100), now) {
 			passed++
 		}
 	}
 	if passed > instanceAskBurst+100 {
 		t.Errorf("%d asks passed at once, the limit is %d", passed, instanceAskBurst)
 	}
-	if !l.allow("clinic", now) {
+	if !l.begin("clinic", now) {
 		t.Error("a workspace that did not ask before is refused")
 	}
 }
 
+// Guards against refusing budgets of a workspace that begins to use many at once.
+func TestFirstUseOfManyBudgets(t *testing.T) {
+	l, now := newAskLimit(), time.Now()
+	for i := range 10 * workspaceAskBurst {
+		if !l.begin("clinic", now) {
+			t.Fatalf("the first use of budget %d is refused", i)
+		}
+		l.end("clinic", false, now)
+	}
+}
+
 // Guards against refusing requests that arrive while the store is being asked,
 // although the budget has room for all of them.
 func TestConcurrentFirstUse(t *testing.T) {
--- a/pkg/shard/replica.go
+++ b/pkg/shard/replica.go
@@ -90,6 +90,8 @@
 	known, empty bool
 	// fault is why the last call for rights failed, or nil.
 	fault error
+	// limit bounds the call under way, if it is for an unknown or empty budget.
+	limit *askLimit
 	// askedAt is the time of the last call to the store for this budget.
 	askedAt time.Time
 }
--- a/pkg/shard/rights.go
+++ b/pkg/shard/rights.go
@@ -79,6 +79,7 @@
 
 func (r *replica) jobDone(b ledger.BudgetKey, d *demand, err error) {
 	d.busy, d.fault = false, err
+	r.endAsk(b.Workspace, d, err)
 	if err != nil {
 		r.m.metrics.grantErrors.WithLabelValues(string(failure.KindOf(err))).Inc()
 	}
