--- a/standins/cmd/demo/main.go
+++ b/standins/cmd/demo/main.go
@@ -29,6 +29,7 @@
 func main() {
 	var f flags
 	kong.Parse(&f)
+	signal.Ignore(syscall.SIGPIPE) // a reader that has left must not keep the fleet from being stopped
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
 	ctx, cancelTimeout := context.WithTimeout(ctx, demoTimeout)
