--- a/pkg/routing/request.go
+++ b/pkg/routing/request.go
@@ -69,8 +69,8 @@
 const (
 	defaultConcurrency  = 64
 	defaultQueueLimit   = 1024
-	defaultLoadHalfLife = 2 * time.Second // endpoints are polled about once a second
-	defaultSpillMargin  = 4               // less than the cost of computing a long prefix again
+	defaultLoadHalfLife = 500 * time.Millisecond // reports are up to 1.5 s old; see docs/decisions/routing-policy.md
+	defaultSpillMargin  = 1                      // a larger one waits longer than computing the prefix again takes
 )
 
 func (o Options) withDefaults() Options {
