--- a/Makefile
+++ b/Makefile
@@ -31,7 +31,7 @@
 bench: build
 	$(GO) test -tags bench -timeout 8m -parallel 8 ./bench/policy -args -rate 8 -out $(CURDIR)/bench/policy.json
 	@cat bench/policy.txt
-	$(GO) test -tags bench -timeout 2m ./bench/routing -args -out $(CURDIR)/bench/routing.json
+	$(GO) run ./bench/routing -out bench/routing.json
 	@cat bench/routing.txt
 	$(GO) test -run '^$$' -bench . -benchtime 0.3s ./pkg/ledger ./pkg/shard ./pkg/routing ./pkg/config | tee bench/hotpaths.txt
 	$(BIN)/bench --bin $(BIN) --out bench/cost.json | tee bench/cost.txt
--- a/bench/routing/engine_test.go
+++ b/bench/routing/engine.go
@@ -1,6 +1,4 @@
-//go:build bench
-
-package routing
+package main
 
 import (
 	"slices"
--- a/bench/routing/routing_test.go
+++ b/bench/routing/main.go
@@ -1,6 +1,4 @@
-//go:build bench
-
-package routing
+package main
 
 import (
 	"container/heap"
@@ -13,7 +11,6 @@
 	"os"
 	"slices"
 	"strings"
-	"testing"
 	"text/tabwriter"
 	"time"
 
@@ -21,7 +18,7 @@
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
-var out = flag.String("out", "../routing.json", "file for the results")
+var out = flag.String("out", "bench/routing.json", "file for the results")
 
 const (
 	seed     = 20261204
@@ -221,8 +218,16 @@
 	return result{r.policy.name, load, len(r.waits), at(0.5), at(0.95), at(0.99), hits}
 }
 
-// TestRouting runs all policies at three loads and writes the table.
-func TestRouting(t *testing.T) {
+func main() {
+	flag.Parse()
+	if err := compare(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// compare runs all policies at three loads and writes the table.
+func compare() error {
 	var results []result
 	for _, load := range []float64{0.5, 0.7, 0.85} {
 		for _, p := range policies() {
@@ -233,11 +238,15 @@
 	}
 	data, err := json.MarshalIndent(results, "", "  ")
 	if err != nil {
-		t.Fatal(err)
+		return err
 	}
 	if err := os.WriteFile(*out, append(data, '\n'), 0o644); err != nil {
-		t.Fatal(err)
+		return err
 	}
+	return os.WriteFile(strings.TrimSuffix(*out, ".json")+".txt", []byte(table(results)), 0o644)
+}
+
+func table(results []result) string {
 	var text strings.Builder
 	w := tabwriter.NewWriter(&text, 0, 0, 2, ' ', 0)
 	fmt.Fprintln(w, "load\tpolicy\trequests\tp50 ms\tp95 ms\tp99 ms\tprefix hits %")
@@ -245,7 +254,5 @@
 		fmt.Fprintf(w, "%.2f\t%s\t%d\t%.1f\t%.1f\t%.1f\t%.1f\n", r.Load, r.Policy, r.Requests, r.P50, r.P95, r.P99, r.Hits)
 	}
 	_ = w.Flush() // a strings.Builder does not fail
-	if err := os.WriteFile(strings.TrimSuffix(*out, ".json")+".txt", []byte(text.String()), 0o644); err != nil {
-		t.Fatal(err)
-	}
+	return text.String()
 }
