--- a/cmd/clementinectl/apply.go
+++ b/cmd/clementinectl/apply.go
@@ -46,9 +46,13 @@
 	}
 }
 
-// steps compares the declarations with the configuration and the budgets of the
-// store.
-func (s *session) steps(current *config.Document, desired *declare.Declarations) ([]declare.Step, error) {
+// steps compares the declarations of the file with the configuration and the
+// budgets of the store.
+func (c fileArg) steps(s *session) ([]declare.Step, error) {
+	desired, current, err := c.load(s)
+	if err != nil {
+		return nil, err
+	}
 	budgets := declare.Budgets{}
 	for after := ""; current != nil; {
 		var page operator.BudgetsReport
@@ -67,32 +71,22 @@
 
 // Run lists steps.
 func (c *planCmd) Run(s *session) error {
-	desired, current, err := c.load(s)
-	if err != nil {
-		return err
+	steps, err := c.steps(s)
+	if err == nil {
+		s.show(steps, func(t table) { declare.WritePlan(t, steps) })
 	}
-	steps, err := s.steps(current, desired)
-	if err != nil {
-		return err
-	}
-	s.show(steps, func(t table) { declare.WritePlan(t, steps) })
-	return nil
+	return err
 }
 
 type diffCmd struct{ fileArg }
 
 // Run shows changed values.
 func (c *diffCmd) Run(s *session) error {
-	desired, current, err := c.load(s)
-	if err != nil {
-		return err
-	}
-	steps, err := s.steps(current, desired)
-	if err != nil {
-		return err
+	steps, err := c.steps(s)
+	if err == nil {
+		s.show(steps, func(t table) { declare.WriteDiff(t, steps) })
 	}
-	s.show(steps, func(t table) { declare.WriteDiff(t, steps) })
-	return nil
+	return err
 }
 
 type applyCmd struct {
