--- a/pkg/membership/rendezvous.go
+++ b/pkg/membership/rendezvous.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 )
 
 // Rendezvous returns the member of among with the highest hash together with
@@ -28,15 +29,11 @@
 	}), true
 }
 
-// score is FNV-1a with the finalizer of SplitMix64, because FNV alone gives
-// related values for names that differ only in their last character.
+// score is the rendezvous weight of a name for a key.
 func score(key, name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(key)) // never fails
 	_, _ = h.Write([]byte{0})
 	_, _ = h.Write([]byte(name))
-	x := h.Sum64()
-	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
-	x = (x ^ x>>27) * 0x94d049bb133111eb
-	return x ^ x>>31
+	return rendezvous.Mix(h.Sum64())
 }
--- /dev/null
+++ b/pkg/rendezvous/rendezvous.go
@@ -0,0 +1,13 @@
+// Package rendezvous has the hash that the rendezvous choices of all packages
+// share, so that they spread alike.
+//
+// Limits: the hash is not meant for hostile keys.
+package rendezvous
+
+// Mix is the finalizer of SplitMix64 (Steele, Lea, Flood 2014). FNV-1a alone gives
+// related values for names that differ only in their last character.
+func Mix(x uint64) uint64 {
+	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
+	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
+	return x ^ (x >> 31)
+}
--- a/pkg/routing/endpoint.go
+++ b/pkg/routing/endpoint.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
+	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 )
 
 // Source says who drained an endpoint. Each source suffices, and none cancels
@@ -163,7 +164,7 @@
 }
 
 func heavier(a, b *endpoint, key uint64) bool {
-	return cmp.Or(cmp.Compare(mix(a.hash^key), mix(b.hash^key)), cmp.Compare(a.cfg.ID, b.cfg.ID)) > 0
+	return cmp.Or(cmp.Compare(rendezvous.Mix(a.hash^key), rendezvous.Mix(b.hash^key)), cmp.Compare(a.cfg.ID, b.cfg.ID)) > 0
 }
 
 func hashID(id string) uint64 {
@@ -171,12 +172,3 @@
 	_, _ = h.Write([]byte(id)) // never fails
 	return h.Sum64()
 }
-
-// mix is the finalizer of SplitMix64 (Steele, Lea, Flood 2014).
-func mix(x uint64) uint64 {
-	x ^= x >> 30
-	x *= 0xbf58476d1ce4e5b9
-	x ^= x >> 27
-	x *= 0x94d049bb133111eb
-	return x ^ x>>31
-}
--- a/pkg/shard/router.go
+++ b/pkg/shard/router.go
@@ -9,6 +9,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 )
 
 // Router sends ledger calls to the owner of a shard, in this or another failure
@@ -80,21 +81,13 @@
 	for _, d := range domains {
 		h := fnv.New64a()
 		_, _ = h.Write([]byte(d + "\x00" + key))
-		if w := mix(h.Sum64()); best == "" || w > bestWeight || (w == bestWeight && d < best) {
+		if w := rendezvous.Mix(h.Sum64()); best == "" || w > bestWeight || (w == bestWeight && d < best) {
 			best, bestWeight = d, w
 		}
 	}
 	return best
 }
 
-// mix is the finalizer of SplitMix64 (Steele, Lea, Flood 2014). FNV alone
-// spreads the last bytes badly over the high bits.
-func mix(x uint64) uint64 {
-	x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9
-	x = (x ^ (x >> 27)) * 0x94d049bb133111eb
-	return x ^ (x >> 31)
-}
-
 // Reserve admits a request at the owner of its shard.
 func (r *Router) Reserve(ctx context.Context, req ledger.ReserveRequest) (ledger.ReserveReply, error) {
 	var reply ledger.ReserveReply
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -242,22 +243,13 @@
 }
 
 func (s *hookedStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error) {
-	prefix, _, _ := cut(key)
+	prefix, _, _ := strings.Cut(key, "/")
 	s.w.at("before swap " + prefix)
 	v, err := s.Store.CompareAndSwap(ctx, key, expect, value)
 	s.w.at("after swap " + prefix)
 	return v, err
 }
 
-func cut(key string) (prefix, rest string, ok bool) {
-	for i := range key {
-		if key[i] == '/' {
-			return key[:i], key[i+1:], true
-		}
-	}
-	return key, "", false
-}
-
 // at runs the hook once, if it is set for this point.
 func (w *world) at(point string) {
 	w.mu.Lock()
