--- a/bench/policy/baselines.go
+++ b/bench/policy/baselines.go
@@ -11,9 +11,9 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
 )
 
 // splitSystem gives each domain an equal fixed share of every payment. It has no
@@ -59,7 +59,7 @@
 // requests of one instance for one budget go one after the other, and a conflict
 // waits for a random time; without both, the conflicts use up all writes.
 type storeSystem struct {
-	store *platformtest.Fake
+	store *kvstoretest.Fake
 	gate  *writeGate
 
 	mu    sync.Mutex
@@ -72,7 +72,7 @@
 	budget ledger.BudgetKey
 }
 
-func newStoreSystem(store *platformtest.Fake) *storeSystem {
+func newStoreSystem(store *kvstoretest.Fake) *storeSystem {
 	return &storeSystem{store: store, gate: &writeGate{}, rng: rand.New(rand.NewPCG(seed, 0)), turns: map[turn]chan struct{}{}}
 }
 
@@ -124,7 +124,7 @@
 type storedBudget struct{ Paid, Used ledger.Tokens }
 
 // update changes a record by compare-and-swap. It reports false when fn refused.
-func (s *storeSystem) update(ctx context.Context, client platform.Store, b ledger.BudgetKey, fn func(*storedBudget) bool) (bool, error) {
+func (s *storeSystem) update(ctx context.Context, client kvstore.Store, b ledger.BudgetKey, fn func(*storedBudget) bool) (bool, error) {
 	for {
 		rec, err := client.Get(ctx, b.StoreKey())
 		if err != nil {
--- a/bench/policy/fleet.go
+++ b/bench/policy/fleet.go
@@ -13,11 +13,11 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/membership"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/peer/peertest"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
 	"github.com/clementinerack/clementinerack/pkg/shard"
 )
 
@@ -50,7 +50,7 @@
 	policy grant.Policy
 	recall bool
 	net    *peertest.Network
-	store  *platformtest.Fake
+	store  *kvstoretest.Fake
 	ctx    context.Context
 
 	mu    sync.Mutex
--- a/bench/policy/policy_test.go
+++ b/bench/policy/policy_test.go
@@ -12,8 +12,8 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
 )
 
 // TestPolicy measures; it fails only when a budget was overspent.
@@ -56,7 +56,7 @@
 func measure(t *testing.T, dep deployment, sc scenario, c candidate) (r row) {
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
-		w := &world{dep: dep, scenario: sc, store: platformtest.NewFake()}
+		w := &world{dep: dep, scenario: sc, store: kvstoretest.NewFake()}
 		w.store.Slow(storeLatency)
 		w.driver = &driver{sys: c.build(w), dep: dep, weights: sc.weights(dep), budgets: cmp.Or(sc.budgets, tenBudgets), accounts: map[ledger.BudgetKey]*account{}}
 		if w.fleet != nil {
--- a/bench/policy/world.go
+++ b/bench/policy/world.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	"github.com/clementinerack/clementinerack/pkg/peer/peertest"
-	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
 )
 
 var (
@@ -28,7 +28,7 @@
 type world struct {
 	dep      deployment
 	scenario scenario
-	store    *platformtest.Fake
+	store    *kvstoretest.Fake
 	fleet    *fleet // nil for a baseline
 	driver   *driver
 }
@@ -119,7 +119,7 @@
 	return spent, paid
 }
 
-func storeCalls(calls map[platform.CallKind]int) map[string]int {
+func storeCalls(calls map[kvstore.CallKind]int) map[string]int {
 	byName := map[string]int{}
 	for kind, n := range calls {
 		byName[fmt.Sprint(kind)] = n
--- a/pkg/config/codec.go
+++ b/pkg/config/codec.go
@@ -4,7 +4,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Encode returns the stored form. It fails with failure.Invalid if the document
@@ -14,9 +14,9 @@
 	if err != nil {
 		return nil, failure.New(failure.Internal, "report this message to the maintainers", "configuration cannot be encoded: %v", err)
 	}
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > kvstore.MaxValueBytes {
 		return nil, failure.New(failure.Invalid, "remove workspaces or endpoints, or shorten their names",
-			"configuration takes %d bytes, the store accepts %d", len(data), platform.MaxValueBytes)
+			"configuration takes %d bytes, the store accepts %d", len(data), kvstore.MaxValueBytes)
 	}
 	return data, nil
 }
--- a/pkg/config/fake_test.go
+++ b/pkg/config/fake_test.go
@@ -9,8 +9,8 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 type writeFault int
@@ -24,46 +24,46 @@
 
 // fakeStore holds one key and keeps every record that it ever had.
 type fakeStore struct {
-	platform.Store // lease calls are not used by this package
+	kvstore.Store // lease calls are not used by this package
 
 	mu      sync.Mutex
-	history []platform.Record
+	history []kvstore.Record
 	changed chan struct{}
 	down    bool
 	silent  bool
 	stale   int // Get and Watch show the record this many writes ago
 	faults  []writeFault
-	delayed []platform.Record // Version is the expected one
+	delayed []kvstore.Record // Version is the expected one
 }
 
 func newFakeStore() *fakeStore {
-	return &fakeStore{history: []platform.Record{{Key: StoreKey}}, changed: make(chan struct{})}
+	return &fakeStore{history: []kvstore.Record{{Key: StoreKey}}, changed: make(chan struct{})}
 }
 
-func (s *fakeStore) shown() platform.Record {
+func (s *fakeStore) shown() kvstore.Record {
 	return s.history[max(0, len(s.history)-1-s.stale)]
 }
 
-func (s *fakeStore) latest() platform.Record { return s.history[len(s.history)-1] }
+func (s *fakeStore) latest() kvstore.Record { return s.history[len(s.history)-1] }
 
 func (s *fakeStore) put(value []byte) {
-	s.history = append(s.history, platform.Record{Key: StoreKey, Value: value, Version: s.latest().Version + 1})
+	s.history = append(s.history, kvstore.Record{Key: StoreKey, Value: value, Version: s.latest().Version + 1})
 	close(s.changed)
 	s.changed = make(chan struct{})
 }
 
-func (s *fakeStore) Get(ctx context.Context, _ string) (platform.Record, error) {
+func (s *fakeStore) Get(ctx context.Context, _ string) (kvstore.Record, error) {
 	s.mu.Lock()
 	silent := s.silent
 	s.mu.Unlock()
 	if silent {
 		<-ctx.Done()
-		return platform.Record{}, failure.New(failure.Unavailable, "", "silent")
+		return kvstore.Record{}, failure.New(failure.Unavailable, "", "silent")
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Record{}, failure.New(failure.Unavailable, "", "down")
+		return kvstore.Record{}, failure.New(failure.Unavailable, "", "down")
 	}
 	return s.shown(), nil
 }
@@ -83,7 +83,7 @@
 	case fault == dropWrite:
 		return 0, lost
 	case fault == delayWrite:
-		s.delayed = append(s.delayed, platform.Record{Value: value, Version: expect})
+		s.delayed = append(s.delayed, kvstore.Record{Value: value, Version: expect})
 		return 0, lost
 	case s.latest().Version != expect:
 		return 0, failure.New(failure.Conflict, "", "version is %d", s.latest().Version)
@@ -107,7 +107,7 @@
 	s.delayed = nil
 }
 
-func (s *fakeStore) Watch(ctx context.Context, key string, after uint64) (platform.Record, error) {
+func (s *fakeStore) Watch(ctx context.Context, key string, after uint64) (kvstore.Record, error) {
 	ended := time.After(20 * time.Second)
 	for {
 		s.mu.Lock()
@@ -118,7 +118,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return platform.Record{}, ctx.Err()
+			return kvstore.Record{}, ctx.Err()
 		case <-ended:
 			return s.Get(ctx, key)
 		case <-changed:
--- a/pkg/config/replica.go
+++ b/pkg/config/replica.go
@@ -14,8 +14,8 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // Defaults of ReplicaOptions.
@@ -78,7 +78,7 @@
 // Replica is the configuration of one instance. It follows the store and its
 // peers and never goes back to a lower generation. It is safe for concurrent use.
 type Replica struct {
-	store   platform.Store
+	store   kvstore.Store
 	opts    ReplicaOptions
 	metrics replicaMetrics
 	current atomic.Pointer[Document]
@@ -101,7 +101,7 @@
 }
 
 // NewReplica returns a replica without a document. reg may be nil.
-func NewReplica(store platform.Store, opts ReplicaOptions, reg prometheus.Registerer) *Replica {
+func NewReplica(store kvstore.Store, opts ReplicaOptions, reg prometheus.Registerer) *Replica {
 	return &Replica{store: store, opts: opts.withDefaults(), metrics: newReplicaMetrics(reg), wake: make(chan struct{}, 1)}
 }
 
@@ -224,7 +224,7 @@
 	}
 }
 
-func (r *Replica) watch(ctx context.Context, after uint64) (platform.Record, error) {
+func (r *Replica) watch(ctx context.Context, after uint64) (kvstore.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.opts.WatchDeadline)
 	defer cancel()
 	return r.store.Watch(ctx, StoreKey, after)
@@ -232,7 +232,7 @@
 
 // observe adopts a newer document of the store, and republishes the one in
 // force if the store shows an older one.
-func (r *Replica) observe(ctx context.Context, rec platform.Record) {
+func (r *Replica) observe(ctx context.Context, rec kvstore.Record) {
 	stored, err := decodeRecord(rec)
 	r.fault.Store(failure.From(err))
 	if err != nil {
@@ -252,7 +252,7 @@
 }
 
 // decodeRecord returns nil for an absent record.
-func decodeRecord(rec platform.Record) (*Document, error) {
+func decodeRecord(rec kvstore.Record) (*Document, error) {
 	if rec.Version == 0 {
 		return nil, nil
 	}
@@ -283,7 +283,7 @@
 	r.opts.Log.WithField("generation", now.Generation).Warn("the store showed an older configuration; republished")
 }
 
-func (r *Replica) get(ctx context.Context) (platform.Record, error) {
+func (r *Replica) get(ctx context.Context) (kvstore.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, r.opts.CallTimeout)
 	defer cancel()
 	return r.store.Get(ctx, StoreKey)
--- a/pkg/daemon/close_test.go
+++ b/pkg/daemon/close_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Guards against a silent store that uses up the time in which the listeners
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	i.store.Close()
-	if i.store, err = platform.NewHTTPClient(platform.HTTPOptions{Address: address.Host, ClientID: "entry-1"}, nil); err != nil {
+	if i.store, err = kvstore.NewHTTPClient(kvstore.HTTPOptions{Address: address.Host, ClientID: "entry-1"}, nil); err != nil {
 		t.Fatal(err)
 	}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,12 +18,12 @@
 	"github.com/clementinerack/clementinerack/pkg/entry"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/membership"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/orders"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 	"github.com/clementinerack/clementinerack/pkg/probe"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/relay"
@@ -39,7 +39,7 @@
 	self     peer.Identity
 	registry *prometheus.Registry
 
-	store     *platform.HTTPClient
+	store     *kvstore.HTTPClient
 	transport *peer.Transport
 	members   *membership.Service
 	replica   *config.Replica
@@ -96,13 +96,13 @@
 	if err != nil {
 		return failure.New(failure.Invalid, "give a URL such as http://10.0.0.1:7000", "[platform] address cannot be parsed: %v", err)
 	}
-	opts := platform.HTTPOptions{Address: base.Host, ClientID: d.self.Instance, CallTimeout: s.Platform.Timeout, WatchWait: s.Platform.WatchWait}
+	opts := kvstore.HTTPOptions{Address: base.Host, ClientID: d.self.Instance, CallTimeout: s.Platform.Timeout, WatchWait: s.Platform.WatchWait}
 	if base.Scheme == "https" {
 		if opts.TLS, err = s.Platform.TLS.Client(); err != nil {
 			return err
 		}
 	}
-	if d.store, err = platform.NewHTTPClient(opts, d.registry); err != nil {
+	if d.store, err = kvstore.NewHTTPClient(opts, d.registry); err != nil {
 		return err
 	}
 	peerTLS, err := s.Peers.TLS.Client()
--- a/pkg/daemon/fleet.go
+++ b/pkg/daemon/fleet.go
@@ -9,10 +9,10 @@
 
 	"github.com/clementinerack/clementinerack/pkg/burn"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // Methods of operators' queries between instances.
@@ -104,7 +104,7 @@
 	return reports
 }
 
-func (d *Daemon) askOne(ctx context.Context, t platform.Instance) instanceReport {
+func (d *Daemon) askOne(ctx context.Context, t kvstore.Instance) instanceReport {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	var r instanceReport
@@ -121,20 +121,20 @@
 }
 
 // targets returns the instances that are alive or in the platform's list.
-func (d *Daemon) targets(ctx context.Context) []platform.Instance {
-	byID := map[string]platform.Instance{d.self.Instance: {ID: d.self.Instance, Domain: d.self.Domain, Address: d.self.Address}}
+func (d *Daemon) targets(ctx context.Context) []kvstore.Instance {
+	byID := map[string]kvstore.Instance{d.self.Instance: {ID: d.self.Instance, Domain: d.self.Domain, Address: d.self.Address}}
 	for _, id := range d.everyone() {
-		byID[id.Instance] = platform.Instance{ID: id.Instance, Domain: id.Domain, Address: id.Address}
+		byID[id.Instance] = kvstore.Instance{ID: id.Instance, Domain: id.Domain, Address: id.Address}
 	}
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
-	listed, _ := d.store.Instances(ctx, platform.EntryService) // without the list the live ones are asked
+	listed, _ := d.store.Instances(ctx, kvstore.EntryService) // without the list the live ones are asked
 	for _, i := range listed {
 		if _, known := byID[i.ID]; !known {
 			byID[i.ID] = i
 		}
 	}
-	out := make([]platform.Instance, 0, len(byID))
+	out := make([]kvstore.Instance, 0, len(byID))
 	for _, i := range byID {
 		out = append(out, i)
 	}
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -12,8 +12,8 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/operator"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 	"github.com/clementinerack/clementinerack/pkg/settings"
 )
 
@@ -164,7 +164,7 @@
 
 // register keeps this instance in the platform's list.
 func (d *Daemon) register(ctx context.Context) {
-	entry := platform.Instance{ID: d.self.Instance, Service: platform.EntryService, Domain: d.self.Domain, Address: d.self.Address, State: platform.Live}
+	entry := kvstore.Instance{ID: d.self.Instance, Service: kvstore.EntryService, Domain: d.self.Domain, Address: d.self.Address, State: kvstore.Live}
 	for {
 		callCtx, cancel := context.WithTimeout(ctx, d.settings.Platform.Timeout)
 		err := d.store.Register(callCtx, entry)
@@ -181,7 +181,7 @@
 }
 
 func (d *Daemon) announceLeaving(ctx context.Context) {
-	entry := platform.Instance{ID: d.self.Instance, Service: platform.EntryService, Domain: d.self.Domain, Address: d.self.Address, State: platform.Leaving}
+	entry := kvstore.Instance{ID: d.self.Instance, Service: kvstore.EntryService, Domain: d.self.Domain, Address: d.self.Address, State: kvstore.Leaving}
 	ctx, cancel := context.WithTimeout(ctx, d.settings.Platform.Timeout)
 	defer cancel()
 	_ = d.store.Register(ctx, entry) // peers learn it by heartbeat as well
--- a/pkg/daemon/spent.go
+++ b/pkg/daemon/spent.go
@@ -5,10 +5,10 @@
 	"slices"
 	"sync"
 
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 	"github.com/clementinerack/clementinerack/pkg/shard"
 )
 
@@ -68,7 +68,7 @@
 	return all, silent
 }
 
-func (d *Daemon) chargesOf(ctx context.Context, t platform.Instance, req chargesRequest) (reply chargesReply, err error) {
+func (d *Daemon) chargesOf(ctx context.Context, t kvstore.Instance, req chargesRequest) (reply chargesReply, err error) {
 	ctx, cancel := context.WithTimeout(ctx, fleetTimeout)
 	defer cancel()
 	if t.ID == d.self.Instance {
--- a/pkg/platform/attempt.go
+++ b/pkg/kvstore/attempt.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 import (
 	"bytes"
--- a/pkg/platform/http_test.go
+++ b/pkg/kvstore/http_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package kvstore_test
 
 import (
 	"net/http"
@@ -9,8 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"go.uber.org/goleak"
 
-	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	standin "github.com/clementinerack/clementinerack/standins/platform"
 )
 
@@ -18,21 +18,21 @@
 
 // newClient returns a client of a new stand-in, over TLS if start says so. Its
 // deadline is so long that a busy machine does not change a verdict.
-func newClient(t *testing.T, start func(http.Handler) *httptest.Server) (*standin.Server, *platform.HTTPClient) {
+func newClient(t *testing.T, start func(http.Handler) *httptest.Server) (*standin.Server, *kvstore.HTTPClient) {
 	t.Helper()
 	handler, err := standin.New()
 	if err != nil {
 		t.Fatal(err)
 	}
 	server := start(handler)
-	opts := platform.HTTPOptions{
-		Address: server.Listener.Addr().String(), ClientID: platformtest.FaultClient,
+	opts := kvstore.HTTPOptions{
+		Address: server.Listener.Addr().String(), ClientID: kvstoretest.FaultClient,
 		CallTimeout: time.Hour, RetryPause: time.Millisecond,
 	}
 	if server.TLS != nil {
 		opts.TLS = server.Client().Transport.(*http.Transport).TLSClientConfig
 	}
-	client, err := platform.NewHTTPClient(opts, prometheus.NewRegistry())
+	client, err := kvstore.NewHTTPClient(opts, prometheus.NewRegistry())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -46,11 +46,11 @@
 
 // Guards against a client and a stand-in that deviate from the in-memory store.
 func TestHTTPContract(t *testing.T) {
-	platformtest.TestStore(t, func(t *testing.T) platform.Store {
+	kvstoretest.TestStore(t, func(t *testing.T) kvstore.Store {
 		_, client := newClient(t, httptest.NewServer)
 		return client
 	})
-	platformtest.TestFaults(t, func(t *testing.T) (*platformtest.Fake, platform.Store) {
+	kvstoretest.TestFaults(t, func(t *testing.T) (*kvstoretest.Fake, kvstore.Store) {
 		server, client := newClient(t, httptest.NewServer)
 		return server.Store(), client
 	})
@@ -61,9 +61,9 @@
 func TestInstances(t *testing.T) {
 	_, c := newClient(t, httptest.NewTLSServer)
 	ctx := t.Context()
-	entry := platform.Instance{ID: "i 1", Service: "s", Domain: "d", Address: "127.0.0.1:1", State: platform.Leaving}
+	entry := kvstore.Instance{ID: "i 1", Service: "s", Domain: "d", Address: "127.0.0.1:1", State: kvstore.Leaving}
 	for _, err := range []error{
-		c.Register(ctx, entry), c.Register(ctx, platform.Instance{ID: "i2"}), c.Deregister(ctx, "i2"), c.Deregister(ctx, "absent"),
+		c.Register(ctx, entry), c.Register(ctx, kvstore.Instance{ID: "i2"}), c.Deregister(ctx, "i2"), c.Deregister(ctx, "absent"),
 	} {
 		if err != nil {
 			t.Fatal(err)
--- a/pkg/platform/platformtest/client.go
+++ b/pkg/kvstore/kvstoretest/client.go
@@ -1,4 +1,4 @@
-package platformtest
+package kvstoretest
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // DefaultWatchWait is the time after which Watch returns an unchanged record.
@@ -19,24 +19,24 @@
 }
 
 var (
-	_ platform.Store     = (*Client)(nil)
-	_ platform.Lister    = (*Client)(nil)
-	_ platform.Registrar = (*Client)(nil)
-	_ platform.Store     = (*Fake)(nil)
-	_ platform.Lister    = (*Fake)(nil)
+	_ kvstore.Store     = (*Client)(nil)
+	_ kvstore.Lister    = (*Client)(nil)
+	_ kvstore.Registrar = (*Client)(nil)
+	_ kvstore.Store     = (*Fake)(nil)
+	_ kvstore.Lister    = (*Fake)(nil)
 )
 
-// Get implements platform.Store.
-func (c *Client) Get(ctx context.Context, key string) (platform.Record, error) {
-	return read(ctx, c, platform.CallGet, platform.CheckKey(key), func() platform.Record {
+// Get implements kvstore.Store.
+func (c *Client) Get(ctx context.Context, key string) (kvstore.Record, error) {
+	return read(ctx, c, kvstore.CallGet, kvstore.CheckKey(key), func() kvstore.Record {
 		return c.fake.recordLocked(key)
 	})
 }
 
-// CompareAndSwap implements platform.Store. With failure.Conflict it returns
+// CompareAndSwap implements kvstore.Store. With failure.Conflict it returns
 // the current version.
 func (c *Client) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error) {
-	return write(ctx, c, platform.CallSwap, platform.CheckSwap(key, value), func() (uint64, error) {
+	return write(ctx, c, kvstore.CallSwap, kvstore.CheckSwap(key, value), func() (uint64, error) {
 		f := c.fake
 		if f.delaySwaps {
 			f.delayed = append(f.delayed, delayedSwap{key: key, expect: expect, value: slices.Clone(value)})
@@ -46,26 +46,26 @@
 	})
 }
 
-// Watch implements platform.Store. The wait lasts at most DefaultWatchWait.
-func (c *Client) Watch(ctx context.Context, key string, after uint64) (platform.Record, error) {
+// Watch implements kvstore.Store. The wait lasts at most DefaultWatchWait.
+func (c *Client) Watch(ctx context.Context, key string, after uint64) (kvstore.Record, error) {
 	return c.WatchFor(ctx, key, after, DefaultWatchWait)
 }
 
 // WatchFor is Watch with a limit to the wait.
-func (c *Client) WatchFor(ctx context.Context, key string, after uint64, wait time.Duration) (platform.Record, error) {
-	if err := c.enter(ctx, platform.CallWatch, platform.CheckKey(key)); err != nil {
-		return platform.Record{}, err
+func (c *Client) WatchFor(ctx context.Context, key string, after uint64, wait time.Duration) (kvstore.Record, error) {
+	if err := c.enter(ctx, kvstore.CallWatch, kvstore.CheckKey(key)); err != nil {
+		return kvstore.Record{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for over := false; ; {
 		record, wake, err := c.poll(key)
 		if err != nil {
-			return platform.Record{}, err
+			return kvstore.Record{}, err
 		}
 		if over || record.Version > after {
 			if err := c.pause(ctx); err != nil {
-				return platform.Record{}, err
+				return kvstore.Record{}, err
 			}
 			return record, nil
 		}
@@ -74,46 +74,46 @@
 		case <-timer.C:
 			over = true
 		case <-ctx.Done():
-			return platform.Record{}, unavailable("the watch of %q was ended by its caller: %v", key, ctx.Err())
+			return kvstore.Record{}, unavailable("the watch of %q was ended by its caller: %v", key, ctx.Err())
 		}
 	}
 }
 
-// AcquireLease implements platform.Store. With failure.Conflict it returns the
+// AcquireLease implements kvstore.Store. With failure.Conflict it returns the
 // present holder and token.
-func (c *Client) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, error) {
-	return write(ctx, c, platform.CallLease, platform.CheckLease(name, holder, ttl), func() (platform.Lease, error) {
+func (c *Client) AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (kvstore.Lease, error) {
+	return write(ctx, c, kvstore.CallLease, kvstore.CheckLease(name, holder, ttl), func() (kvstore.Lease, error) {
 		return c.fake.acquireLocked(name, holder, ttl)
 	})
 }
 
-// ReleaseLease implements platform.Store. It also works while the store is down.
+// ReleaseLease implements kvstore.Store. It also works while the store is down.
 func (c *Client) ReleaseLease(ctx context.Context, name, holder string) error {
-	_, err := write(ctx, c, platform.CallRelease, platform.CheckKey(name), func() (struct{}, error) {
+	_, err := write(ctx, c, kvstore.CallRelease, kvstore.CheckKey(name), func() (struct{}, error) {
 		c.fake.releaseLocked(name, holder)
 		return struct{}{}, nil
 	})
 	return err
 }
 
-// Instances implements platform.Lister. The list is sorted by id.
-func (c *Client) Instances(ctx context.Context, service string) ([]platform.Instance, error) {
-	return read(ctx, c, platform.CallList, nil, func() []platform.Instance { return c.fake.listLocked(service) })
+// Instances implements kvstore.Lister. The list is sorted by id.
+func (c *Client) Instances(ctx context.Context, service string) ([]kvstore.Instance, error) {
+	return read(ctx, c, kvstore.CallList, nil, func() []kvstore.Instance { return c.fake.listLocked(service) })
 }
 
-// Register implements platform.Registrar.
-func (c *Client) Register(ctx context.Context, in platform.Instance) error {
-	_, err := write(ctx, c, platform.CallRegister, platform.CheckInstance(in.ID), func() (struct{}, error) {
+// Register implements kvstore.Registrar.
+func (c *Client) Register(ctx context.Context, in kvstore.Instance) error {
+	_, err := write(ctx, c, kvstore.CallRegister, kvstore.CheckInstance(in.ID), func() (struct{}, error) {
 		c.fake.registerLocked(in, false)
 		return struct{}{}, nil
 	})
 	return err
 }
 
-// Deregister implements platform.Registrar.
+// Deregister implements kvstore.Registrar.
 func (c *Client) Deregister(ctx context.Context, id string) error {
-	_, err := write(ctx, c, platform.CallDeregister, platform.CheckInstance(id), func() (struct{}, error) {
-		c.fake.registerLocked(platform.Instance{ID: id}, true)
+	_, err := write(ctx, c, kvstore.CallDeregister, kvstore.CheckInstance(id), func() (struct{}, error) {
+		c.fake.registerLocked(kvstore.Instance{ID: id}, true)
 		return struct{}{}, nil
 	})
 	return err
@@ -121,7 +121,7 @@
 
 // enter counts the call and refuses it when its arguments, its context or a
 // fault switch require that. A refused call has no effect.
-func (c *Client) enter(ctx context.Context, kind platform.CallKind, invalid error) error {
+func (c *Client) enter(ctx context.Context, kind kvstore.CallKind, invalid error) error {
 	if invalid != nil {
 		return invalid
 	}
@@ -135,23 +135,23 @@
 	return c.refusalLocked(kind)
 }
 
-func (c *Client) refusalLocked(kind platform.CallKind) error {
+func (c *Client) refusalLocked(kind kvstore.CallKind) error {
 	switch f := c.fake; {
 	case f.cut[c.id]:
 		return unavailable("client %q is cut off", c.id)
-	case f.down && kind != platform.CallRelease:
+	case f.down && kind != kvstore.CallRelease:
 		return unavailable("the store is down")
 	}
 	return nil
 }
 
 // poll returns the record and a channel that is closed on the next change.
-func (c *Client) poll(key string) (platform.Record, <-chan struct{}, error) {
+func (c *Client) poll(key string) (kvstore.Record, <-chan struct{}, error) {
 	f := c.fake
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := c.refusalLocked(platform.CallWatch); err != nil {
-		return platform.Record{}, nil, err
+	if err := c.refusalLocked(kvstore.CallWatch); err != nil {
+		return kvstore.Record{}, nil, err
 	}
 	return f.recordLocked(key), f.wake, nil
 }
@@ -176,7 +176,7 @@
 }
 
 // read makes a call without effect; query runs under the lock.
-func read[T any](ctx context.Context, c *Client, kind platform.CallKind, invalid error, query func() T) (T, error) {
+func read[T any](ctx context.Context, c *Client, kind kvstore.CallKind, invalid error, query func() T) (T, error) {
 	var zero T
 	if err := c.enter(ctx, kind, invalid); err != nil {
 		return zero, err
@@ -191,7 +191,7 @@
 }
 
 // write makes a call with an effect; change runs under the lock.
-func write[T any](ctx context.Context, c *Client, kind platform.CallKind, invalid error, change func() (T, error)) (T, error) {
+func write[T any](ctx context.Context, c *Client, kind kvstore.CallKind, invalid error, change func() (T, error)) (T, error) {
 	var zero T
 	if err := c.enter(ctx, kind, invalid); err != nil {
 		return zero, err
@@ -209,8 +209,8 @@
 // loseAnswerLocked reports whether the answer of a write is to be lost. It
 // leaves registrations alone, so that their renewal in the background does not
 // use up a fault meant for a swap or a lease.
-func (f *Fake) loseAnswerLocked(kind platform.CallKind) bool {
-	registration := kind == platform.CallRegister || kind == platform.CallDeregister
+func (f *Fake) loseAnswerLocked(kind kvstore.CallKind) bool {
+	registration := kind == kvstore.CallRegister || kind == kvstore.CallDeregister
 	if registration || f.loseAnswers == 0 {
 		return false
 	}
--- a/pkg/platform/platformtest/contract.go
+++ b/pkg/kvstore/kvstoretest/contract.go
@@ -1,4 +1,4 @@
-package platformtest
+package kvstoretest
 
 import (
 	"bytes"
@@ -9,18 +9,18 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // pollPause is the pause between looks at a condition that must come true.
 const pollPause = time.Millisecond
 
-// TestStore checks the contract of platform.Store on a healthy store. newStore
+// TestStore checks the contract of kvstore.Store on a healthy store. newStore
 // returns an empty store for each test.
-func TestStore(t *testing.T, newStore func(t *testing.T) platform.Store) {
+func TestStore(t *testing.T, newStore func(t *testing.T) kvstore.Store) {
 	for _, tc := range []struct {
 		desc string
-		test func(t *testing.T, s platform.Store)
+		test func(t *testing.T, s kvstore.Store)
 	}{
 		{"swap", testSwap},
 		{"bad input", testBadInput},
@@ -34,12 +34,12 @@
 }
 
 // testSwap guards against a write over another version and a mangled key or value.
-func testSwap(t *testing.T, s platform.Store) {
+func testSwap(t *testing.T, s kvstore.Store) {
 	ctx, key := t.Context(), "budgets/work space/100%/a?b#c=d&é"
 	if r, err := s.Get(ctx, key); err != nil || r.Version != 0 || r.Key != key {
 		t.Fatalf("absent key: %+v, %v", r, err)
 	}
-	large := bytes.Repeat([]byte{0, 255}, platform.MaxValueBytes/2)
+	large := bytes.Repeat([]byte{0, 255}, kvstore.MaxValueBytes/2)
 	for _, step := range []struct {
 		desc    string
 		expect  uint64
@@ -71,7 +71,7 @@
 }
 
 // testBadInput guards against input that the store could take for something else.
-func testBadInput(t *testing.T, s platform.Store) {
+func testBadInput(t *testing.T, s kvstore.Store) {
 	ctx := t.Context()
 	for _, key := range []string{"", "/a", "a/", "a//b", "a/../b", "."} {
 		_, err := s.Get(ctx, key)
@@ -79,7 +79,7 @@
 		_, err = s.CompareAndSwap(ctx, key, 0, nil)
 		wantKind(t, "swap "+key, err, failure.Invalid)
 	}
-	_, err := s.CompareAndSwap(ctx, "k", 0, make([]byte, platform.MaxValueBytes+1))
+	_, err := s.CompareAndSwap(ctx, "k", 0, make([]byte, kvstore.MaxValueBytes+1))
 	wantKind(t, "oversize value", err, failure.Invalid)
 	_, err = s.AcquireLease(ctx, "l", "", time.Second)
 	wantKind(t, "lease without holder", err, failure.Invalid)
@@ -88,7 +88,7 @@
 }
 
 // testRace guards against two swaps of the same version that both succeed.
-func testRace(t *testing.T, s platform.Store) {
+func testRace(t *testing.T, s kvstore.Store) {
 	errs := make([]error, 8)
 	var wg sync.WaitGroup
 	for i := range errs {
@@ -109,9 +109,9 @@
 }
 
 // testWatch guards against a watch that misses a write before or after its start.
-func testWatch(t *testing.T, s platform.Store) {
+func testWatch(t *testing.T, s kvstore.Store) {
 	ctx := t.Context()
-	seen := make(chan platform.Record, 2)
+	seen := make(chan kvstore.Record, 2)
 	go func() {
 		defer close(seen)
 		for after := range uint64(2) {
@@ -135,7 +135,7 @@
 
 // testLease guards against two holders of one lease and a token that does not
 // grow when the lease changes hands.
-func testLease(t *testing.T, s platform.Store) {
+func testLease(t *testing.T, s kvstore.Store) {
 	ctx := t.Context()
 	var token uint64
 	for _, step := range []struct {
@@ -169,7 +169,7 @@
 }
 
 // testEndedContext guards against a call that is sent for a caller who has left.
-func testEndedContext(t *testing.T, s platform.Store) {
+func testEndedContext(t *testing.T, s kvstore.Store) {
 	ended, cancel := context.WithCancel(t.Context())
 	cancel()
 	_, err := s.Get(ended, "k")
@@ -186,7 +186,7 @@
 
 // TestFaults checks how an implementation reports faults of the store. newStore
 // returns an empty Fake and a store that reaches it as FaultClient.
-func TestFaults(t *testing.T, newStore func(t *testing.T) (*Fake, platform.Store)) {
+func TestFaults(t *testing.T, newStore func(t *testing.T) (*Fake, kvstore.Store)) {
 	refused, broken := []failure.Kind{failure.Unavailable}, []failure.Kind{failure.Unavailable, failure.Uncertain}
 	for _, tc := range []struct {
 		desc    string
@@ -206,7 +206,7 @@
 		t.Run(tc.desc, func(t *testing.T) {
 			f, s := newStore(t)
 			tc.arm(f)
-			do := func(kind platform.CallKind, call func(ctx context.Context) error) error {
+			do := func(kind kvstore.CallKind, call func(ctx context.Context) error) error {
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
 				if !tc.cancel {
@@ -214,24 +214,24 @@
 				}
 				done := make(chan error)
 				go func() { done <- call(ctx) }()
-				until(t, func() bool { return f.Calls(kind) > 0 && (kind != platform.CallSwap || f.Record("k").Version > 0) })
+				until(t, func() bool { return f.Calls(kind) > 0 && (kind != kvstore.CallSwap || f.Record("k").Version > 0) })
 				cancel()
 				return <-done
 			}
-			err := do(platform.CallSwap, func(ctx context.Context) error {
+			err := do(kvstore.CallSwap, func(ctx context.Context) error {
 				_, err := s.CompareAndSwap(ctx, "k", 0, []byte("v"))
 				return err
 			})
 			if !slices.Contains(tc.write, failure.KindOf(err)) {
 				t.Errorf("swap: %v, want one of %v", err, tc.write)
 			}
-			if n := f.Calls(platform.CallSwap); n != 1 {
+			if n := f.Calls(kvstore.CallSwap); n != 1 {
 				t.Errorf("the swap was sent %d times", n)
 			}
 			if applied := f.Record("k").Version > 0; applied != tc.applied {
 				t.Errorf("swap applied: %v, want %v", applied, tc.applied)
 			}
-			wantKind(t, "get", do(platform.CallGet, func(ctx context.Context) error {
+			wantKind(t, "get", do(kvstore.CallGet, func(ctx context.Context) error {
 				_, err := s.Get(ctx, "k")
 				return err
 			}), tc.read)
--- a/pkg/platform/platformtest/fake.go
+++ b/pkg/kvstore/kvstoretest/fake.go
@@ -1,4 +1,4 @@
-package platformtest
+package kvstoretest
 
 import (
 	"cmp"
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 const retryRemedy = "repeat the call later"
@@ -20,12 +20,12 @@
 	*view
 
 	mu        sync.Mutex
-	records   map[string]platform.Record
+	records   map[string]kvstore.Record
 	leases    map[string]heldLease
-	instances map[string]platform.Instance
+	instances map[string]kvstore.Instance
 	unlisted  []listChange
 	delayed   []delayedSwap
-	calls     map[platform.CallKind]int
+	calls     map[kvstore.CallKind]int
 	wake      chan struct{} // closed and replaced on each change
 
 	down        bool
@@ -48,7 +48,7 @@
 // listChange is a registration that the instance list does not show yet.
 type listChange struct {
 	at      time.Time
-	entry   platform.Instance
+	entry   kvstore.Instance
 	removed bool
 }
 
@@ -61,10 +61,10 @@
 // NewFake returns an empty store with all fault switches off.
 func NewFake() *Fake {
 	f := &Fake{
-		records:   map[string]platform.Record{},
+		records:   map[string]kvstore.Record{},
 		leases:    map[string]heldLease{},
-		instances: map[string]platform.Instance{},
-		calls:     map[platform.CallKind]int{},
+		instances: map[string]kvstore.Instance{},
+		calls:     map[kvstore.CallKind]int{},
 		cut:       map[string]bool{},
 		wake:      make(chan struct{}),
 	}
@@ -116,7 +116,7 @@
 func (f *Fake) ListLag(d time.Duration) { f.set(func() { f.listLag = d }) }
 
 // SetInstances replaces the instance list at once, regardless of the lag.
-func (f *Fake) SetInstances(list ...platform.Instance) {
+func (f *Fake) SetInstances(list ...kvstore.Instance) {
 	f.set(func() {
 		clear(f.instances)
 		f.unlisted = nil
@@ -152,14 +152,14 @@
 
 // Calls returns the number of calls of a kind by all clients, including
 // refused ones. A watch counts as one call.
-func (f *Fake) Calls(kind platform.CallKind) int {
+func (f *Fake) Calls(kind kvstore.CallKind) int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.calls[kind]
 }
 
 // AllCalls returns the number of calls by kind.
-func (f *Fake) AllCalls() map[platform.CallKind]int {
+func (f *Fake) AllCalls() map[kvstore.CallKind]int {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return maps.Clone(f.calls)
@@ -170,7 +170,7 @@
 
 // Record returns the stored record of key without counting a call or applying
 // a fault.
-func (f *Fake) Record(key string) platform.Record {
+func (f *Fake) Record(key string) kvstore.Record {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.recordLocked(key)
@@ -197,7 +197,7 @@
 	f.wake = make(chan struct{})
 }
 
-func (f *Fake) recordLocked(key string) platform.Record {
+func (f *Fake) recordLocked(key string) kvstore.Record {
 	r := f.records[key]
 	r.Key, r.Value = key, slices.Clone(r.Value)
 	return r
@@ -210,19 +210,19 @@
 			"version of %q is %d, not %d", key, version, expect)
 	}
 	version++
-	f.records[key] = platform.Record{Key: key, Value: slices.Clone(value), Version: version}
+	f.records[key] = kvstore.Record{Key: key, Value: slices.Clone(value), Version: version}
 	f.notifyLocked()
 	return version, nil
 }
 
 // acquireLocked renews a lease under its token, or raises the token when the
 // lease was free or had lapsed.
-func (f *Fake) acquireLocked(name, holder string, ttl time.Duration) (platform.Lease, error) {
+func (f *Fake) acquireLocked(name, holder string, ttl time.Duration) (kvstore.Lease, error) {
 	now := time.Now()
 	held := f.leases[name]
 	current := held.holder != "" && now.Before(held.expires)
 	if current && held.holder != holder {
-		return platform.Lease{Name: name, Holder: held.holder, Token: held.token},
+		return kvstore.Lease{Name: name, Holder: held.holder, Token: held.token},
 			failure.New(failure.Conflict, "wait until the lease lapses", "lease %q is held by %q", name, held.holder)
 	}
 	if !current {
@@ -230,7 +230,7 @@
 	}
 	held.holder, held.expires = holder, now.Add(ttl)
 	f.leases[name] = held
-	return platform.Lease{Name: name, Holder: holder, Token: held.token, Expires: held.expires}, nil
+	return kvstore.Lease{Name: name, Holder: holder, Token: held.token, Expires: held.expires}, nil
 }
 
 func (f *Fake) releaseLocked(name, holder string) {
@@ -241,11 +241,11 @@
 	}
 }
 
-func (f *Fake) registerLocked(entry platform.Instance, removed bool) {
+func (f *Fake) registerLocked(entry kvstore.Instance, removed bool) {
 	f.unlisted = append(f.unlisted, listChange{at: time.Now(), entry: entry, removed: removed})
 }
 
-func (f *Fake) listLocked(service string) []platform.Instance {
+func (f *Fake) listLocked(service string) []kvstore.Instance {
 	now := time.Now()
 	for len(f.unlisted) > 0 && now.Sub(f.unlisted[0].at) >= f.listLag {
 		change := f.unlisted[0]
@@ -256,12 +256,12 @@
 			f.instances[change.entry.ID] = change.entry
 		}
 	}
-	list := []platform.Instance{}
+	list := []kvstore.Instance{}
 	for _, in := range f.instances {
 		if service == "" || in.Service == service {
 			list = append(list, in)
 		}
 	}
-	slices.SortFunc(list, func(a, b platform.Instance) int { return cmp.Compare(a.ID, b.ID) })
+	slices.SortFunc(list, func(a, b kvstore.Instance) int { return cmp.Compare(a.ID, b.ID) })
 	return list
 }
--- a/pkg/platform/platformtest/fake_test.go
+++ b/pkg/kvstore/kvstoretest/fake_test.go
@@ -1,4 +1,4 @@
-package platformtest
+package kvstoretest
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Guards against a delayed write that overwrites a newer version, and against
@@ -53,7 +53,7 @@
 		if err != nil || r.Version != 0 || time.Since(start) != DefaultWatchWait {
 			t.Errorf("watch of an unchanged key: %+v, %v after %v", r, err, time.Since(start))
 		}
-		if n := f.Calls(platform.CallWatch); n != 1 {
+		if n := f.Calls(kvstore.CallWatch); n != 1 {
 			t.Errorf("%d calls counted, want 1", n)
 		}
 		ended := make(chan error)
@@ -87,7 +87,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f, ctx := NewFake(), t.Context()
 		f.ListLag(time.Second)
-		if err := f.Register(ctx, platform.Instance{ID: "a"}); err != nil {
+		if err := f.Register(ctx, kvstore.Instance{ID: "a"}); err != nil {
 			t.Fatal(err)
 		}
 		for _, want := range []int{0, 1} {
@@ -101,8 +101,8 @@
 }
 
 func TestFakeContract(t *testing.T) {
-	TestStore(t, func(*testing.T) platform.Store { return NewFake() })
-	TestFaults(t, func(*testing.T) (*Fake, platform.Store) {
+	TestStore(t, func(*testing.T) kvstore.Store { return NewFake() })
+	TestFaults(t, func(*testing.T) (*Fake, kvstore.Store) {
 		f := NewFake()
 		return f, f.Client(FaultClient)
 	})
--- a/pkg/platform/platformtest/state.go
+++ b/pkg/kvstore/kvstoretest/state.go
@@ -1,17 +1,17 @@
-package platformtest
+package kvstoretest
 
 import (
 	"encoding/json"
 	"time"
 
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // state is what a platform keeps when its process is restarted.
 type state struct {
-	Records   map[string]platform.Record `json:"records"`
-	Leases    map[string]leaseState      `json:"leases"`
-	Instances []platform.Instance        `json:"instances"`
+	Records   map[string]kvstore.Record `json:"records"`
+	Leases    map[string]leaseState     `json:"leases"`
+	Instances []kvstore.Instance        `json:"instances"`
 }
 
 type leaseState struct {
@@ -34,12 +34,12 @@
 
 // Load replaces the contents of the store by what Save returned.
 func (f *Fake) Load(data []byte) error {
-	s := state{Records: map[string]platform.Record{}}
+	s := state{Records: map[string]kvstore.Record{}}
 	if err := json.Unmarshal(data, &s); err != nil {
 		return err
 	}
 	f.set(func() {
-		f.records, f.instances, f.leases = s.Records, map[string]platform.Instance{}, map[string]heldLease{}
+		f.records, f.instances, f.leases = s.Records, map[string]kvstore.Instance{}, map[string]heldLease{}
 		for _, i := range s.Instances {
 			f.instances[i.ID] = i
 		}
--- a/pkg/platform/platformtest/state_test.go
+++ b/pkg/kvstore/kvstoretest/state_test.go
@@ -1,11 +1,11 @@
-package platformtest
+package kvstoretest
 
 import (
 	"context"
 	"testing"
 	"time"
 
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Guards against a restarted platform that forgets writes or starts versions and
@@ -21,7 +21,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := before.Register(ctx, platform.Instance{ID: "a", Service: "s", State: platform.Live}); err != nil {
+	if err := before.Register(ctx, kvstore.Instance{ID: "a", Service: "s", State: kvstore.Live}); err != nil {
 		t.Fatal(err)
 	}
 	data, err := before.Save()
--- a/pkg/platform/wire.go
+++ b/pkg/kvstore/wire.go
@@ -1,4 +1,4 @@
-package platform
+package kvstore
 
 // Paths of the protocol; see docs/protocols.md.
 const (
--- a/pkg/membership/options.go
+++ b/pkg/membership/options.go
@@ -5,8 +5,8 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // Defaults of Options.
@@ -53,7 +53,7 @@
 	// Seeds are addresses that are tried forever.
 	Seeds []string
 	// Lister may be nil. Its list lags, so it only gives addresses to try.
-	Lister    platform.Lister
+	Lister    kvstore.Lister
 	ListPoll  time.Duration
 	Heartbeat time.Duration
 	Silence   time.Duration
--- a/pkg/membership/service.go
+++ b/pkg/membership/service.go
@@ -9,8 +9,8 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
 
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // Service keeps the list of live instances. The state is behind one mutex, and
@@ -286,14 +286,14 @@
 func (s *Service) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	list, err := s.opts.Lister.Instances(ctx, platform.EntryService)
+	list, err := s.opts.Lister.Instances(ctx, kvstore.EntryService)
 	if err != nil {
 		return // the next poll tries again; seeds and peers suffice meanwhile
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, in := range list {
-		if in.State == platform.Live {
+		if in.State == kvstore.Live {
 			s.learn(in.Address, in.Domain)
 		}
 	}
--- a/pkg/membership/service_test.go
+++ b/pkg/membership/service_test.go
@@ -10,9 +10,9 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/peer/peertest"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // fleet runs services on an in-memory network.
@@ -261,13 +261,13 @@
 // lister is a platform list that fails at first.
 type lister struct{ fails, calls int }
 
-func (l *lister) Instances(context.Context, string) ([]platform.Instance, error) {
+func (l *lister) Instances(context.Context, string) ([]kvstore.Instance, error) {
 	if l.calls++; l.calls <= l.fails {
 		return nil, failure.New(failure.Unavailable, "", "store is down")
 	}
-	return []platform.Instance{
-		{ID: "a0", Address: "a0", Domain: "a", State: platform.Live},
-		{ID: "gone", Address: "gone", Domain: "a", State: platform.Leaving},
+	return []kvstore.Instance{
+		{ID: "a0", Address: "a0", Domain: "a", State: kvstore.Live},
+		{ID: "gone", Address: "gone", Domain: "a", State: kvstore.Leaving},
 	}, nil
 }
 
--- a/pkg/operator/backend_test.go
+++ b/pkg/operator/backend_test.go
@@ -8,8 +8,8 @@
 
 	"github.com/clementinerack/clementinerack/pkg/declare"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 var (
@@ -23,7 +23,7 @@
 // an opening of 100 tokens, 40 of them stranded.
 func applied(t *testing.T) (testBackend, *fakeStore) {
 	t.Helper()
-	store := &fakeStore{records: map[string]platform.Record{}}
+	store := &fakeStore{records: map[string]kvstore.Record{}}
 	b := newBackend(store)
 	if _, err := b.Apply(t.Context(), Issuer{"a1", "ada"}, ApplyRequest{Document: document(), Budgets: budgetNames(), Openings: []declare.Opening{{Budget: mainBudget, Amount: 100}}}); err != nil {
 		t.Fatal(err)
--- a/pkg/operator/budgets.go
+++ b/pkg/operator/budgets.go
@@ -10,8 +10,8 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 const (
@@ -32,12 +32,12 @@
 // StoreBackend implements the queries and commands that need only the platform
 // store and the configuration. It is safe for concurrent use.
 type StoreBackend struct {
-	store   platform.Store
+	store   kvstore.Store
 	replica *config.Replica
 }
 
 // NewStoreBackend returns a backend on the given store and configuration.
-func NewStoreBackend(store platform.Store, replica *config.Replica) *StoreBackend {
+func NewStoreBackend(store kvstore.Store, replica *config.Replica) *StoreBackend {
 	return &StoreBackend{store, replica}
 }
 
--- a/pkg/operator/fake_test.go
+++ b/pkg/operator/fake_test.go
@@ -8,26 +8,26 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // fakeStore keeps records in memory. The next lose writes take effect without
 // an answer, the next drop writes are lost.
 type fakeStore struct {
-	platform.Store // watches and leases are not used by this package
+	kvstore.Store // watches and leases are not used by this package
 
 	mu      sync.Mutex
-	records map[string]platform.Record
+	records map[string]kvstore.Record
 	lose    int
 	drop    int
 	down    bool
 }
 
-func (s *fakeStore) Get(_ context.Context, key string) (platform.Record, error) {
+func (s *fakeStore) Get(_ context.Context, key string) (kvstore.Record, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return platform.Record{}, failure.New(failure.Unavailable, "", "down")
+		return kvstore.Record{}, failure.New(failure.Unavailable, "", "down")
 	}
 	return s.records[key], nil
 }
@@ -44,7 +44,7 @@
 	case s.records[key].Version != expect:
 		return 0, failure.New(failure.Conflict, "", "other version")
 	}
-	s.records[key] = platform.Record{Key: key, Value: value, Version: expect + 1}
+	s.records[key] = kvstore.Record{Key: key, Value: value, Version: expect + 1}
 	if s.lose > 0 {
 		s.lose--
 		return 0, failure.New(failure.Uncertain, "", "answer lost")
--- a/pkg/operator/index.go
+++ b/pkg/operator/index.go
@@ -11,7 +11,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // indexFormat is the version of the stored form of a budgetIndex.
@@ -52,9 +52,9 @@
 	if err != nil {
 		return nil, failure.New(failure.Internal, "report this message to the maintainers", "the index of budgets cannot be encoded: %v", err)
 	}
-	if len(data) > platform.MaxValueBytes {
+	if len(data) > kvstore.MaxValueBytes {
 		return nil, failure.New(failure.Invalid, "spread the budgets over several workspaces, or shorten their names",
-			"the index of the %d budgets of workspace %q takes %d bytes, the store accepts %d", len(x.Names), workspace, len(data), platform.MaxValueBytes)
+			"the index of the %d budgets of workspace %q takes %d bytes, the store accepts %d", len(x.Names), workspace, len(data), kvstore.MaxValueBytes)
 	}
 	return data, nil
 }
--- a/pkg/operator/index_test.go
+++ b/pkg/operator/index_test.go
@@ -9,14 +9,14 @@
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/declare"
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Guards against budgets that a long list hides or shows twice, and against one
 // query that floods the store.
 func TestPagesOfBudgets(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := newBackend(&fakeStore{records: map[string]platform.Record{}})
+		b := newBackend(&fakeStore{records: map[string]kvstore.Record{}})
 		doc, names := document(), declare.Budgets{}
 		doc.Workspaces = nil
 		want := 0
@@ -80,7 +80,7 @@
 		if r, err := b.Budgets(t.Context(), BudgetSelection{}); err != nil || len(r.Budgets["clinic"]) != 2 {
 			t.Errorf("budgets after a late write: %+v, %v", r, err)
 		}
-		store.records[indexKey("clinic")] = platform.Record{Value: []byte{0xa1, 1, 9}, Version: 5}
+		store.records[indexKey("clinic")] = kvstore.Record{Value: []byte{0xa1, 1, 9}, Version: 5}
 		if r, err := b.Spent(t.Context(), BudgetSelection{}); err != nil || len(r.Faults) != 1 {
 			t.Errorf("index of another format: %+v, %v", r, err)
 		}
--- a/pkg/operator/server.go
+++ b/pkg/operator/server.go
@@ -13,7 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/settings"
 )
 
@@ -28,7 +28,7 @@
 const (
 	// maxBodyBytes bounds a command. An apply at the target size names 230,000
 	// budgets of up to 63 characters, some with opening amounts.
-	maxBodyBytes = 64 * platform.MaxValueBytes
+	maxBodyBytes = 64 * kvstore.MaxValueBytes
 	// requestTimeout bounds a request: ten attempts on a silent store.
 	requestTimeout = 30 * time.Second
 )
--- a/pkg/orders/orders.go
+++ b/pkg/orders/orders.go
@@ -16,12 +16,12 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Leaser is the part of the platform store that orders need.
 type Leaser interface {
-	AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (platform.Lease, error)
+	AcquireLease(ctx context.Context, name, holder string, ttl time.Duration) (kvstore.Lease, error)
 	ReleaseLease(ctx context.Context, name, holder string) error
 }
 
@@ -265,7 +265,7 @@
 	return err == nil && s.agrees(w.state), err
 }
 
-func (o *Orderer) acquire(ctx context.Context, id string) (platform.Lease, error) {
+func (o *Orderer) acquire(ctx context.Context, id string) (kvstore.Lease, error) {
 	ctx, cancel := context.WithTimeout(ctx, o.opts.Timeout)
 	defer cancel()
 	return o.leases.AcquireLease(ctx, leasePrefix+id, o.opts.Instance, o.opts.TTL)
@@ -273,7 +273,7 @@
 
 // release gives the lease up so that the next instance need not wait for its
 // end. A failure only costs that wait.
-func (o *Orderer) release(ctx context.Context, l platform.Lease) {
+func (o *Orderer) release(ctx context.Context, l kvstore.Lease) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), o.opts.Timeout)
 	defer cancel()
 	_ = o.leases.ReleaseLease(ctx, l.Name, l.Holder)
@@ -281,7 +281,7 @@
 
 // order sends one order unless the lease is over by the own clock. The call ends
 // with the lease, too. A lost answer is no error, since the state is read back.
-func (o *Orderer) order(ctx context.Context, id string, l platform.Lease) error {
+func (o *Orderer) order(ctx context.Context, id string, l kvstore.Lease) error {
 	w, ok := o.want(id)
 	if !ok {
 		return nil
--- a/pkg/orders/orders_test.go
+++ b/pkg/orders/orders_test.go
@@ -14,20 +14,20 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/standins/engine"
 )
 
 // leases is a lease service whose token grows with each change of hands.
 type leases struct {
 	sync.Mutex
-	held map[string]platform.Lease
+	held map[string]kvstore.Lease
 	err  error
 	// pause runs after a lease was granted and before the caller learns of it.
 	pause map[string]func()
 }
 
-func (l *leases) AcquireLease(_ context.Context, name, holder string, ttl time.Duration) (platform.Lease, error) {
+func (l *leases) AcquireLease(_ context.Context, name, holder string, ttl time.Duration) (kvstore.Lease, error) {
 	lease, err := l.grant(name, holder, time.Now(), ttl)
 	if pause := l.pause[holder]; pause != nil {
 		pause()
@@ -35,20 +35,20 @@
 	return lease, err
 }
 
-func (l *leases) grant(name, holder string, now time.Time, ttl time.Duration) (platform.Lease, error) {
+func (l *leases) grant(name, holder string, now time.Time, ttl time.Duration) (kvstore.Lease, error) {
 	l.Lock()
 	defer l.Unlock()
 	held := l.held[name]
 	if l.err != nil {
-		return platform.Lease{}, l.err
+		return kvstore.Lease{}, l.err
 	}
 	if held.Holder != holder && held.Holder != "" && now.Before(held.Expires) {
-		return platform.Lease{}, failure.New(failure.Conflict, "wait", "held by %s", held.Holder)
+		return kvstore.Lease{}, failure.New(failure.Conflict, "wait", "held by %s", held.Holder)
 	}
 	if held.Holder != holder {
 		held.Token++
 	}
-	l.held[name] = platform.Lease{Name: name, Holder: holder, Token: held.Token, Expires: now.Add(ttl)}
+	l.held[name] = kvstore.Lease{Name: name, Holder: holder, Token: held.Token, Expires: now.Add(ttl)}
 	return l.held[name], nil
 }
 
@@ -56,7 +56,7 @@
 	l.Lock()
 	defer l.Unlock()
 	if h := l.held[name]; h.Holder == holder {
-		l.held[name] = platform.Lease{Token: h.Token}
+		l.held[name] = kvstore.Lease{Token: h.Token}
 	}
 	return nil
 }
@@ -109,7 +109,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return &bench{&leases{held: map[string]platform.Lease{}, pause: map[string]func(){}}, handler}
+	return &bench{&leases{held: map[string]kvstore.Lease{}, pause: map[string]func(){}}, handler}
 }
 
 func (b *bench) orderer(instance, model string) (*Orderer, *link) {
--- a/pkg/probe/probe.go
+++ b/pkg/probe/probe.go
@@ -13,7 +13,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
@@ -21,7 +21,7 @@
 type Pool interface {
 	Observe(endpointID string, l routing.Load)
 	MarkDown(endpointID string, until time.Time)
-	SetPlatformList(list []platform.Instance)
+	SetPlatformList(list []kvstore.Instance)
 }
 
 var _ Pool = (*routing.Pool)(nil)
@@ -83,7 +83,7 @@
 type Prober struct {
 	opts   Options
 	pool   Pool
-	lister platform.Lister
+	lister kvstore.Lister
 	onDied func(endpointID, incarnation string)
 	client *client
 	log    logrus.FieldLogger
@@ -118,7 +118,7 @@
 // it must not block. A nil lister leaves out the platform's list, a nil reg
 // leaves the metrics unregistered.
 func New(
-	opts Options, pool Pool, lister platform.Lister, onDied func(endpointID, incarnation string),
+	opts Options, pool Pool, lister kvstore.Lister, onDied func(endpointID, incarnation string),
 	log logrus.FieldLogger, reg prometheus.Registerer,
 ) *Prober {
 	opts = opts.withDefaults()
--- a/pkg/probe/probe_test.go
+++ b/pkg/probe/probe_test.go
@@ -18,7 +18,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
@@ -55,10 +55,10 @@
 
 // lister returns the list that is stored, or an error when there is none.
 type lister struct {
-	list atomic.Pointer[[]platform.Instance]
+	list atomic.Pointer[[]kvstore.Instance]
 }
 
-func (l *lister) Instances(context.Context, string) ([]platform.Instance, error) {
+func (l *lister) Instances(context.Context, string) ([]kvstore.Instance, error) {
 	if list := l.list.Load(); list != nil {
 		return *list, nil
 	}
@@ -169,7 +169,7 @@
 // that they leave, also while the platform cannot be asked.
 func TestPlatformList(t *testing.T) {
 	probing(t, Options{}, 0, func(f *fixture) {
-		f.list.list.Store(&[]platform.Instance{{ID: "a", State: platform.Leaving}})
+		f.list.list.Store(&[]kvstore.Instance{{ID: "a", State: kvstore.Leaving}})
 		settle(15 * time.Second)
 		if f.accepts(t) {
 			t.Error("a leaving endpoint got work")
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -8,7 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Pool holds the endpoints of all services. It is safe for concurrent use.
@@ -144,12 +144,12 @@
 
 // SetPlatformList applies the platform's instance list. Endpoints are matched by
 // id; an endpoint that the list does not name is not leaving.
-func (p *Pool) SetPlatformList(list []platform.Instance) {
+func (p *Pool) SetPlatformList(list []kvstore.Instance) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	clear(p.leaving)
 	for _, i := range list {
-		if i.State == platform.Leaving {
+		if i.State == kvstore.Leaving {
 			p.leaving[i.ID] = true
 		}
 	}
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -9,7 +9,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 func document(concurrency int, drained []string, endpoints ...config.Endpoint) *config.Document {
@@ -40,7 +40,7 @@
 
 // Guards against a source of a drain that is missed or cancelled by another one.
 func TestDrain(t *testing.T) {
-	leaving := []platform.Instance{{ID: "a", State: platform.Leaving}}
+	leaving := []kvstore.Instance{{ID: "a", State: kvstore.Leaving}}
 	operator := document(1, []string{"a"}, local("a"))
 	plain := document(1, nil, local("a"))
 	base := time.Unix(1000, 0)
--- a/pkg/shard/asks_test.go
+++ b/pkg/shard/asks_test.go
@@ -6,8 +6,8 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // Guards against callers that name budgets at random and thereby flood the store
@@ -16,7 +16,7 @@
 	runWorld(t, func(w *world) {
 		boot(w, 1_000)
 		n := w.ownerOf(testDomainA)
-		before := w.store.Calls(platform.CallGet)
+		before := w.store.Calls(kvstore.CallGet)
 		const names = 600
 		limited := 0
 		for i := range names {
@@ -36,7 +36,7 @@
 		if limited < names/2 {
 			t.Errorf("%d of %d requests were limited", limited, names)
 		}
-		if calls := w.store.Calls(platform.CallGet) - before; calls > names/2 {
+		if calls := w.store.Calls(kvstore.CallGet) - before; calls > names/2 {
 			t.Errorf("%d reads of the store for %d unknown budgets", calls, names)
 		}
 		n.expect(n.newRequest(10, 10), "answered")
--- a/pkg/shard/grantjob.go
+++ b/pkg/shard/grantjob.go
@@ -4,8 +4,8 @@
 	"context"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // grantJob changes the shard's grant in one budget record. It runs in its own
@@ -63,7 +63,7 @@
 	return failure.New(failure.Conflict, "retry later", "budget %s changed too often", j.budget)
 }
 
-func (j *grantJob) read(ctx context.Context, key string) (platform.Record, error) {
+func (j *grantJob) read(ctx context.Context, key string) (kvstore.Record, error) {
 	ctx, cancel := context.WithTimeout(ctx, j.r.m.opts.Timing.StoreTimeout)
 	defer cancel()
 	return j.r.m.opts.Store.Get(ctx, key)
@@ -112,7 +112,7 @@
 }
 
 // plan decides on the next step from a read of the record.
-func (j *grantJob) plan(rec platform.Record) step {
+func (j *grantJob) plan(rec kvstore.Record) step {
 	r := j.r
 	if !j.current() {
 		return step{err: r.errNotOwner()}
--- a/pkg/shard/manager.go
+++ b/pkg/shard/manager.go
@@ -11,9 +11,9 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // Members tells which instances are alive.
@@ -65,7 +65,7 @@
 // Options configure a Manager.
 type Options struct {
 	Self    peer.Identity
-	Store   platform.Store
+	Store   kvstore.Store
 	Peers   peer.Caller
 	Members Members
 	// Shards returns the number of shards per domain; 0 while there is no
--- a/pkg/shard/mapsync.go
+++ b/pkg/shard/mapsync.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // storeRetry is the pause between attempts to reach a store that is down.
@@ -36,7 +36,7 @@
 }
 
 // readMap reads the shard map, or waits for a newer one when one is known.
-func (m *Manager) readMap(ctx context.Context, known uint64) (platform.Record, error) {
+func (m *Manager) readMap(ctx context.Context, known uint64) (kvstore.Record, error) {
 	key := StoreKey(m.opts.Self.Domain)
 	if known == 0 {
 		return m.opts.Store.Get(ctx, key)
@@ -45,7 +45,7 @@
 }
 
 // learn posts a record of the store to the control goroutine.
-func (m *Manager) learn(rec platform.Record) error {
+func (m *Manager) learn(rec kvstore.Record) error {
 	if rec.Version == 0 {
 		m.post(m.createMap)
 		return nil
--- a/pkg/shard/rights_test.go
+++ b/pkg/shard/rights_test.go
@@ -5,8 +5,8 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 // Guards against acting on a budget record that is older than one seen before, that
@@ -32,7 +32,7 @@
 			b := &ledger.BudgetRecord{Format: ledger.FormatVersion, Paid: 900, Grants: []ledger.Grant{{Shard: r.id(), Epoch: tt.epoch, Granted: 80}}}
 			data, _ := b.Encode()
 			j := &grantJob{r: r, epoch: replicaEpoch, budget: testBudget}
-			if s := j.plan(platform.Record{Value: data, Version: tt.version}); failure.KindOf(s.err) != tt.kind {
+			if s := j.plan(kvstore.Record{Value: data, Version: tt.version}); failure.KindOf(s.err) != tt.kind {
 				t.Errorf("step %+v, want error %q", s, tt.kind)
 			}
 			if j.mirror(80, 8); tt.role != roleOwner && r.state.Right(testBudget).Granted != 50 {
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -16,11 +16,11 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/peer/peertest"
-	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
 )
 
 // world is a small fleet in one process: real managers and routers over the
@@ -29,7 +29,7 @@
 	t     *testing.T
 	ctx   context.Context
 	net   *peertest.Network
-	store *platformtest.Fake
+	store *kvstoretest.Fake
 	nodes map[string]*node
 	seq   int
 
@@ -71,7 +71,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
 		w := &world{
-			t: t, ctx: ctx, net: peertest.NewNetwork(), store: platformtest.NewFake(),
+			t: t, ctx: ctx, net: peertest.NewNetwork(), store: kvstoretest.NewFake(),
 			nodes: map[string]*node{}, live: map[string]peer.Identity{}, draining: map[string]bool{}, silent: map[string]bool{},
 			runs: map[string]int{}, spent: map[string]ledger.Tokens{}, told: map[string]string{},
 		}
@@ -239,7 +239,7 @@
 // hookedStore reports writes to the world's hook before and after they happen.
 type hookedStore struct {
 	w *world
-	platform.Store
+	kvstore.Store
 }
 
 func (s *hookedStore) CompareAndSwap(ctx context.Context, key string, expect uint64, value []byte) (uint64, error) {
--- a/standins/cmd/standin-platform/main.go
+++ b/standins/cmd/standin-platform/main.go
@@ -16,7 +16,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	standin "github.com/clementinerack/clementinerack/standins/platform"
 )
 
@@ -71,7 +71,7 @@
 
 // load reads the contents that an earlier process saved. A missing file is an
 // empty store.
-func load(store *platformtest.Fake, path string) error {
+func load(store *kvstoretest.Fake, path string) error {
 	data, err := os.ReadFile(path)
 	if path == "" || os.IsNotExist(err) {
 		return nil
@@ -82,7 +82,7 @@
 	return errors.Wrapf(store.Load(data), "decode %s", path)
 }
 
-func save(store *platformtest.Fake, path string) error {
+func save(store *kvstoretest.Fake, path string) error {
 	if path == "" {
 		return nil
 	}
--- a/standins/platform/handlers.go
+++ b/standins/platform/handlers.go
@@ -8,16 +8,16 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 )
 
 // get serves a read, or a watch when the query names a version.
 func (s *Server) get(c iris.Context) {
 	watch := c.URLParamExists("after")
-	kind := platform.CallGet
+	kind := kvstore.CallGet
 	if watch {
-		kind = platform.CallWatch
+		kind = kvstore.CallWatch
 	}
 	k := s.begin(c, kind)
 	defer k.cancel()
@@ -37,7 +37,7 @@
 }
 
 // record reads or watches. It returns false when it has answered the call.
-func (k *call) record(watch bool) (platform.Record, bool, error) {
+func (k *call) record(watch bool) (kvstore.Record, bool, error) {
 	key := k.Params().Get("key")
 	if !watch {
 		record, err := k.client.Get(k.ctx, key)
@@ -45,14 +45,14 @@
 	}
 	after, ok := k.number("after")
 	if !ok {
-		return platform.Record{}, false, nil
+		return kvstore.Record{}, false, nil
 	}
-	wait := platformtest.DefaultWatchWait
+	wait := kvstoretest.DefaultWatchWait
 	if text := k.URLParam("wait"); text != "" {
 		parsed, err := time.ParseDuration(text)
 		if err != nil || parsed < 0 {
 			k.StatusCode(http.StatusBadRequest)
-			return platform.Record{}, false, nil
+			return kvstore.Record{}, false, nil
 		}
 		wait = parsed
 	}
@@ -61,13 +61,13 @@
 }
 
 func (s *Server) swap(c iris.Context) {
-	k := s.begin(c, platform.CallSwap)
+	k := s.begin(c, kvstore.CallSwap)
 	defer k.cancel()
 	expect, ok := k.number("expect")
 	if !ok {
 		return
 	}
-	value, ok := k.body(platform.MaxValueBytes)
+	value, ok := k.body(kvstore.MaxValueBytes)
 	if !ok {
 		return
 	}
@@ -81,9 +81,9 @@
 }
 
 func (s *Server) acquire(c iris.Context) {
-	k := s.begin(c, platform.CallLease)
+	k := s.begin(c, kvstore.CallLease)
 	defer k.cancel()
-	var want platform.LeaseRequest
+	var want kvstore.LeaseRequest
 	if !k.decode(&want) {
 		return
 	}
@@ -91,22 +91,22 @@
 	lease, err := k.client.AcquireLease(k.ctx, k.Params().Get("name"), want.Holder, ttl)
 	switch {
 	case failure.Is(err, failure.Conflict):
-		k.json(http.StatusConflict, platform.LeaseAnswer{Holder: lease.Holder, Token: lease.Token})
+		k.json(http.StatusConflict, kvstore.LeaseAnswer{Holder: lease.Holder, Token: lease.Token})
 	case err != nil:
 		k.fail(err)
 	default:
-		k.json(http.StatusOK, platform.LeaseAnswer{Token: lease.Token})
+		k.json(http.StatusOK, kvstore.LeaseAnswer{Token: lease.Token})
 	}
 }
 
 func (s *Server) release(c iris.Context) {
-	k := s.begin(c, platform.CallRelease)
+	k := s.begin(c, kvstore.CallRelease)
 	defer k.cancel()
 	k.done(k.client.ReleaseLease(k.ctx, k.Params().Get("name"), k.URLParam("holder")))
 }
 
 func (s *Server) list(c iris.Context) {
-	k := s.begin(c, platform.CallList)
+	k := s.begin(c, kvstore.CallList)
 	defer k.cancel()
 	list, err := k.client.Instances(k.ctx, k.URLParam("service"))
 	if err != nil {
@@ -117,9 +117,9 @@
 }
 
 func (s *Server) register(c iris.Context) {
-	k := s.begin(c, platform.CallRegister)
+	k := s.begin(c, kvstore.CallRegister)
 	defer k.cancel()
-	var in platform.Instance
+	var in kvstore.Instance
 	if !k.decode(&in) {
 		return
 	}
@@ -131,7 +131,7 @@
 }
 
 func (s *Server) deregister(c iris.Context) {
-	k := s.begin(c, platform.CallDeregister)
+	k := s.begin(c, kvstore.CallDeregister)
 	defer k.cancel()
 	k.done(k.client.Deregister(k.ctx, k.Params().Get("id")))
 }
--- a/standins/platform/server.go
+++ b/standins/platform/server.go
@@ -14,14 +14,14 @@
 	"github.com/kataras/iris/v12"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
-	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 )
 
 // Server is the stand-in as an http.Handler.
 type Server struct {
 	app   *iris.Application
-	store *platformtest.Fake
+	store *kvstoretest.Fake
 	open  context.Context // ends with Close
 	close context.CancelFunc
 
@@ -31,8 +31,8 @@
 
 // Stats counts calls and body bytes in both directions by kind of call.
 type Stats struct {
-	Calls map[platform.CallKind]int64 `json:"calls"`
-	Bytes map[platform.CallKind]int64 `json:"bytes"`
+	Calls map[kvstore.CallKind]int64 `json:"calls"`
+	Bytes map[kvstore.CallKind]int64 `json:"bytes"`
 }
 
 // Faults are the test switches. A value replaces all of them.
@@ -50,8 +50,8 @@
 func New() (*Server, error) {
 	s := &Server{
 		app:   iris.New(),
-		store: platformtest.NewFake(),
-		stats: Stats{Calls: map[platform.CallKind]int64{}, Bytes: map[platform.CallKind]int64{}},
+		store: kvstoretest.NewFake(),
+		stats: Stats{Calls: map[kvstore.CallKind]int64{}, Bytes: map[kvstore.CallKind]int64{}},
 	}
 	s.open, s.close = context.WithCancel(context.Background())
 	s.app.Logger().SetLevel("disable")
@@ -75,7 +75,7 @@
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.app.ServeHTTP(w, r) }
 
 // Store returns the store behind the server.
-func (s *Server) Store() *platformtest.Fake { return s.store }
+func (s *Server) Store() *kvstoretest.Fake { return s.store }
 
 // SetFaults replaces all test switches.
 func (s *Server) SetFaults(f Faults) {
@@ -100,15 +100,15 @@
 type call struct {
 	iris.Context
 	server *Server
-	kind   platform.CallKind
+	kind   kvstore.CallKind
 	id     string
-	client *platformtest.Client
+	client *kvstoretest.Client
 	ctx    context.Context
 	cancel func()
 }
 
 // begin counts a call and binds its context to the server's life.
-func (s *Server) begin(c iris.Context, kind platform.CallKind) *call {
+func (s *Server) begin(c iris.Context, kind kvstore.CallKind) *call {
 	ctx, cancel := context.WithCancel(c.Request().Context())
 	unbind := context.AfterFunc(s.open, cancel)
 	id := c.GetHeader("X-Client")
@@ -147,7 +147,7 @@
 // decode reads a JSON body; it answers the call itself and returns false when
 // the body is unusable.
 func (k *call) decode(into any) bool {
-	body, ok := k.body(platform.MaxValueBytes)
+	body, ok := k.body(kvstore.MaxValueBytes)
 	if ok && json.Unmarshal(body, into) != nil {
 		k.StatusCode(http.StatusBadRequest)
 		return false
--- a/standins/platform/server_test.go
+++ b/standins/platform/server_test.go
@@ -9,7 +9,7 @@
 
 	"go.uber.org/goleak"
 
-	"github.com/clementinerack/clementinerack/pkg/platform"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
@@ -68,7 +68,7 @@
 			{method: "GET", path: kv, status: 200, version: "1", answer: "v"},
 			{method: "GET", path: kv + "?after=0&wait=1h", status: 200, version: "1", answer: "v"},
 			{method: "GET", path: kv + "?after=1&wait=0s", status: 200, version: "1", answer: "v"},
-			{method: "PUT", path: kv + "?expect=1", body: strings.Repeat("x", platform.MaxValueBytes+1), status: 413},
+			{method: "PUT", path: kv + "?expect=1", body: strings.Repeat("x", kvstore.MaxValueBytes+1), status: 413},
 		}},
 		{"malformed calls", []step{
 			{method: "PUT", path: kv, body: "v", status: 400},
--- a/test/integration/matrix_test.go
+++ b/test/integration/matrix_test.go
@@ -12,8 +12,8 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 )
 
 const (
@@ -58,7 +58,7 @@
 		w.net.Silence(r.entry.id.Address, r.owner.id.Address)
 		time.Sleep(time.Minute)
 		calls, epochs := w.store.AllCalls(), w.shardMap(domainA).Shards[0].Epoch-before
-		if epochs > 60 || calls[platform.CallSwap] > 120 || calls[platform.CallWatch] > 240 {
+		if epochs > 60 || calls[kvstore.CallSwap] > 120 || calls[kvstore.CallWatch] > 240 {
 			t.Errorf("%d epochs and the store calls %v in a minute", epochs, calls)
 		}
 	})
--- a/test/integration/node_test.go
+++ b/test/integration/node_test.go
@@ -14,12 +14,12 @@
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/entry"
 	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/membership"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/peer/peertest"
-	"github.com/clementinerack/clementinerack/pkg/platform"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/relay"
 	"github.com/clementinerack/clementinerack/pkg/routing"
@@ -95,7 +95,7 @@
 	return n
 }
 
-func (n *node) build(peers peer.Caller, store platform.Store, log logrus.FieldLogger) {
+func (n *node) build(peers peer.Caller, store kvstore.Store, log logrus.FieldLogger) {
 	w := n.w
 	n.replica = config.NewReplica(store, config.ReplicaOptions{Peers: peers, Log: log}, nil)
 	n.members = membership.New(n.id, peers, membership.Options{Seeds: seeds, Local: n.report, OnReport: n.heard, Log: log}, nil)
--- a/test/integration/world_test.go
+++ b/test/integration/world_test.go
@@ -15,12 +15,12 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/declare"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/kvstore/kvstoretest"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/peer/peertest"
-	"github.com/clementinerack/clementinerack/pkg/platform"
-	"github.com/clementinerack/clementinerack/pkg/platform/platformtest"
 	"github.com/clementinerack/clementinerack/pkg/shard"
 )
 
@@ -44,7 +44,7 @@
 type world struct {
 	t     *testing.T
 	net   *peertest.Network
-	store *platformtest.Fake
+	store *kvstoretest.Fake
 	wire  *wire
 	loops sync.WaitGroup // endpoints
 	work  sync.WaitGroup // callers, operators and faults
@@ -76,7 +76,7 @@
 func runWorld(t *testing.T, fn func(w *world)) {
 	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		w := &world{t: t, net: peertest.NewNetwork(), store: platformtest.NewFake(), wire: newWire(),
+		w := &world{t: t, net: peertest.NewNetwork(), store: kvstoretest.NewFake(), wire: newWire(),
 			nodes: map[string]*node{}, topUps: map[string]ledger.Tokens{}}
 		for i, id := range []string{"engine-a", "engine-b", "app-a", "app-b"} {
 			w.endpoints = append(w.endpoints, w.startEndpoint(id, []string{domainA, domainB}[i%2], i < 2))
@@ -280,10 +280,10 @@
 // paused instance.
 type hookedStore struct {
 	n *node
-	platform.Store
+	kvstore.Store
 }
 
-func (s *hookedStore) Get(ctx context.Context, key string) (platform.Record, error) {
+func (s *hookedStore) Get(ctx context.Context, key string) (kvstore.Record, error) {
 	s.n.w.wire.gate(s.n.host())
 	rec, err := s.Store.Get(ctx, key)
 	s.n.w.wire.gate(s.n.host())
@@ -304,7 +304,7 @@
 	return version, err
 }
 
-func (s *hookedStore) Watch(ctx context.Context, key string, after uint64) (platform.Record, error) {
+func (s *hookedStore) Watch(ctx context.Context, key string, after uint64) (kvstore.Record, error) {
 	rec, err := s.Store.Watch(ctx, key, after)
 	s.n.w.wire.gate(s.n.host())
 	return rec, err
