--- /dev/null
+++ b/cmd/clementinerack-entry/main.go
@@ -0,0 +1,42 @@
+// Command clementinerack-entry is the daemon of one entry instance on the users'
+// platform.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/clementinerack/clementinerack/platform"
+)
+
+// Exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+type flags struct {
+	Settings      string `help:"Settings file of the platform." env:"CLEMENTINERACK_BOOT" required:"" type:"existingfile"`
+	CheckSettings bool   `help:"Check the settings and exit: 0 when they are valid, 2 when not."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("clementinerack-entry"),
+		kong.Description("Entry instance on the users' platform. Exit codes: 0 stopped, 1 failed, 2 wrong settings."))
+	s, err := platform.LoadSettings(f.Settings)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
+	if f.CheckSettings {
+		fmt.Println("settings are valid")
+		return
+	}
+	if err := platform.Run(s); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
--- /dev/null
+++ b/pkg/catalog/replica.go
@@ -0,0 +1,302 @@
+package catalog
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+// Source reads declarations and endpoints from where operators and endpoints
+// write them.
+type Source interface {
+	// Document waits until there is a version above after and returns it, or nil
+	// when there is none within the source's own bound.
+	Document(ctx context.Context, after uint64) (*Document, error)
+	// Endpoints returns the present list.
+	Endpoints(ctx context.Context) (EndpointList, error)
+}
+
+// PullMethod asks another instance for what is newer there.
+const PullMethod peer.Method = "catalog.pull"
+
+// PullRequest tells what the caller has.
+type PullRequest struct {
+	Version  uint64 `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+}
+
+// PullReply carries only what is newer than the request.
+type PullReply struct {
+	Document  *Document     `cbor:"1,keyasint,omitempty"`
+	Endpoints *EndpointList `cbor:"2,keyasint,omitempty"`
+}
+
+// Timing bounds the work of a Replica.
+type Timing struct {
+	// ListInterval is the pause between two reads of the endpoints. Draining ones
+	// must be known within the shortest drain time, 2 s.
+	ListInterval time.Duration
+	// CallTimeout bounds a read of the list or a call of a peer.
+	CallTimeout time.Duration
+	// RetryPause follows a failed read.
+	RetryPause time.Duration
+	// PullAfter is the silence of the source after which peers are asked.
+	PullAfter time.Duration
+	// ReturnGrace is how long endpoints that are missing after an outage of the
+	// source stay listed; living ones register again within 2 s.
+	ReturnGrace time.Duration
+}
+
+// DefaultTiming returns the bounds in use.
+func DefaultTiming() Timing {
+	return Timing{
+		ListInterval: time.Second,
+		CallTimeout:  500 * time.Millisecond,
+		RetryPause:   250 * time.Millisecond,
+		PullAfter:    1600 * time.Millisecond,
+		ReturnGrace:  2200 * time.Millisecond,
+	}
+}
+
+// ReplicaOptions hold what a Replica needs.
+type ReplicaOptions struct {
+	Source Source
+	// Peers and Members are used while the source is silent.
+	Peers   peer.Caller
+	Members func() []string
+	Timing  Timing
+	Log     logrus.FieldLogger
+	// OnDocument and OnEndpoints are called after each change, from one goroutine
+	// at a time.
+	OnDocument  func(*Catalog)
+	OnEndpoints func(EndpointList)
+}
+
+// Replica is this instance's copy of the declarations and endpoints. It is safe
+// for concurrent use.
+type Replica struct {
+	opts    ReplicaOptions
+	current atomic.Pointer[Catalog]
+
+	mu        sync.Mutex // orders changes
+	listed    EndpointList
+	heardList time.Time // last answer of the source about endpoints
+	returned  time.Time // end of the latest silence about endpoints
+}
+
+// NewReplica returns a replica without any content.
+func NewReplica(opts ReplicaOptions) *Replica {
+	if opts.Timing == (Timing{}) {
+		opts.Timing = DefaultTiming()
+	}
+	return &Replica{opts: opts}
+}
+
+// Current returns the latest catalog, or nil.
+func (r *Replica) Current() *Catalog { return r.current.Load() }
+
+// Endpoints returns the latest list.
+func (r *Replica) Endpoints() EndpointList {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listed
+}
+
+// RegisterPeer registers the handler of PullMethod.
+func (r *Replica) RegisterPeer(reg peer.Registrar) {
+	reg.Handle(PullMethod, func(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+		var req PullRequest
+		if err := peer.Unmarshal(body, &req); err != nil {
+			return nil, err
+		}
+		var reply PullReply
+		if c := r.Current(); c != nil && c.Version > req.Version {
+			reply.Document = c.Document
+		}
+		if l := r.Endpoints(); l.Revision > req.Revision {
+			reply.Endpoints = &l
+		}
+		return reply, nil
+	})
+}
+
+// Run keeps the replica current until ctx ends.
+func (r *Replica) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	wg.Go(func() { r.followDocument(ctx) })
+	wg.Go(func() { r.followEndpoints(ctx) })
+	wg.Go(func() { r.pullWhileSilent(ctx) })
+	wg.Wait()
+}
+
+func (r *Replica) followDocument(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		var after uint64
+		if c := r.Current(); c != nil {
+			after = c.Version
+		}
+		d, err := r.opts.Source.Document(ctx, after)
+		if err != nil {
+			r.note(&lost, "declarations", err)
+			sleep(ctx, r.opts.Timing.RetryPause)
+			continue
+		}
+		r.note(&lost, "declarations", nil)
+		r.apply(d, "store")
+	}
+}
+
+// note logs the loss and the return of the source, once each.
+func (r *Replica) note(lost *bool, what string, err error) {
+	switch {
+	case err != nil && !*lost:
+		r.opts.Log.WithError(err).WithField("dependency", "store").WithField("of", what).Warn("dependency lost")
+	case err == nil && *lost:
+		r.opts.Log.WithField("dependency", "store").WithField("of", what).Info("dependency regained")
+	}
+	*lost = err != nil
+}
+
+func (r *Replica) apply(d *Document, from string) {
+	if d == nil {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.current.Load()
+	if old != nil && d.Version <= old.Version {
+		return
+	}
+	c := Index(d)
+	r.current.Store(c)
+	r.opts.Log.WithFields(logrus.Fields{"version": d.Version, "from": from, "routes": len(d.Routes),
+		"workspaces": len(d.Workspaces)}).Info("declarations in force")
+	if r.opts.OnDocument != nil {
+		r.opts.OnDocument(c)
+	}
+}
+
+func (r *Replica) followEndpoints(ctx context.Context) {
+	lost := false
+	for ctx.Err() == nil {
+		call, cancel := context.WithTimeout(ctx, r.opts.Timing.CallTimeout)
+		list, err := r.opts.Source.Endpoints(call)
+		cancel()
+		r.note(&lost, "endpoints", err)
+		if err != nil {
+			sleep(ctx, r.opts.Timing.RetryPause)
+			continue
+		}
+		r.applyList(list, time.Now(), true)
+		sleep(ctx, r.opts.Timing.ListInterval)
+	}
+}
+
+// applyList takes a list unless it is older than the present one. After a
+// silence of the source, endpoints that it misses stay for ReturnGrace.
+func (r *Replica) applyList(list EndpointList, now time.Time, fromSource bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if fromSource {
+		if !r.heardList.IsZero() && now.Sub(r.heardList) > r.opts.Timing.ListInterval+r.opts.Timing.CallTimeout {
+			r.returned = now
+		}
+		r.heardList = now
+	}
+	if list.Revision < r.listed.Revision {
+		return
+	}
+	if now.Sub(r.returned) < r.opts.Timing.ReturnGrace {
+		list.Endpoints = withMissing(list.Endpoints, r.listed.Endpoints)
+	}
+	r.logList(list)
+	r.listed = list
+	if r.opts.OnEndpoints != nil {
+		r.opts.OnEndpoints(list)
+	}
+}
+
+// withMissing adds the endpoints of old whose ids now lacks.
+func withMissing(now, old []Endpoint) []Endpoint {
+	ids := make(map[string]bool, len(now))
+	for _, e := range now {
+		ids[e.ID] = true
+	}
+	for _, e := range old {
+		if !ids[e.ID] {
+			now = append(now, e)
+		}
+	}
+	return now
+}
+
+func (r *Replica) logList(list EndpointList) {
+	before := make(map[string]Endpoint, len(r.listed.Endpoints))
+	for _, e := range r.listed.Endpoints {
+		before[e.ID] = e
+	}
+	log := r.opts.Log.WithField("revision", list.Revision)
+	for _, e := range list.Endpoints {
+		old, known := before[e.ID]
+		delete(before, e.ID)
+		if !known || old != e {
+			log.WithFields(logrus.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address,
+				"draining": e.Draining}).Info("endpoint listed")
+		}
+	}
+	for id := range before {
+		log.WithField("endpoint", id).Info("endpoint no longer listed")
+	}
+}
+
+// pullWhileSilent asks one peer after the other while the source is silent.
+func (r *Replica) pullWhileSilent(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, r.opts.Timing.RetryPause*2)
+		r.mu.Lock()
+		silence := time.Since(r.heardList)
+		r.mu.Unlock()
+		members := r.opts.Members()
+		if silence < r.opts.Timing.PullAfter || len(members) == 0 {
+			continue
+		}
+		r.pull(ctx, members[rand.IntN(len(members))])
+	}
+}
+
+func (r *Replica) pull(ctx context.Context, address string) {
+	req := PullRequest{Revision: r.Endpoints().Revision}
+	if c := r.Current(); c != nil {
+		req.Version = c.Version
+	}
+	call, cancel := context.WithTimeout(ctx, r.opts.Timing.CallTimeout)
+	defer cancel()
+	var reply PullReply
+	if err := r.opts.Peers.Call(call, address, PullMethod, req, &reply); err != nil {
+		if !failure.Is(err, failure.Unavailable) {
+			r.opts.Log.WithError(err).WithField("peer", address).Debug("peer did not answer a pull")
+		}
+		return
+	}
+	r.apply(reply.Document, address)
+	if reply.Endpoints != nil {
+		r.applyList(*reply.Endpoints, time.Now(), false)
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,141 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/placement"
+	"github.com/clementinerack/clementinerack/pkg/rights"
+	"github.com/clementinerack/clementinerack/pkg/upstream"
+)
+
+// Rights sets aside and settles what requests cost.
+type Rights interface {
+	// Reserve waits for rights until ctx ends.
+	Reserve(ctx context.Context, workspace string, most rights.Tokens) *failure.Error
+	// Settle ends a reservation.
+	Settle(workspace string, reserved, used rights.Tokens)
+}
+
+// Options hold what a Gateway consumes. All fields are required but Registerer.
+type Options struct {
+	Codec      Codec
+	Catalog    func() *catalog.Catalog
+	Pool       *placement.Pool
+	Client     *upstream.Client
+	Rights     Rights
+	Crashes    CrashGuard
+	Retries    *RetryBudget
+	Log        logrus.FieldLogger
+	Registerer prometheus.Registerer
+}
+
+// Gateway serves callers. It is safe for concurrent use.
+type Gateway struct {
+	opts    Options
+	metrics *metrics
+
+	mu       sync.Mutex
+	closing  bool // answers close their connections
+	closed   bool // new requests are refused
+	inFlight int
+	empty    chan struct{} // closed when a closed gateway has no request left
+}
+
+var _ http.Handler = (*Gateway)(nil)
+
+// New returns a gateway.
+func New(opts Options) *Gateway {
+	return &Gateway{opts: opts, metrics: newMetrics(opts.Registerer)}
+}
+
+// Leave makes callers give up their open connections with the next answer.
+func (g *Gateway) Leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closing = true
+}
+
+// Drain refuses new requests and waits for the open ones.
+func (g *Gateway) Drain(ctx context.Context) error {
+	g.mu.Lock()
+	g.closing, g.closed = true, true
+	if g.empty == nil {
+		g.empty = make(chan struct{})
+		if g.inFlight == 0 {
+			close(g.empty)
+		}
+	}
+	empty := g.empty
+	g.mu.Unlock()
+	select {
+	case <-empty:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// InFlight returns the number of open requests.
+func (g *Gateway) InFlight() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.inFlight
+}
+
+// enter counts a request. A closed gateway counts it too until it is refused.
+func (g *Gateway) enter() (closing, closed bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight++
+	return g.closing, g.closed
+}
+
+func (g *Gateway) leave() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.inFlight--
+	if g.closed && g.inFlight == 0 {
+		select {
+		case <-g.empty:
+		default:
+			close(g.empty)
+		}
+	}
+}
+
+// ServeHTTP answers one request of a caller.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	closing, closed := g.enter()
+	defer g.leave()
+	if closing {
+		w.Header().Set("Connection", "close")
+	}
+	q := &request{g: g, w: w, r: r, arrived: time.Now()}
+	defer q.log()
+	if closed {
+		q.refuse(failure.New(failure.NotReady, "send it to another instance", "the instance is stopping").WithOutcome(failure.NotRun), againSoon)
+		return
+	}
+	if err, after := q.prepare(); err != nil {
+		q.refuse(err, after)
+		return
+	}
+	q.serve()
+}
+
+const (
+	// againSoon is the time after which a request that another instance can take
+	// at once may come back.
+	againSoon = 50 * time.Millisecond
+	// againLater is the mean time after which a request may come back that found
+	// no endpoint or no rights.
+	againLater = 400 * time.Millisecond
+)
--- /dev/null
+++ b/pkg/node/node.go
@@ -0,0 +1,217 @@
+package node
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/pkg/gateway"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/placement"
+	"github.com/clementinerack/clementinerack/pkg/quarantine"
+	"github.com/clementinerack/clementinerack/pkg/rights"
+	"github.com/clementinerack/clementinerack/pkg/roster"
+	"github.com/clementinerack/clementinerack/pkg/upstream"
+)
+
+// Options hold what a Node consumes. All fields are required.
+type Options struct {
+	Name, Domain string
+	// Callers, Ready, Peers and Metrics are listening addresses, host:port.
+	Callers, Ready, Peers, Metrics string
+	// ReadyPath is the path of the readiness check at Ready, MetricsPath that of
+	// the metrics at Metrics.
+	ReadyPath, MetricsPath string
+	Store                  roster.Store
+	Source                 catalog.Source
+	Codec                  gateway.Codec
+	Retry                  RetryLimit
+	// Grace is the time from the order to stop to the forced end.
+	Grace    time.Duration
+	Log      logrus.FieldLogger
+	Registry *prometheus.Registry
+}
+
+// RetryLimit bounds the repeated arrivals at a service over all instances.
+type RetryLimit struct {
+	Ratio, Extra float64
+	Window       time.Duration
+}
+
+// Node is one instance.
+type Node struct {
+	opts     Options
+	self     peer.Identity
+	log      logrus.FieldLogger
+	peers    *latePeers
+	roster   *roster.Roster
+	replica  *catalog.Replica
+	pool     *placement.Pool
+	client   *upstream.Client
+	book     *rights.Book
+	syncer   *rights.Syncer
+	exchange *rights.Exchange
+	crashes  *crashGuard
+	gateway  *gateway.Gateway
+	stopping atomic.Bool
+	loops    sync.WaitGroup
+}
+
+// incarnationBytes makes two incarnations of an instance distinct.
+const incarnationBytes = 8
+
+// New builds a node. It opens no listener and starts no goroutine.
+func New(opts Options) *Node {
+	var nonce [incarnationBytes]byte
+	_, _ = rand.Read(nonce[:]) // crypto/rand.Read never fails
+	n := &Node{opts: opts, log: opts.Log, peers: &latePeers{}, self: peer.Identity{
+		Instance: opts.Name, Domain: opts.Domain, Address: opts.Peers,
+		Incarnation: opts.Name + "-" + hex.EncodeToString(nonce[:]),
+	}}
+	opts.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	n.roster = roster.New(n.self, opts.Store, n.log)
+	n.pool = placement.New(opts.Domain, uint64(nonce[0])|uint64(nonce[1])<<8|uint64(nonce[2])<<16|1)
+	n.client = upstream.New()
+	n.buildRights()
+	n.buildCatalog()
+	n.crashes = &crashGuard{Tracker: quarantine.New(quarantine.Options{}, opts.Registry), peers: n.peers, others: n.roster.Others}
+	n.gateway = gateway.New(gateway.Options{
+		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
+		Rights: &purse{n.book, n.syncer, n.exchange}, Crashes: n.crashes,
+		Retries: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.MostSeen),
+		Log:     n.log, Registerer: opts.Registry,
+	})
+	return n
+}
+
+func (n *Node) buildRights() {
+	n.book = rights.NewBook()
+	n.exchange = rights.NewExchange(n.book, n.peers, n.members, n.log)
+	n.syncer = rights.NewSyncer(rights.SyncerOptions{
+		Book: n.book, Ledger: rights.NewLedger(n.opts.Store, n.self.Incarnation), Prepaid: n.prepaid,
+		Instances: n.roster.Size, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
+	})
+}
+
+func (n *Node) buildCatalog() {
+	n.replica = catalog.NewReplica(catalog.ReplicaOptions{
+		Source: n.opts.Source, Peers: n.peers, Log: n.log,
+		Members: func() []string {
+			var out []string
+			for _, o := range n.roster.Others() {
+				out = append(out, o.Address)
+			}
+			return out
+		},
+		OnDocument:  func(*catalog.Catalog) { n.syncer.Kick() },
+		OnEndpoints: n.pool.Update,
+	})
+}
+
+func (n *Node) members() []rights.Member {
+	var out []rights.Member
+	for _, o := range n.roster.Others() {
+		out = append(out, rights.Member{Incarnation: o.Incarnation, Address: o.Address})
+	}
+	return out
+}
+
+// prepaid returns what the limited workspaces have paid.
+func (n *Node) prepaid() map[string]rights.Tokens {
+	c := n.replica.Current()
+	if c == nil {
+		return nil
+	}
+	out := make(map[string]rights.Tokens, len(c.Workspaces))
+	for _, w := range c.Workspaces {
+		if w.Prepaid != nil {
+			out[w.Name] = *w.Prepaid
+		}
+	}
+	return out
+}
+
+const (
+	// headerTimeout bounds the time that a caller takes to send its header.
+	headerTimeout = 10 * time.Second
+	// idleTimeout is how long an unused connection of a caller stays open.
+	idleTimeout = time.Minute
+	// maxHeaderBytes is ample for the headers of callers.
+	maxHeaderBytes = 64 << 10
+)
+
+// listen opens the listeners and serves them.
+func (n *Node) listen() ([]*http.Server, error) {
+	metrics := http.NewServeMux()
+	metrics.Handle("GET "+n.opts.MetricsPath, promhttp.HandlerFor(n.opts.Registry, promhttp.HandlerOpts{}))
+	var servers []*http.Server
+	for _, l := range []struct {
+		address string
+		handler http.Handler
+	}{
+		{n.opts.Callers, n.gateway},
+		{n.opts.Ready, http.HandlerFunc(n.serveReady)},
+		{n.opts.Metrics, metrics},
+	} {
+		ln, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return nil, err
+		}
+		s := &http.Server{Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		servers = append(servers, s)
+		n.loops.Go(func() { _ = s.Serve(ln) }) // returns when the server is closed
+	}
+	return servers, nil
+}
+
+// startPeers waits for the credential and then takes calls of other instances.
+func (n *Node) startPeers(ctx context.Context) {
+	secret, err := credential(ctx, n.opts.Store)
+	if err != nil {
+		return // ctx has ended
+	}
+	t := peer.New(n.self, peer.Options{Credential: secret, Idle: peerIdle, Silence: peerSilence}, n.opts.Registry)
+	n.replica.RegisterPeer(t)
+	n.exchange.RegisterPeer(t, n.self.Incarnation)
+	n.crashes.register(t)
+	ln, err := net.Listen("tcp", n.opts.Peers)
+	if err != nil {
+		n.log.WithError(err).Error("the peers' listener cannot be opened")
+		return
+	}
+	n.peers.transport.Store(t)
+	server := &http.Server{Handler: t, ReadHeaderTimeout: headerTimeout}
+	n.loops.Go(func() { _ = server.Serve(ln) }) // returns when the server is closed
+	<-ctx.Done()
+	_ = server.Close()
+	closing, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	_ = t.Close(closing) // the process ends next
+}
+
+func (n *Node) ready() bool {
+	return !n.stopping.Load() && n.replica.Current() != nil && n.replica.Endpoints().Revision > 0 && n.syncer.Ready()
+}
+
+func (n *Node) serveReady(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path != n.opts.ReadyPath {
+		http.NotFound(w, r)
+		return
+	}
+	if !n.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
--- /dev/null
+++ b/pkg/rights/exchange.go
@@ -0,0 +1,181 @@
+package rights
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+// AskMethod asks another instance for some of its rights.
+const AskMethod peer.Method = "rights.ask"
+
+// AskRequest is repeated with the same Number until it is answered, and answered
+// alike each time.
+type AskRequest struct {
+	// Holder is the incarnation of the asked instance: another incarnation does
+	// not know what was given before and must not answer.
+	Holder    string `cbor:"1,keyasint"`
+	Number    uint64 `cbor:"2,keyasint"`
+	Workspace string `cbor:"3,keyasint"`
+	Want      Tokens `cbor:"4,keyasint"`
+}
+
+// AskReply tells what was given. The rights have left the book of the giver.
+type AskReply struct {
+	Given Tokens `cbor:"1,keyasint"`
+}
+
+const (
+	// askTimeout bounds one call; a peer in reach answers within milliseconds.
+	askTimeout = 250 * time.Millisecond
+	// askRest is how long a peer that did not answer is left alone.
+	askRest = time.Second
+	// giveShare is the part of its free rights that an instance gives at most.
+	giveShare = 0.5
+)
+
+// Member is another instance.
+type Member struct{ Incarnation, Address string }
+
+// Exchange moves rights between instances. A move that got no answer is repeated
+// before anything else is asked of that peer, so no rights appear twice.
+type Exchange struct {
+	book    *Book
+	peers   peer.Caller
+	members func() []Member
+	log     logrus.FieldLogger
+
+	mu    sync.Mutex
+	asks  map[string]*asker // by incarnation of the asked
+	given map[string]gift   // latest by incarnation of the asking
+}
+
+// gift is the latest answer to one asking instance.
+type gift struct {
+	number uint64
+	given  Tokens
+}
+
+// asker is the state of the calls to one peer; its mutex orders them.
+type asker struct {
+	mu     sync.Mutex
+	number uint64
+	open   *AskRequest // without an answer
+	rest   time.Time   // left alone until then
+}
+
+// NewExchange returns an exchange for the rights of book.
+func NewExchange(book *Book, peers peer.Caller, members func() []Member, log logrus.FieldLogger) *Exchange {
+	return &Exchange{book: book, peers: peers, members: members, log: log, asks: map[string]*asker{}, given: map[string]gift{}}
+}
+
+// RegisterPeer registers the handler of AskMethod for this incarnation.
+func (x *Exchange) RegisterPeer(reg peer.Registrar, incarnation string) {
+	reg.Handle(AskMethod, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
+		var req AskRequest
+		if err := peer.Unmarshal(body, &req); err != nil {
+			return nil, err
+		}
+		if req.Holder != incarnation {
+			return nil, failure.New(failure.NotFound, "ask the present incarnation", "incarnation %s has ended", req.Holder)
+		}
+		return x.give(from.Incarnation, req)
+	})
+}
+
+func (x *Exchange) give(to string, req AskRequest) (AskReply, error) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	last := x.given[to]
+	switch {
+	case req.Number == last.number:
+		return AskReply{Given: last.given}, nil
+	case req.Number < last.number:
+		return AskReply{}, failure.New(failure.Fenced, "ignore the answer", "a later request was answered")
+	}
+	free := x.book.Holding(req.Workspace, time.Now()).Free
+	n := x.book.Remove(req.Workspace, min(req.Want, Tokens(float64(free)*giveShare)))
+	x.given[to] = gift{req.Number, n}
+	x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": to, "given": n, "free": free - n}).Info("rights given")
+	return AskReply{Given: n}, nil
+}
+
+// Ask asks peers in random order until want is reached or none is left. It
+// returns what the book got of the workspace.
+func (x *Exchange) Ask(ctx context.Context, workspace string, want Tokens) Tokens {
+	members := x.members()
+	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
+	var got Tokens
+	for _, m := range members {
+		if got >= want || ctx.Err() != nil {
+			break
+		}
+		got += x.askOne(ctx, m, workspace, want-got)
+	}
+	return got
+}
+
+func (x *Exchange) askOne(ctx context.Context, m Member, workspace string, want Tokens) Tokens {
+	x.mu.Lock()
+	a := x.asks[m.Incarnation]
+	if a == nil {
+		a = &asker{}
+		x.asks[m.Incarnation] = a
+	}
+	x.mu.Unlock()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if time.Now().Before(a.rest) {
+		return 0
+	}
+	var got Tokens
+	for range 2 { // an open request of before, and the new one
+		repeated := a.open != nil
+		if !repeated {
+			a.number++
+			a.open = &AskRequest{Holder: m.Incarnation, Number: a.number, Workspace: workspace, Want: want}
+		}
+		n, ok := x.call(ctx, m, a)
+		if !ok {
+			return got
+		}
+		if n.workspace == workspace {
+			got += n.tokens
+		}
+		if !repeated {
+			break
+		}
+	}
+	return got
+}
+
+type received struct {
+	workspace string
+	tokens    Tokens
+}
+
+// call sends the open request once.
+func (x *Exchange) call(ctx context.Context, m Member, a *asker) (received, bool) {
+	call, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	req := *a.open
+	var reply AskReply
+	err := x.peers.Call(call, m.Address, AskMethod, req, &reply)
+	switch {
+	case err == nil:
+		a.open = nil
+		x.book.Add(req.Workspace, reply.Given)
+		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "from": m.Incarnation, "got": reply.Given}).Info("rights received")
+		return received{req.Workspace, reply.Given}, true
+	case failure.Is(err, failure.NotFound), failure.Is(err, failure.Fenced):
+		a.open = nil // that incarnation is gone and its rights with it
+	}
+	a.rest = time.Now().Add(askRest)
+	return received{}, false
+}
--- /dev/null
+++ b/pkg/rights/policy.go
@@ -0,0 +1,58 @@
+package rights
+
+import "time"
+
+// Policy decides how many rights an instance holds. Large holdings serve on
+// while the store is away; small ones strand less when an instance dies.
+type Policy struct {
+	// Horizon is the demand that the holdings should cover without the store.
+	Horizon time.Duration
+	// StandingShare is the part of the prepaid tokens that all instances together
+	// hold for workspaces without recent demand.
+	StandingShare float64
+	// RefillBelow is the part of the target under which more is taken, and
+	// ReturnAbove the multiple over which the rest is given back.
+	RefillBelow, ReturnAbove float64
+	// MostOfRest is the share of the ungranted tokens that all instances together
+	// take in one round, so that the last ones spread.
+	MostOfRest float64
+}
+
+// DefaultPolicy returns the values in use; docs/platform.md compares them.
+func DefaultPolicy() Policy {
+	return Policy{Horizon: 12 * time.Second, StandingShare: 0.15, RefillBelow: 0.75, ReturnAbove: 2, MostOfRest: 2}
+}
+
+// Situation is what the policy decides from.
+type Situation struct {
+	Holding Holding
+	// Prepaid and Granted are the workspace's totals; Granted may be out of date.
+	Prepaid, Granted Tokens
+	// Instances is the number of instances that share the workspace, at least 1.
+	Instances int
+	// Short is what waiting requests lack.
+	Short Tokens
+}
+
+// Target returns the rights that the instance should hold free.
+func (p Policy) Target(s Situation) Tokens {
+	standing := Tokens(float64(s.Prepaid) * p.StandingShare / float64(max(1, s.Instances)))
+	return max(standing, Tokens(s.Holding.Rate*p.Horizon.Seconds())) + s.Short
+}
+
+// Change returns the rights to take, or, if negative, to give back.
+func (p Policy) Change(s Situation) Tokens {
+	target := p.Target(s)
+	rest := s.Prepaid - s.Granted
+	switch free := s.Holding.Free; {
+	case rest < 0:
+		return -min(free, -rest)
+	case float64(free) > float64(target)*p.ReturnAbove:
+		return target - free
+	case s.Short == 0 && float64(free) >= float64(target)*p.RefillBelow:
+		return 0
+	default:
+		share := Tokens(float64(rest) * min(1, p.MostOfRest/float64(max(1, s.Instances))))
+		return max(0, min(target-free, max(share, min(s.Short, rest))))
+	}
+}
--- /dev/null
+++ b/pkg/rights/syncer.go
@@ -0,0 +1,239 @@
+package rights
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+)
+
+// Timing bounds the work of a Syncer.
+type Timing struct {
+	// Interval is the pause between two rounds without a reason to hurry.
+	Interval time.Duration
+	// CallTimeout bounds one transaction.
+	CallTimeout time.Duration
+	// ConflictPause is the mean wait after a lost race; Rounds bounds the tries.
+	ConflictPause time.Duration
+	Rounds        int
+	// UrgentPause is the least pause between two rounds that waiting requests
+	// ask for.
+	UrgentPause time.Duration
+}
+
+// DefaultTiming returns the bounds in use.
+func DefaultTiming() Timing {
+	return Timing{Interval: 1500 * time.Millisecond, CallTimeout: 500 * time.Millisecond,
+		ConflictPause: 12 * time.Millisecond, Rounds: 8, UrgentPause: 150 * time.Millisecond}
+}
+
+// Prepaid tells what workspaces have paid, by name.
+type Prepaid func() map[string]Tokens
+
+// SyncerOptions hold what a Syncer needs.
+type SyncerOptions struct {
+	Book    *Book
+	Ledger  *Ledger
+	Prepaid Prepaid
+	// Instances is the number of instances that are believed to live.
+	Instances func() int
+	Policy    Policy
+	Timing    Timing
+	Log       logrus.FieldLogger
+}
+
+// Syncer keeps the holdings of a Book near the Policy's targets. Run owns the
+// ledger; the other methods are safe for concurrent use.
+type Syncer struct {
+	opts SyncerOptions
+	kick chan struct{}
+
+	mu     sync.Mutex
+	short  map[string]Tokens // what waiting requests lack
+	synced bool
+	away   bool
+}
+
+// NewSyncer returns a syncer that does nothing until Run.
+func NewSyncer(opts SyncerOptions) *Syncer {
+	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}}
+}
+
+// Ready reports whether the store has answered once.
+func (s *Syncer) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.synced
+}
+
+// Away reports whether the latest transaction got no answer.
+func (s *Syncer) Away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// Want asks for a round soon because requests lack rights.
+func (s *Syncer) Want(workspace string, lack Tokens) {
+	s.mu.Lock()
+	s.short[workspace] = max(s.short[workspace], lack)
+	s.mu.Unlock()
+	s.Kick()
+}
+
+// Kick asks for a round soon.
+func (s *Syncer) Kick() {
+	select {
+	case s.kick <- struct{}{}:
+	default: // one is due already
+	}
+}
+
+// Run makes rounds until ctx ends.
+func (s *Syncer) Run(ctx context.Context) {
+	// The first rounds of a fleet that starts at once are spread.
+	timer := time.NewTimer(rand.N(s.opts.Timing.Interval / 4))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		case <-s.kick:
+		}
+		s.round(ctx)
+		timer.Reset(s.opts.Timing.Interval)
+		sleep(ctx, s.opts.Timing.UrgentPause)
+	}
+}
+
+// round brings the holdings near their targets.
+func (s *Syncer) round(ctx context.Context) {
+	for range s.opts.Timing.Rounds {
+		again, err := s.attempt(ctx)
+		s.note(err)
+		if err != nil || !again {
+			return
+		}
+		sleep(ctx, rand.N(2*s.opts.Timing.ConflictPause))
+	}
+}
+
+// note logs the loss and the return of the store, once each.
+func (s *Syncer) note(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case err != nil && !s.away:
+		s.opts.Log.WithError(err).WithField("dependency", "store").WithField("of", "rights").Warn("dependency lost")
+	case err == nil && s.away:
+		s.opts.Log.WithField("dependency", "store").WithField("of", "rights").Info("dependency regained")
+	}
+	s.away = err != nil
+	s.synced = s.synced || err == nil
+}
+
+// attempt sends one transaction. again means that another one may do better.
+func (s *Syncer) attempt(ctx context.Context) (again bool, err error) {
+	call, cancel := context.WithTimeout(ctx, s.opts.Timing.CallTimeout)
+	defer cancel()
+	applied, undone, err := s.opts.Ledger.Settle(call)
+	s.take(applied, undone)
+	if err != nil {
+		return false, err
+	}
+	deltas := s.plan(time.Now())
+	if len(deltas) == 0 {
+		return false, nil
+	}
+	applied, undone, err = s.opts.Ledger.Apply(call, deltas)
+	s.take(applied, undone)
+	return undone != nil, err
+}
+
+// plan returns the changes to ask for and takes what is to be given back out of
+// the book.
+func (s *Syncer) plan(now time.Time) map[string]Tokens {
+	prepaid := s.opts.Prepaid()
+	s.mu.Lock()
+	short := s.short
+	s.short = map[string]Tokens{}
+	s.mu.Unlock()
+	deltas := map[string]Tokens{}
+	for w, paid := range prepaid {
+		granted := s.opts.Ledger.Granted(w)
+		s.opts.Book.Freeze(w, granted > paid)
+		d := s.opts.Policy.Change(Situation{Holding: s.opts.Book.Holding(w, now), Prepaid: paid, Granted: granted,
+			Instances: s.opts.Instances(), Short: short[w]})
+		if d < 0 {
+			d = -s.opts.Book.Remove(w, -d)
+		}
+		if d != 0 {
+			deltas[w] = d
+		}
+	}
+	return deltas
+}
+
+// take puts what a transaction brought, or could not give back, into the book.
+func (s *Syncer) take(applied, undone map[string]Tokens) {
+	for w, d := range applied {
+		s.opts.Log.WithFields(logrus.Fields{"workspace": w, "change": d, "granted": s.opts.Ledger.Granted(w)}).Debug("rights changed")
+		if d > 0 {
+			s.opts.Book.Add(w, d)
+		}
+	}
+	for w, d := range undone {
+		if d < 0 {
+			s.opts.Book.Add(w, -d)
+		}
+	}
+}
+
+// GiveBack returns all free rights. It is called after Run has ended and no
+// request is left.
+func (s *Syncer) GiveBack(ctx context.Context) error {
+	var last error
+	for range s.opts.Timing.Rounds {
+		applied, undone, err := s.opts.Ledger.Settle(ctx)
+		s.take(applied, undone)
+		if err == nil {
+			deltas := map[string]Tokens{}
+			for w := range s.opts.Prepaid() {
+				if n := s.opts.Book.Remove(w, s.opts.Book.Holding(w, time.Now()).Free); n > 0 {
+					deltas[w] = -n
+				}
+			}
+			if len(deltas) == 0 {
+				return nil
+			}
+			applied, undone, err = s.opts.Ledger.Apply(ctx, deltas)
+			s.take(applied, undone)
+			if err == nil && undone == nil {
+				return nil
+			}
+		}
+		last = err
+		if ctx.Err() != nil {
+			break
+		}
+		sleep(ctx, rand.N(2*s.opts.Timing.ConflictPause))
+	}
+	if last == nil {
+		last = failure.New(failure.Conflict, "the rights stay granted", "the rights could not be given back")
+	}
+	return last
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/pkg/roster/roster.go
@@ -0,0 +1,163 @@
+// Package roster keeps the list of live instances in the store.
+//
+// Each instance holds a key under a lease. While the store is away, the latest
+// list stays in force: it is only a hint whom to call.
+package roster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+// Prefix is where instances register.
+const Prefix = "instances/"
+
+const (
+	// ttl is how long an instance stays listed after its last renewal.
+	ttl = 10 * time.Second
+	// interval is the pause between two renewals and reads; three fit into ttl.
+	interval = 3 * time.Second
+	// firstInterval applies during firstRounds, while a fleet starts.
+	firstInterval = time.Second
+	firstRounds   = 6
+	// retryPause follows a failed call.
+	retryPause = 500 * time.Millisecond
+	// callTimeout bounds one call of the store.
+	callTimeout = 500 * time.Millisecond
+)
+
+// Store is what a Roster needs of the store.
+type Store interface {
+	kvstore.Transactor
+	kvstore.Ranger
+	kvstore.Leaser
+}
+
+// Roster registers this instance and lists the others. It is safe for concurrent
+// use; Run owns the registration.
+type Roster struct {
+	self  peer.Identity
+	store Store
+	log   logrus.FieldLogger
+	lease uint64
+
+	mu      sync.Mutex
+	members []peer.Identity // without this instance
+	most    int
+}
+
+// New returns a roster that does nothing until Run.
+func New(self peer.Identity, store Store, log logrus.FieldLogger) *Roster {
+	return &Roster{self: self, store: store, log: log}
+}
+
+// Others returns the other instances as of the latest answer of the store.
+func (r *Roster) Others() []peer.Identity {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]peer.Identity(nil), r.members...)
+}
+
+// Size returns the number of instances including this one.
+func (r *Roster) Size() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.members) + 1
+}
+
+// MostSeen returns the largest Size so far. Instances that share a limit use it,
+// because a short list may come from an outage.
+func (r *Roster) MostSeen() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return max(r.most, len(r.members)+1)
+}
+
+// Run registers and reads until ctx ends.
+func (r *Roster) Run(ctx context.Context) {
+	for round := 0; ctx.Err() == nil; round++ {
+		pause := interval
+		if round < firstRounds {
+			pause = firstInterval
+		}
+		if err := r.round(ctx); err != nil {
+			pause = retryPause
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+func (r *Roster) round(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	if err := r.renew(ctx); err != nil {
+		return err
+	}
+	items, _, err := r.store.Range(ctx, Prefix, true)
+	if err != nil {
+		return err
+	}
+	var members []peer.Identity
+	for _, it := range items {
+		var id peer.Identity
+		if err := peer.Unmarshal(it.Value, &id); err != nil {
+			r.log.WithError(err).WithField("key", it.Key).Warn("entry of an instance cannot be read")
+			continue
+		}
+		if id.Incarnation != r.self.Incarnation {
+			members = append(members, id)
+		}
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(members) != len(r.members) {
+		r.log.WithField("instances", len(members)+1).Info("list of instances changed")
+	}
+	r.members = members
+	r.most = max(r.most, len(members)+1)
+	return nil
+}
+
+// renew keeps the lease alive, or registers anew.
+func (r *Roster) renew(ctx context.Context) error {
+	if r.lease != 0 {
+		err := r.store.KeepAlive(ctx, r.lease)
+		if !failure.Is(err, failure.NotFound) {
+			return err
+		}
+		r.lease = 0
+	}
+	lease, err := r.store.Grant(ctx, ttl)
+	if err != nil {
+		return err
+	}
+	value, err := peer.Marshal(r.self)
+	if err != nil {
+		return err
+	}
+	if _, _, err = r.store.Commit(ctx, kvstore.Transaction{Write: []kvstore.Write{{Key: Prefix + r.self.Incarnation, Value: value, Lease: lease}}}); err != nil {
+		return err
+	}
+	r.lease = lease
+	return nil
+}
+
+// Leave ends the registration. It is called after Run has ended.
+func (r *Roster) Leave(ctx context.Context) error {
+	if r.lease == 0 {
+		return nil
+	}
+	return r.store.Revoke(ctx, r.lease)
+}
