--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -36,6 +36,7 @@
 	fingerprint quarantine.Fingerprint
 
 	reserved rights.Tokens
+	used     rights.Tokens
 	events   int64 // delivered
 	attempts []attempt
 	excluded map[string]bool
@@ -178,20 +179,16 @@
 	q.run(ctx)
 }
 
-// rightsShare is the part of the objective, and rightsMost the time, that a
-// request waits for rights at most: one that waits longer is late anyway.
-const (
-	rightsShare = 0.4
-	rightsMost  = 400 * time.Millisecond
-)
+// rightsShare is the part of the objective that a request waits for rights at
+// most: a caller that is refused sooner can still be served in time elsewhere.
+const rightsShare = 0.12
 
 func (q *request) reserve(ctx context.Context) *failure.Error {
 	if !q.envelope.Metered || q.workspace == nil || q.workspace.Prepaid == nil {
 		return nil
 	}
 	most := q.envelope.PromptTokens + q.envelope.MaxOutput
-	wait := min(rightsMost, max(rightsMost/4, time.Duration(float64(q.route.Objective)*rightsShare)))
-	ctx, cancel := context.WithTimeout(ctx, wait)
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(q.route.Objective)*rightsShare))
 	defer cancel()
 	if err := q.g.opts.Rights.Reserve(ctx, q.workspace.Name, most); err != nil {
 		return err
@@ -206,11 +203,10 @@
 	if q.reserved == 0 {
 		return
 	}
-	var used rights.Tokens
 	if q.mayRun {
-		used = q.envelope.PromptTokens + q.outputTokens()
+		q.used = min(q.reserved, q.envelope.PromptTokens+q.outputTokens())
 	}
-	q.g.opts.Rights.Settle(q.workspace.Name, q.reserved, min(used, q.reserved))
+	q.g.opts.Rights.Settle(q.workspace.Name, q.reserved, q.used)
 }
 
 func (q *request) outputTokens() rights.Tokens {
@@ -256,7 +252,7 @@
 		f["workspace"] = q.workspace.Name
 	}
 	if q.reserved > 0 {
-		f["reserved"], f["events"] = q.reserved, q.events
+		f["reserved"], f["used"], f["events"] = q.reserved, q.used, q.events
 	}
 	if len(q.attempts) > 0 {
 		f["attempts"] = q.attemptsText()
--- a/pkg/kvstore/transaction.go
+++ b/pkg/kvstore/transaction.go
@@ -47,9 +47,11 @@
 	// Range returns all items below a prefix and the revision of the first page.
 	// A stale answer is cheaper and may be seconds old.
 	Range(ctx context.Context, prefix string, stale bool) ([]Item, uint64, error)
-	// WatchKey waits at most for wait until the key changed after a revision. It
-	// returns the item, or nil when nothing changed.
-	WatchKey(ctx context.Context, key string, after uint64, wait time.Duration) (*Item, error)
+	// WatchKey waits at most for wait until the key changed after a revision of the
+	// store. It returns the item, or nil when nothing changed, and the revision
+	// from which the next watch goes on. With the revision 0 it reads the present
+	// item at once.
+	WatchKey(ctx context.Context, key string, after uint64, wait time.Duration) (*Item, uint64, error)
 }
 
 // Leaser is a store with leases that remove keys.
--- a/pkg/rights/book.go
+++ b/pkg/rights/book.go
@@ -19,6 +19,7 @@
 	free     Tokens // may be reserved
 	reserved Tokens // by requests in flight
 	spent    Tokens // since the start of the process
+	reported Tokens // part of spent that the store knows
 	frozen   bool   // granted more than prepaid: nothing more may be spent
 	demand   rate
 	changed  chan struct{} // closed when free grows
@@ -111,9 +112,28 @@
 	return b.account(workspace).changed
 }
 
+// TakeUnreported returns what was spent since the last call.
+func (b *Book) TakeUnreported(workspace string) Tokens {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	a := b.account(workspace)
+	n := a.spent - a.reported
+	a.reported = a.spent
+	return n
+}
+
+// ReturnUnreported takes back a report that did not take effect.
+func (b *Book) ReturnUnreported(workspace string, n Tokens) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(workspace).reported -= n
+}
+
 // Holding is the state of one workspace in a book.
 type Holding struct {
 	Free, Reserved, Spent Tokens
+	// Unreported is the part of Spent that the store does not know.
+	Unreported Tokens
 	// Rate is the recent demand in tokens per second.
 	Rate float64
 }
@@ -123,7 +143,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	return Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Rate: a.demand.perSecond(now)}
+	return Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Unreported: a.spent - a.reported, Rate: a.demand.perSecond(now)}
 }
 
 // rateWindow is how long demand counts in full: long enough for a mean of a few
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -102,7 +102,9 @@
 	free := x.book.Holding(req.Workspace, time.Now()).Free
 	n := x.book.Remove(req.Workspace, min(req.Want, Tokens(float64(free)*giveShare)))
 	x.given[to] = gift{req.Number, n}
-	x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": to, "given": n, "free": free - n}).Info("rights given")
+	if n > 0 {
+		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": to, "given": n, "free": free - n}).Info("rights given")
+	}
 	return AskReply{Given: n}, nil
 }
 
@@ -171,7 +173,9 @@
 	case err == nil:
 		a.open = nil
 		x.book.Add(req.Workspace, reply.Given)
-		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "from": m.Incarnation, "got": reply.Given}).Info("rights received")
+		if reply.Given > 0 {
+			x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "from": m.Incarnation, "got": reply.Given}).Info("rights received")
+		}
 		return received{req.Workspace, reply.Given}, true
 	case failure.Is(err, failure.NotFound), failure.Is(err, failure.Fenced):
 		a.open = nil // that incarnation is gone and its rights with it
--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -3,10 +3,14 @@
 import "time"
 
 // Policy decides how many rights an instance holds. Large holdings serve on
-// while the store is away; small ones strand less when an instance dies.
+// while the store is away; small ones strand less when instances die.
 type Policy struct {
-	// Horizon is the demand that the holdings should cover without the store.
+	// Horizon is the demand of a workspace that all instances together hold, to be
+	// moved between them while the store is away.
 	Horizon time.Duration
+	// OwnHorizon is the demand that arrives at this instance which it holds by
+	// itself, so that requests find rights between two rounds.
+	OwnHorizon time.Duration
 	// StandingShare is the part of the prepaid tokens that all instances together
 	// hold for workspaces without recent demand.
 	StandingShare float64
@@ -20,7 +24,8 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 12 * time.Second, StandingShare: 0.15, RefillBelow: 0.75, ReturnAbove: 2, MostOfRest: 2}
+	return Policy{Horizon: 9 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.05,
+		RefillBelow: 0.7, ReturnAbove: 1.5, MostOfRest: 1}
 }
 
 // Situation is what the policy decides from.
@@ -28,6 +33,9 @@
 	Holding Holding
 	// Prepaid and Granted are the workspace's totals; Granted may be out of date.
 	Prepaid, Granted Tokens
+	// FleetRate is the consumption of the workspace at all instances, in tokens
+	// per second.
+	FleetRate float64
 	// Instances is the number of instances that share the workspace, at least 1.
 	Instances int
 	// Short is what waiting requests lack.
@@ -36,8 +44,9 @@
 
 // Target returns the rights that the instance should hold free.
 func (p Policy) Target(s Situation) Tokens {
-	standing := Tokens(float64(s.Prepaid) * p.StandingShare / float64(max(1, s.Instances)))
-	return max(standing, Tokens(s.Holding.Rate*p.Horizon.Seconds())) + s.Short
+	n := float64(max(1, s.Instances))
+	shared := max(float64(s.Prepaid)*p.StandingShare, s.FleetRate*p.Horizon.Seconds()) / n
+	return Tokens(max(shared, s.Holding.Rate*p.OwnHorizon.Seconds())) + s.Short
 }
 
 // Change returns the rights to take, or, if negative, to give back.
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -49,8 +49,9 @@
 // Syncer keeps the holdings of a Book near the Policy's targets. Run owns the
 // ledger; the other methods are safe for concurrent use.
 type Syncer struct {
-	opts SyncerOptions
-	kick chan struct{}
+	opts  SyncerOptions
+	kick  chan struct{}
+	fleet map[string]*consumption // used by Run only
 
 	mu     sync.Mutex
 	short  map[string]Tokens // what waiting requests lack
@@ -60,7 +61,7 @@
 
 // NewSyncer returns a syncer that does nothing until Run.
 func NewSyncer(opts SyncerOptions) *Syncer {
-	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}}
+	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, fleet: map[string]*consumption{}}
 }
 
 // Ready reports whether the store has answered once.
@@ -113,6 +114,13 @@
 
 // round brings the holdings near their targets.
 func (s *Syncer) round(ctx context.Context) {
+	call, cancel := context.WithTimeout(ctx, s.opts.Timing.CallTimeout)
+	err := s.opts.Ledger.Refresh(call)
+	cancel()
+	if err != nil {
+		s.note(err)
+		return
+	}
 	for range s.opts.Timing.Rounds {
 		again, err := s.attempt(ctx)
 		s.note(err)
@@ -146,51 +154,102 @@
 	if err != nil {
 		return false, err
 	}
-	deltas := s.plan(time.Now())
-	if len(deltas) == 0 {
+	changes := s.plan(time.Now())
+	if len(changes) == 0 {
 		return false, nil
 	}
-	applied, undone, err = s.opts.Ledger.Apply(call, deltas)
+	applied, undone, err = s.opts.Ledger.Apply(call, changes)
 	s.take(applied, undone)
 	return undone != nil, err
 }
 
+// reportAbove is the part of its target that an instance may spend before it
+// reports without another reason for a transaction.
+const reportAbove = 0.5
+
 // plan returns the changes to ask for and takes what is to be given back out of
 // the book.
-func (s *Syncer) plan(now time.Time) map[string]Tokens {
+func (s *Syncer) plan(now time.Time) map[string]Change {
 	prepaid := s.opts.Prepaid()
 	s.mu.Lock()
 	short := s.short
 	s.short = map[string]Tokens{}
 	s.mu.Unlock()
-	deltas := map[string]Tokens{}
+	changes := map[string]Change{}
+	report := false
 	for w, paid := range prepaid {
 		granted := s.opts.Ledger.Granted(w)
 		s.opts.Book.Freeze(w, granted > paid)
-		d := s.opts.Policy.Change(Situation{Holding: s.opts.Book.Holding(w, now), Prepaid: paid, Granted: granted,
-			Instances: s.opts.Instances(), Short: short[w]})
+		sit := Situation{Holding: s.opts.Book.Holding(w, now), Prepaid: paid, Granted: granted,
+			FleetRate: s.fleetRate(w, now), Instances: s.opts.Instances(), Short: short[w]}
+		d := s.opts.Policy.Change(sit)
 		if d < 0 {
 			d = -s.opts.Book.Remove(w, -d)
 		}
 		if d != 0 {
-			deltas[w] = d
+			changes[w] = Change{Granted: d}
+		}
+		report = report || float64(sit.Holding.Unreported) > reportAbove*float64(s.opts.Policy.Target(sit))
+	}
+	if len(changes) > 0 || report {
+		s.addReports(prepaid, changes)
+	}
+	return changes
+}
+
+// addReports adds what the store does not know yet to a transaction that is sent
+// anyway.
+func (s *Syncer) addReports(prepaid map[string]Tokens, changes map[string]Change) {
+	for w := range prepaid {
+		if n := s.opts.Book.TakeUnreported(w); n > 0 {
+			c := changes[w]
+			c.Spent = n
+			changes[w] = c
 		}
 	}
-	return deltas
+}
+
+// consumption follows the reported sum of a workspace.
+type consumption struct {
+	rate  rate
+	spent Tokens
+	known bool
+}
+
+// fleetRate returns the recent consumption at all instances.
+func (s *Syncer) fleetRate(workspace string, now time.Time) float64 {
+	c := s.fleet[workspace]
+	if c == nil {
+		c = &consumption{}
+		s.fleet[workspace] = c
+	}
+	spent := s.opts.Ledger.Spent(workspace)
+	if c.known && spent > c.spent {
+		c.rate.add(float64(spent-c.spent), now)
+	}
+	c.spent, c.known = spent, true
+	return c.rate.perSecond(now)
 }
 
 // take puts what a transaction brought, or could not give back, into the book.
-func (s *Syncer) take(applied, undone map[string]Tokens) {
-	for w, d := range applied {
-		s.opts.Log.WithFields(logrus.Fields{"workspace": w, "change": d, "granted": s.opts.Ledger.Granted(w)}).Debug("rights changed")
-		if d > 0 {
-			s.opts.Book.Add(w, d)
+func (s *Syncer) take(applied, undone map[string]Change) {
+	prepaid := s.opts.Prepaid()
+	for w, c := range applied {
+		if c.Granted == 0 {
+			continue
 		}
+		if c.Granted > 0 {
+			s.opts.Book.Add(w, c.Granted)
+		}
+		h := s.opts.Book.Holding(w, time.Now())
+		s.opts.Log.WithFields(logrus.Fields{"workspace": w, "change": c.Granted, "granted": s.opts.Ledger.Granted(w), "prepaid": prepaid[w],
+			"free": h.Free, "reserved": h.Reserved, "spent": h.Spent, "rate": int64(h.Rate)}).Info("rights changed")
 	}
-	for w, d := range undone {
-		if d < 0 {
-			s.opts.Book.Add(w, -d)
+	for w, c := range undone {
+		if c.Granted < 0 {
+			s.opts.Book.Add(w, -c.Granted)
 		}
+		s.opts.Book.ReturnUnreported(w, c.Spent)
 	}
 }
 
@@ -202,16 +261,18 @@
 		applied, undone, err := s.opts.Ledger.Settle(ctx)
 		s.take(applied, undone)
 		if err == nil {
-			deltas := map[string]Tokens{}
-			for w := range s.opts.Prepaid() {
+			changes := map[string]Change{}
+			prepaid := s.opts.Prepaid()
+			for w := range prepaid {
 				if n := s.opts.Book.Remove(w, s.opts.Book.Holding(w, time.Now()).Free); n > 0 {
-					deltas[w] = -n
+					changes[w] = Change{Granted: -n}
 				}
 			}
-			if len(deltas) == 0 {
+			s.addReports(prepaid, changes)
+			if len(changes) == 0 {
 				return nil
 			}
-			applied, undone, err = s.opts.Ledger.Apply(ctx, deltas)
+			applied, undone, err = s.opts.Ledger.Apply(ctx, changes)
 			s.take(applied, undone)
 			if err == nil && undone == nil {
 				return nil
