--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -24,8 +24,8 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 9 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.05,
-		RefillBelow: 0.7, ReturnAbove: 1.5, MostOfRest: 1}
+	return Policy{Horizon: 10 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.05,
+		RefillBelow: 0.8, ReturnAbove: 1.3, MostOfRest: 1}
 }
 
 // Situation is what the policy decides from.
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -209,11 +209,34 @@
 	}
 }
 
+const (
+	// consumptionWindow is the time over which consumption is averaged. It is
+	// longer than the outages of the store, after which a sum arrives late.
+	consumptionWindow = 12 * time.Second
+	// consumptionLeast is the shortest time that is divided by.
+	consumptionLeast = 3 * time.Second
+)
+
 // consumption follows the reported sum of a workspace.
-type consumption struct {
-	rate  rate
+type consumption struct{ samples []sample }
+
+type sample struct {
+	at    time.Time
 	spent Tokens
-	known bool
+}
+
+// add records the sum and drops what is older than the window, but for one.
+func (c *consumption) add(spent Tokens, now time.Time) {
+	c.samples = append(c.samples, sample{now, spent})
+	for len(c.samples) > 2 && now.Sub(c.samples[1].at) >= consumptionWindow {
+		c.samples = c.samples[1:]
+	}
+}
+
+// perSecond returns the mean over the window.
+func (c *consumption) perSecond() float64 {
+	first, last := c.samples[0], c.samples[len(c.samples)-1]
+	return float64(last.spent-first.spent) / max(consumptionLeast, last.at.Sub(first.at)).Seconds()
 }
 
 // fleetRate returns the recent consumption at all instances.
@@ -223,12 +246,8 @@
 		c = &consumption{}
 		s.fleet[workspace] = c
 	}
-	spent := s.opts.Ledger.Spent(workspace)
-	if c.known && spent > c.spent {
-		c.rate.add(float64(spent-c.spent), now)
-	}
-	c.spent, c.known = spent, true
-	return c.rate.perSecond(now)
+	c.add(s.opts.Ledger.Spent(workspace), now)
+	return c.perSecond()
 }
 
 // take puts what a transaction brought, or could not give back, into the book.
