--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -11,8 +11,8 @@
 	// OwnHorizon is the demand that arrives at this instance which it holds by
 	// itself, so that requests find rights between two rounds.
 	OwnHorizon time.Duration
-	// StandingShare is the part of the prepaid tokens that all instances together
-	// hold for workspaces without recent demand.
+	// StandingShare is the part of the unspent tokens that all instances together
+	// hold whatever the recent demand, because it may rise while the store is away.
 	StandingShare float64
 	// RefillBelow is the part of the target under which more is taken, and
 	// ReturnAbove the multiple over which the rest is given back.
@@ -24,15 +24,16 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 10 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.05,
+	return Policy{Horizon: 9 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.17,
 		RefillBelow: 0.8, ReturnAbove: 1.3, MostOfRest: 1}
 }
 
 // Situation is what the policy decides from.
 type Situation struct {
 	Holding Holding
-	// Prepaid and Granted are the workspace's totals; Granted may be out of date.
-	Prepaid, Granted Tokens
+	// Prepaid, Granted and Spent are the workspace's totals; Granted may be out of
+	// date and Spent lags behind.
+	Prepaid, Granted, Spent Tokens
 	// FleetRate is the consumption of the workspace at all instances, in tokens
 	// per second.
 	FleetRate float64
@@ -45,7 +46,7 @@
 // Target returns the rights that the instance should hold free.
 func (p Policy) Target(s Situation) Tokens {
 	n := float64(max(1, s.Instances))
-	shared := max(float64(s.Prepaid)*p.StandingShare, s.FleetRate*p.Horizon.Seconds()) / n
+	shared := max(float64(s.Prepaid-s.Spent)*p.StandingShare, s.FleetRate*p.Horizon.Seconds()) / n
 	return Tokens(max(shared, s.Holding.Rate*p.OwnHorizon.Seconds())) + s.Short
 }
 
--- /dev/null
+++ b/pkg/rights/rights_test.go
@@ -0,0 +1,181 @@
+package rights
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/peer"
+)
+
+func newSyncer(store Store, name string, prepaid Tokens, policy Policy) (*Syncer, *Book) {
+	b := NewBook()
+	return NewSyncer(SyncerOptions{Book: b, Ledger: NewLedger(store, name), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: prepaid} },
+		Instances: func() int { return 2 }, Policy: policy, Timing: DefaultTiming(), Log: discard()}), b
+}
+
+// Guards against a transaction without an answer whose rights are lost, or counted
+// twice: its result is found before anything else is asked for.
+func TestOpenTransaction(t *testing.T) {
+	for _, tc := range []struct {
+		desc  string
+		fault storeFault
+		late  bool // it takes effect between the two rounds
+		other bool // another instance changes the record in between
+	}{
+		{"done, answer lost", loseAnswer, false, false},
+		{"done, answer lost, record changed since", loseAnswer, false, true},
+		{"not done", loseRequest, false, false},
+		{"not done, record changed since", loseRequest, false, true},
+		{"done late", doLate, true, false},
+		{"done late, after the repetition", doLate, false, false},
+		{"too late, record changed since", doLate, false, true},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			store := newFakeStore()
+			ctx := context.Background()
+			s, book := newSyncer(store, "i1", 10_000, DefaultPolicy())
+			other, otherBook := newSyncer(store, "i2", 10_000, DefaultPolicy())
+			round := func(s *Syncer) {
+				t.Helper()
+				for range 3 {
+					if again, err := s.attempt(ctx); err != nil {
+						t.Fatal(err)
+					} else if !again {
+						return
+					}
+				}
+			}
+			store.fault = tc.fault
+			if _, err := s.attempt(ctx); err == nil {
+				t.Fatal("the first round got an answer")
+			}
+			store.fault = serve
+			if tc.late {
+				store.doLate()
+			}
+			if tc.other {
+				round(other)
+			}
+			round(s)
+			store.doLate()
+			round(s)
+			held := book.Holding(ws, time.Now()).Free
+			otherHeld := otherBook.Holding(ws, time.Now()).Free
+			var rec shardRecord
+			if err := peer.Unmarshal(store.items[shardKey(shardOf(ws))].Value, &rec); err != nil {
+				t.Fatal(err)
+			}
+			if held == 0 || held+otherHeld != rec.Granted[ws] {
+				t.Errorf("held %d and %d, granted %d", held, otherHeld, rec.Granted[ws])
+			}
+		})
+	}
+}
+
+// Guards against a stop that strands rights although the store answers.
+func TestGiveBack(t *testing.T) {
+	store := newFakeStore()
+	s, book := newSyncer(store, "i1", 10_000, DefaultPolicy())
+	for range 2 {
+		if _, err := s.attempt(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !book.Reserve(ws, 100) {
+		t.Fatal("no rights")
+	}
+	book.Settle(ws, 100, 70)
+	if err := s.GiveBack(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	var rec shardRecord
+	if err := peer.Unmarshal(store.items[shardKey(shardOf(ws))].Value, &rec); err != nil {
+		t.Fatal(err)
+	}
+	if rec.Granted[ws] != 70 || rec.Spent[ws] != 70 {
+		t.Errorf("%d are granted and %d reported after a return, 70 were spent", rec.Granted[ws], rec.Spent[ws])
+	}
+}
+
+// Guards against spending after the operator has lowered what is prepaid below
+// what was granted.
+func TestLoweredPrepaid(t *testing.T) {
+	store := newFakeStore()
+	prepaid := Tokens(10_000)
+	b := NewBook()
+	s := NewSyncer(SyncerOptions{Book: b, Ledger: NewLedger(store, "i1"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: prepaid} },
+		Instances: func() int { return 1 }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
+	for range 2 {
+		if _, err := s.attempt(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !b.Reserve(ws, 1) {
+		t.Fatal("no rights")
+	}
+	prepaid = 100
+	store.fault = refuse
+	_, _ = s.attempt(context.Background()) // the store is away
+	if b.Reserve(ws, 1) {
+		t.Error("rights above what is prepaid were spent")
+	}
+	store.fault = serve
+	for range 3 {
+		if _, err := s.attempt(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if g := s.opts.Ledger.Granted(ws); g > 100 {
+		t.Errorf("%d stay granted of 100", g)
+	}
+}
+
+// Guards against holdings that do not cover an outage, or that strand too much.
+func TestPolicy(t *testing.T) {
+	p := Policy{Horizon: 9 * time.Second, OwnHorizon: 2 * time.Second, StandingShare: 0.2, RefillBelow: 0.8, ReturnAbove: 1.3, MostOfRest: 1}
+	for _, tc := range []struct {
+		desc string
+		s    Situation
+		want Tokens
+	}{
+		{"standing share without demand", Situation{Prepaid: 1000, Instances: 4}, 50},
+		{"consumption of the fleet", Situation{Prepaid: 10_000, Spent: 9000, Granted: 9000, FleetRate: 100, Instances: 4}, 225},
+		{"own demand", Situation{Prepaid: 10_000, Holding: Holding{Rate: 1000}, Instances: 4}, 2000},
+		{"enough", Situation{Prepaid: 1000, Instances: 4, Holding: Holding{Free: 45}}, 0},
+		{"too much", Situation{Prepaid: 1000, Instances: 4, Holding: Holding{Free: 100}, Granted: 100}, -50},
+		{"more granted than prepaid", Situation{Prepaid: 1000, Granted: 1020, Instances: 4, Holding: Holding{Free: 100}}, -20},
+		{"last tokens are shared", Situation{Prepaid: 1000, Granted: 980, Instances: 4}, 5},
+		{"a waiting request takes what it lacks", Situation{Prepaid: 1000, Granted: 900, Instances: 4, Short: 60}, 60},
+		{"nothing left", Situation{Prepaid: 1000, Granted: 1000, Instances: 4, Short: 60}, 0},
+	} {
+		if got := p.Change(tc.s); got != tc.want {
+			t.Errorf("%s: change %d, want %d", tc.desc, got, tc.want)
+		}
+	}
+}
+
+// Guards against a move of rights that is made twice because its answer got lost.
+func TestRepeatedMove(t *testing.T) {
+	giver, taker := NewBook(), NewBook()
+	giver.Add(ws, 1000)
+	lost := true
+	peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "taker"},
+		lose: func() (bool, bool) { return false, lost }}
+	members := func() []Member { return []Member{{"giver", "a"}} }
+	var r registrar
+	NewExchange(giver, peers, members, discard()).RegisterPeer(&r, "giver")
+	peers.handlers["a"] = r.handler
+	x := NewExchange(taker, peers, members, discard())
+	if got := x.Ask(context.Background(), ws, 100); got != 0 {
+		t.Fatalf("got %d without an answer", got)
+	}
+	lost = false
+	x.asks["giver"].rest = time.Time{}
+	if got := x.Ask(context.Background(), ws, 100); got != 200 {
+		t.Errorf("got %d by the repeated and the new request, want 200", got)
+	}
+	if sum := giver.Holding(ws, time.Now()).Free + taker.Holding(ws, time.Now()).Free; sum != 1000 {
+		t.Errorf("%d of 1000 are left", sum)
+	}
+}
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -180,7 +180,7 @@
 	for w, paid := range prepaid {
 		granted := s.opts.Ledger.Granted(w)
 		s.opts.Book.Freeze(w, granted > paid)
-		sit := Situation{Holding: s.opts.Book.Holding(w, now), Prepaid: paid, Granted: granted,
+		sit := Situation{Holding: s.opts.Book.Holding(w, now), Prepaid: paid, Granted: granted, Spent: s.opts.Ledger.Spent(w),
 			FleetRate: s.fleetRate(w, now), Instances: s.opts.Instances(), Short: short[w]}
 		d := s.opts.Policy.Change(sit)
 		if d < 0 {
--- /dev/null
+++ b/pkg/upstream/client_test.go
@@ -0,0 +1,249 @@
+package upstream_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/goleak"
+
+	"github.com/clementinerack/clementinerack/pkg/upstream"
+	"github.com/clementinerack/clementinerack/standins/machines"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+func start(t *testing.T, s machines.Script) *machines.Runner {
+	t.Helper()
+	r, err := machines.StartRunner("r", s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+func newClient(t *testing.T) *upstream.Client {
+	t.Helper()
+	c := upstream.New()
+	t.Cleanup(c.Close)
+	return c
+}
+
+func request(id, body string) *upstream.Request {
+	return &upstream.Request{Method: http.MethodPost, Target: "/p/%2f?q=1", Host: "h.example", Header: http.Header{machines.HeaderRequest: {id}},
+		Body: []byte(body), Belongs: func(h http.Header) bool { return h.Get(machines.HeaderRequest) == id }}
+}
+
+// fetch returns the body of an answer, or the error of the exchange.
+func fetch(c *upstream.Client, address string, r *upstream.Request) (string, error) {
+	a, err := c.Do(context.Background(), address, r)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := a.ReadAll(1 << 20)
+	return string(b), err
+}
+
+// Guards against a request that is changed on its way, and against a new
+// connection for each request.
+func TestUnchangedOnKeptConnection(t *testing.T) {
+	r := start(t, machines.Answer(200, "body"))
+	c := newClient(t)
+	dials := 0
+	c.OnDial = func() { dials++ }
+	for i := range 3 {
+		if got, err := fetch(c, r.Address(), request(fmt.Sprint(i), "x")); err != nil || got != "body" {
+			t.Fatalf("answer %q, %v", got, err)
+		}
+	}
+	q := r.Requests()[0]
+	if q.RequestURI != "/p/%2f?q=1" || q.Host != "h.example" || q.ContentLength != 1 || len(q.Header) != 2 {
+		t.Errorf("request %s %s, header %v", q.RequestURI, q.Host, q.Header)
+	}
+	if dials != 1 {
+		t.Errorf("%d connections for 3 requests", dials)
+	}
+}
+
+// Guards against bytes that belong to no request, or to another one, and pass for
+// an answer.
+func TestForeignBytes(t *testing.T) {
+	for _, tc := range []struct {
+		desc   string
+		first  machines.Script // of the first request; the second is answered properly
+		second string
+	}{
+		{"second answer to the first request", func(q *http.Request, _ []byte, c net.Conn) bool {
+			text := machines.Head(q, 200, "Content-Length: 5") + "first"
+			_, err := io.WriteString(c, text+text)
+			return err == nil
+		}, "answer to 2"},
+		{"late second answer", func(q *http.Request, _ []byte, c net.Conn) bool {
+			text := machines.Head(q, 200, "Content-Length: 5") + "first"
+			_, err := io.WriteString(c, text)
+			time.AfterFunc(20*time.Millisecond, func() { _, _ = io.WriteString(c, text) })
+			return err == nil
+		}, "answer to 2"},
+		{"bytes after the answer", func(q *http.Request, _ []byte, c net.Conn) bool {
+			_, err := io.WriteString(c, machines.Head(q, 200, "Content-Length: 5")+"first\r\ngarbage")
+			return err == nil
+		}, "answer to 2"},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			r := start(t, tc.first)
+			c := newClient(t)
+			if got, err := fetch(c, r.Address(), request("1", "")); err != nil || got != "first" {
+				t.Fatalf("first answer %q, %v", got, err)
+			}
+			time.Sleep(5 * time.Millisecond)
+			r.SetScript(func(q *http.Request, _ []byte, c net.Conn) bool {
+				time.Sleep(40 * time.Millisecond) // later than the extra answer
+				return machines.Answer(200, "answer to "+q.Header.Get(machines.HeaderRequest))(q, nil, c)
+			})
+			got, err := fetch(c, r.Address(), request("2", ""))
+			if err != nil || got != tc.second {
+				t.Errorf("second answer %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// Guards against a broken answer that passes for a whole one, and against a
+// failure that hides that the endpoint may have read the request.
+func TestBrokenAnswers(t *testing.T) {
+	for _, tc := range []struct {
+		desc   string
+		script machines.Script
+	}{
+		{"no answer", machines.Cut},
+		{"no HTTP", func(_ *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, "garbage\r\n\r\n")
+			return false
+		}},
+		{"short body", func(q *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, machines.Head(q, 200, "Content-Length: 9")+"short")
+			return false
+		}},
+		{"chunks without an end", machines.Stream(1, 2, false)},
+		{"reset without a length", func(q *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, machines.Head(q, 200)+"part")
+			time.Sleep(10 * time.Millisecond)
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}},
+		{"only foreign answers", func(_ *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, strings.Repeat("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n", 9))
+			return false
+		}},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			r := start(t, tc.script)
+			c := newClient(t)
+			a, err := c.Do(t.Context(), r.Address(), request("1", "x"))
+			if err == nil {
+				_, err = a.ReadAll(1 << 20)
+				a.Close()
+			} else if failed := new(upstream.Error); !errors.As(err, &failed) || failed.Sent != upstream.MaybeRead {
+				t.Errorf("the error does not say that the request may have run: %v", err)
+			}
+			if err == nil {
+				t.Error("the answer passes for a whole one")
+			}
+			r.SetScript(machines.Answer(200, "next"))
+			if got, err := fetch(c, r.Address(), request("2", "")); err != nil || got != "next" {
+				t.Errorf("next answer %q, %v", got, err)
+			}
+		})
+	}
+}
+
+// Guards against a request that passes for sent although no connection was open.
+func TestNotSent(t *testing.T) {
+	r := start(t, machines.Cut)
+	r.Close()
+	_, err := newClient(t).Do(t.Context(), r.Address(), request("1", "x"))
+	if failed := new(upstream.Error); !errors.As(err, &failed) || failed.Sent != upstream.NotSent {
+		t.Errorf("dial of a closed port: %v", err)
+	}
+}
+
+// Guards against a connection that the endpoint closed while it was not in use
+// and that takes a request which may run once only.
+func TestClosedWhileIdle(t *testing.T) {
+	r := start(t, func(q *http.Request, b []byte, c net.Conn) bool { machines.Answer(200, "one")(q, b, c); return false })
+	c := newClient(t)
+	for range 3 {
+		if got, err := fetch(c, r.Address(), request("1", "")); err != nil || got != "one" {
+			t.Fatalf("answer %q, %v", got, err)
+		}
+		for r.Connections() > 0 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+}
+
+// Guards against an exchange that outlives its caller: endpoints notice by the
+// end of the connection.
+func TestCallerLeaves(t *testing.T) {
+	ended := make(chan struct{})
+	r := start(t, func(_ *http.Request, _ []byte, c net.Conn) bool {
+		_, _ = c.Read(make([]byte, 1)) // returns when the connection ends
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		for len(r.Requests()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		cancel()
+	}()
+	if _, err := newClient(t).Do(ctx, r.Address(), request("1", "")); !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v", err)
+	}
+	<-ended
+}
+
+// Guards against the rest of a long body that is taken for the next request, when
+// the endpoint answers before it has read all of it.
+func TestEarlyAnswer(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	kept := make(chan net.Conn, 4)
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = conn.Read(make([]byte, 512)) // the head and little more
+			_, _ = io.WriteString(conn, "HTTP/1.1 503 Service Unavailable\r\n"+machines.HeaderRequest+": 1\r\nContent-Length: 0\r\n\r\n")
+			kept <- conn
+		}
+	}()
+	c := newClient(t)
+	dials := 0
+	c.OnDial = func() { dials++ }
+	for range 2 {
+		if _, err := fetch(c, l.Addr().String(), request("1", strings.Repeat("x", 16<<20))); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if dials != 2 {
+		t.Errorf("%d connections for 2 requests with bodies that were not read", dials)
+	}
+	for range 2 {
+		_ = (<-kept).Close()
+	}
+}
