--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -16,6 +16,9 @@
 	// readRate is the prompt tokens that an engine reads in a millisecond while it
 	// also generates; engines of the deployments so far read up to 38.
 	readRate = 30.0
+	// readBurden is the multiple by which reading a prompt counts more than the
+	// delay of its own request: it also holds up all others at the engine.
+	readBurden = 2.0
 	// secondShare is the part of the shared prompt that the second endpoint in
 	// rank is expected to have to read: other instances spill there too.
 	secondShare = 0.6
@@ -208,7 +211,9 @@
 		return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepts work", req.Service)
 	}
 	c := &Choice{Endpoint: best.Endpoint, Cost: bestCost, pool: p, target: best, tokens: req.tokens(), prefixes: prefixes, start: now,
-		expected: float64(p.unread(best, &req, prefixes, best == first, best == second, now)) / readRate}
+		// Without own knowledge the whole prompt may have to be read, which is no
+		// fault of the endpoint.
+		expected: float64(p.unread(best, &req, prefixes, false, false, now)) / readRate}
 	switch best {
 	case first:
 		c.Rank = 1
@@ -270,7 +275,7 @@
 
 // cost is the expected delay in ms, in the unit of which all reasons are weighed.
 func (p *Pool) cost(e *endpoint, req *Request, prefixes []uint64, first, second bool, now time.Time) float64 {
-	cost := float64(p.unread(e, req, prefixes, first, second, now))/readRate +
+	cost := readBurden*float64(p.unread(e, req, prefixes, first, second, now))/readRate +
 		float64(e.pending)/readRate/2 + float64(e.inFlight)*inFlightCost +
 		e.lag.now(now) + e.failures.now(now)*failureCost
 	if e.Domain != p.self {
