--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -14,6 +14,9 @@
 	// StandingShare is the part of the unspent tokens that all instances together
 	// hold whatever the recent demand, because it may rise while the store is away.
 	StandingShare float64
+	// MostStanding bounds the part of the unspent tokens that one instance holds for
+	// that reason, which is what its death strands at least.
+	MostStanding float64
 	// RefillBelow is the part of the target under which more is taken, and
 	// ReturnAbove the multiple over which the rest is given back.
 	RefillBelow, ReturnAbove float64
@@ -24,7 +27,7 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 9 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.17,
+	return Policy{Horizon: 9 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.02,
 		RefillBelow: 0.8, ReturnAbove: 1.3, MostOfRest: 1}
 }
 
@@ -46,7 +49,8 @@
 // Target returns the rights that the instance should hold free.
 func (p Policy) Target(s Situation) Tokens {
 	n := float64(max(1, s.Instances))
-	shared := max(float64(s.Prepaid-s.Spent)*p.StandingShare, s.FleetRate*p.Horizon.Seconds()) / n
+	standing := float64(s.Prepaid-s.Spent) * min(p.StandingShare/n, p.MostStanding)
+	shared := max(standing, s.FleetRate*p.Horizon.Seconds()/n)
 	return Tokens(max(shared, s.Holding.Rate*p.OwnHorizon.Seconds())) + s.Short
 }
 
