--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -17,6 +17,9 @@
 	// MostStanding bounds the part of the unspent tokens that one instance holds for
 	// that reason, which is what its death strands at least.
 	MostStanding float64
+	// MostOfUnspent bounds the part of the unspent tokens that all instances together
+	// hold for any recent demand, so that the loss of all of them leaves the rest.
+	MostOfUnspent float64
 	// RefillBelow is the part of the target under which more is taken, and
 	// ReturnAbove the multiple over which the rest is given back.
 	RefillBelow, ReturnAbove float64
@@ -27,8 +30,8 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 9 * time.Second, OwnHorizon: 2500 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.02,
-		RefillBelow: 0.8, ReturnAbove: 1.3, MostOfRest: 1}
+	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.02, MostOfUnspent: 0.5,
+		RefillBelow: 0.85, ReturnAbove: 1.2, MostOfRest: 1}
 }
 
 // Situation is what the policy decides from.
@@ -49,8 +52,9 @@
 // Target returns the rights that the instance should hold free.
 func (p Policy) Target(s Situation) Tokens {
 	n := float64(max(1, s.Instances))
-	standing := float64(s.Prepaid-s.Spent) * min(p.StandingShare/n, p.MostStanding)
-	shared := max(standing, s.FleetRate*p.Horizon.Seconds()/n)
+	unspent := float64(max(0, s.Prepaid-s.Spent))
+	standing := unspent * min(p.StandingShare/n, p.MostStanding)
+	shared := max(standing, min(s.FleetRate*p.Horizon.Seconds(), p.MostOfUnspent*unspent)/n)
 	return Tokens(max(shared, s.Holding.Rate*p.OwnHorizon.Seconds())) + s.Short
 }
 
