--- /dev/null
+++ b/pkg/node/node_test.go
@@ -0,0 +1,291 @@
+package node_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/sirupsen/logrus"
+	"go.uber.org/goleak"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/node"
+	"github.com/clementinerack/clementinerack/platform"
+	"github.com/clementinerack/clementinerack/standins/machines"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// fleetWait bounds the wait for a state that must come about; no test asserts a
+// duration.
+const fleetWait = 20 * time.Second
+
+// cuttable is the store as one instance sees it.
+type cuttable struct {
+	*platform.Store
+	cut atomic.Bool
+}
+
+func (c *cuttable) away() error {
+	if c.cut.Load() {
+		return failure.New(failure.Unavailable, "", "cut off")
+	}
+	return nil
+}
+
+func (c *cuttable) Commit(ctx context.Context, t kvstore.Transaction) (uint64, []kvstore.Item, error) {
+	if err := c.away(); err != nil {
+		return 0, nil, err
+	}
+	return c.Store.Commit(ctx, t)
+}
+
+func (c *cuttable) Range(ctx context.Context, prefix string, stale bool) ([]kvstore.Item, uint64, error) {
+	if err := c.away(); err != nil {
+		return nil, 0, err
+	}
+	return c.Store.Range(ctx, prefix, stale)
+}
+
+func (c *cuttable) WatchKey(ctx context.Context, key string, after uint64, wait time.Duration) (*kvstore.Item, uint64, error) {
+	if err := c.away(); err != nil {
+		return nil, 0, err
+	}
+	item, at, err := c.Store.WatchKey(ctx, key, after, wait)
+	if err := c.away(); err != nil {
+		return nil, 0, err // the cut came during the wait
+	}
+	return item, at, err
+}
+
+func (c *cuttable) KeepAlive(ctx context.Context, lease uint64) error {
+	if err := c.away(); err != nil {
+		return err
+	}
+	return c.Store.KeepAlive(ctx, lease)
+}
+
+// fleet is nodes in this process with the stand-ins of the users' machines.
+type fleet struct {
+	t      *testing.T
+	store  *machines.Store
+	server *httptest.Server
+	runner *machines.Runner
+	client *http.Client
+}
+
+// member is one node of a fleet.
+type member struct {
+	f              *fleet
+	callers, ready string
+	store          *cuttable
+	stop           context.CancelFunc
+	done           chan error
+}
+
+func newFleet(t *testing.T) *fleet {
+	t.Helper()
+	store, err := machines.NewStore()
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{t: t, store: store, server: httptest.NewServer(store), client: &http.Client{Transport: &http.Transport{}}}
+	t.Cleanup(f.server.Close)
+	t.Cleanup(f.client.CloseIdleConnections)
+	if f.runner, err = machines.StartRunner("r1", machines.Stream(1, 3, true)); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(f.runner.Close)
+	store.PutConfig(1, "chat", "book", "look")
+	store.PutRunner(f.runner, "z")
+	return f
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// start runs a node until the end of the test and waits until it is ready.
+func (f *fleet) start(name string) *member {
+	f.t.Helper()
+	registry := prometheus.NewRegistry()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	m := &member{f: f, callers: freeAddress(f.t), ready: freeAddress(f.t), done: make(chan error, 1),
+		store: &cuttable{Store: platform.NewStore(strings.TrimPrefix(f.server.URL, "http://"), registry)}}
+	n := node.New(node.Options{
+		Name: name, Domain: "z", Callers: m.callers, Ready: m.ready, Peers: freeAddress(f.t), Metrics: freeAddress(f.t),
+		ReadyPath: "/ready", MetricsPath: "/metrics", Store: m.store, Source: platform.NewSource(m.store, log), Codec: platform.Codec{},
+		Retry: node.RetryLimit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, Grace: 9 * time.Second, Log: log, Registry: registry,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	m.stop = cancel
+	go func() { m.done <- n.Run(ctx) }()
+	f.t.Cleanup(func() { cancel(); <-m.done; m.store.Close() })
+	f.until(name+" ready", m.isReady)
+	return m
+}
+
+func (f *fleet) until(what string, ok func() bool) {
+	f.t.Helper()
+	for deadline := time.Now().Add(fleetWait); !ok(); time.Sleep(20 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatalf("%s: not within %s", what, fleetWait)
+		}
+	}
+}
+
+func (m *member) isReady() bool {
+	resp, err := m.f.client.Get("http://" + m.ready + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// send returns status and body of a request.
+func (m *member) send(path, tokens string) (int, string) {
+	req, err := http.NewRequest(http.MethodPost, "http://"+m.callers+path, strings.NewReader("body"))
+	if err != nil {
+		m.f.t.Error(err)
+		return 0, ""
+	}
+	req.Host = "h.example"
+	req.Header.Set("Authorization", machines.KeyScheme+"key1")
+	req.Header.Set(machines.HeaderRequest, "id1")
+	req.Header.Set(machines.HeaderDeadline, "5000")
+	if tokens != "" {
+		req.Header.Set(machines.HeaderTokens, tokens)
+	}
+	resp, err := m.f.client.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	b, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp.StatusCode, err.Error()
+	}
+	return resp.StatusCode, string(b)
+}
+
+func threeEvents() string { return machines.Event(1) + machines.Event(2) + machines.Event(3) }
+
+// Guards against a path that is not whole: a request of each kind is served.
+func TestServesEachKind(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := f.start("n1")
+	if status, body := m.send("/chat/1", "100,80"); status != 200 || body != threeEvents() {
+		t.Errorf("stream: %d %q", status, body)
+	}
+	f.runner.SetScript(machines.Answer(200, "whole"))
+	for _, path := range []string{"/book/1", "/look/1"} {
+		if status, body := m.send(path, ""); status != 200 || body != "whole" {
+			t.Errorf("%s: %d %q", path, status, body)
+		}
+	}
+}
+
+// Guards against an instance that keeps an old configuration, and rights that its
+// neighbour holds, while only this instance has lost the store.
+func TestCutOffInstanceLearnsFromPeers(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	a, b := f.start("a"), f.start("b")
+	f.until("both list each other", func() bool {
+		resp, err := f.client.Get(f.server.URL + "/-/kv-range?prefix=instances/")
+		if err != nil {
+			return false
+		}
+		defer func() { _ = resp.Body.Close() }()
+		text, err := io.ReadAll(resp.Body)
+		return err == nil && strings.Count(string(text), `"key"`) == 2
+	})
+	// A request larger than one holding needs the rights of the other instance
+	// once the store is away for both.
+	f.until("rights of both", func() bool { status, _ := a.send("/chat/1", "10,5"); return status == 200 })
+	time.Sleep(1500 * time.Millisecond) // a renewal of the list of instances
+	b.store.cut.Store(true)
+	f.store.PutConfig(2, "chat", "book", "look", "new")
+	f.runner.SetScript(machines.Answer(200, "whole"))
+	f.until("a has the new route", func() bool { status, _ := a.send("/new/1", ""); return status == 200 })
+	f.until("b has the new route", func() bool { status, _ := b.send("/new/1", ""); return status == 200 })
+	f.runner.SetScript(machines.Stream(1, 3, true))
+	a.store.cut.Store(true)
+	f.until("b serves with the rights of a", func() bool { status, _ := b.send("/chat/1", "2500,0"); return status == 200 })
+}
+
+// Guards against a stop that cuts a stream, or that keeps the rights of the
+// instance from the others.
+func TestStopFinishesAndReturns(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := f.start("n1")
+	arrived, proceed := make(chan struct{}), make(chan struct{})
+	f.runner.SetScript(func(q *http.Request, b []byte, c net.Conn) bool {
+		close(arrived)
+		<-proceed
+		return machines.Stream(1, 3, true)(q, b, c)
+	})
+	got := make(chan string)
+	go func() { _, body := m.send("/chat/1", "100,80"); got <- body }()
+	<-arrived
+	m.stop()
+	f.until("not ready", func() bool { return !m.isReady() })
+	close(proceed)
+	if body := <-got; body != threeEvents() {
+		t.Errorf("the open stream got %q", body)
+	}
+	err := <-m.done
+	m.done <- err // for the cleanup
+	if err != nil {
+		t.Error(err)
+	}
+	other := f.start("n2")
+	f.runner.SetScript(machines.Stream(1, 3, true))
+	// Nearly all that is prepaid can be taken by another instance.
+	f.until("rights of the stopped instance", func() bool { status, _ := other.send("/chat/1", "95000,0"); return status == 200 })
+}
+
+// Guards against an instance that takes requests before it knows anything.
+func TestNotReadyWithoutStore(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.store.SetFaults(func(string) machines.Fault { return machines.Busy })
+	registry := prometheus.NewRegistry()
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	store := platform.NewStore(strings.TrimPrefix(f.server.URL, "http://"), registry)
+	m := &member{f: f, callers: freeAddress(t), ready: freeAddress(t)}
+	n := node.New(node.Options{Name: "n1", Domain: "z", Callers: m.callers, Ready: m.ready, Peers: freeAddress(t), Metrics: freeAddress(t),
+		ReadyPath: "/ready", MetricsPath: "/metrics", Store: store, Source: platform.NewSource(store, log), Codec: platform.Codec{},
+		Grace: 2 * time.Second, Log: log, Registry: registry})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error)
+	go func() { done <- n.Run(ctx) }()
+	f.until("an answer", func() bool { status, _ := m.send("/book/1", ""); return status == 503 })
+	if m.isReady() {
+		t.Error("the instance says that it is ready")
+	}
+	cancel()
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	store.Close()
+}
