--- a/standins/machines/store.go
+++ b/standins/machines/store.go
@@ -122,6 +122,19 @@
 	return it.Value, ok
 }
 
+// Count returns the number of keys below a prefix.
+func (s *Store) Count(prefix string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := 0
+	for key := range s.items {
+		if strings.HasPrefix(key, prefix) {
+			n++
+		}
+	}
+	return n
+}
+
 // Remove deletes a key.
 func (s *Store) Remove(key string) {
 	s.mu.Lock()
