--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -68,12 +68,15 @@
 			q.giveUp(ctx, s, kept, failure.From(err))
 			return
 		}
-		if tries > 0 && !q.g.opts.Retries.Again(q.service, time.Now()) {
+		if q.arrivals > 0 && !q.g.opts.Retries.Again(q.service, time.Now()) {
 			choice.Done(placement.Gone, time.Now())
 			q.giveUp(ctx, s, kept, failure.New(failure.Limited, "repeat later", "the retry budget of service %q is spent", q.service))
 			return
 		}
 		v, held := q.try(ctx, choice, s)
+		if v != notSent {
+			q.arrivals++
+		}
 		if held != nil {
 			kept = held
 		}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -81,6 +81,8 @@
 	server  *httptest.Server
 	client  *http.Client
 	doc     *catalog.Document
+	pool    *placement.Pool
+	retries *gateway.RetryBudget
 }
 
 // newRig starts a runner for each script. All serve the same service.
@@ -117,20 +119,25 @@
 		r.runners = append(r.runners, n)
 		list.Endpoints = append(list.Endpoints, catalog.Endpoint{ID: n.ID, Service: "s", Address: n.Address(), Domain: "z"})
 	}
-	pool := placement.New("z", 1)
-	pool.Update(list)
+	r.pool = placement.New("z", 1)
+	r.pool.Update(list)
+	r.retries = gateway.NewRetryBudget(0.2, 50, 10*time.Second, func() int { return 1 })
+	r.build()
+	t.Cleanup(r.client.CloseIdleConnections)
+	return r
+}
+
+// build starts the gateway, and replaces an earlier one.
+func (r *rig) build() {
 	client := upstream.New()
-	t.Cleanup(client.Close)
+	r.t.Cleanup(client.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	index := catalog.Index(r.doc)
-	r.gateway = gateway.New(gateway.Options{Codec: platform.Codec{}, Catalog: func() *catalog.Catalog { return index }, Pool: pool, Client: client,
-		Rights: r.purse, Crashes: guard{quarantine.New(quarantine.Options{}, nil)}, Log: log,
-		Retries: gateway.NewRetryBudget(0.2, 50, 10*time.Second, func() int { return 1 })})
+	r.gateway = gateway.New(gateway.Options{Codec: platform.Codec{}, Catalog: func() *catalog.Catalog { return index }, Pool: r.pool, Client: client,
+		Rights: r.purse, Crashes: guard{quarantine.New(quarantine.Options{}, nil)}, Log: log, Retries: r.retries})
 	r.server = httptest.NewServer(r.gateway)
-	t.Cleanup(r.server.Close)
-	t.Cleanup(r.client.CloseIdleConnections)
-	return r
+	r.t.Cleanup(r.server.Close)
 }
 
 // reply is what a caller got.
@@ -439,7 +446,7 @@
 // Guards against repetitions beyond the budget, which is shared by all instances.
 func TestRetryBudget(t *testing.T) {
 	b := gateway.NewRetryBudget(0.5, 40, 10*time.Second, func() int { return 4 })
-	now := time.Unix(1000, 0)
+	now := time.Now()
 	count := func() int {
 		n := 0
 		for b.Again("s", now) {
@@ -466,6 +473,20 @@
 	}
 }
 
+// Guards against repetitions that are counted although no endpoint was reached.
+func TestUnreachedSparesRetryBudget(t *testing.T) {
+	r := newRig(t, machines.Answer(200, "whole"), machines.Answer(200, "whole"), machines.Answer(200, "whole"))
+	r.runners[0].Close()
+	r.runners[1].Close()
+	r.retries = gateway.NewRetryBudget(0, 0, 10*time.Second, func() int { return 1 })
+	r.build()
+	for i := range 5 {
+		if got := r.send(r.request("/book/1", "body")); got.status != 200 {
+			t.Errorf("request %d: status %d", i, got.status)
+		}
+	}
+}
+
 // Guards against a stop that cuts an open request, or takes one that it cannot
 // finish.
 func TestDrain(t *testing.T) {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -40,7 +40,8 @@
 	events   int64 // delivered
 	attempts []attempt
 	excluded map[string]bool
-	sends    int  // attempts that an endpoint may have read
+	arrivals int  // attempts that reached an endpoint
+	sends    int  // attempts that an endpoint may have run
 	mayRun   bool // an endpoint may run or have run it
 
 	status int            // told to the caller
--- a/pkg/gateway/retries.go
+++ b/pkg/gateway/retries.go
@@ -9,11 +9,12 @@
 // holds for all instances together; each one uses its share of the fixed part and
 // the ratio of its own requests. It is safe for concurrent use.
 type RetryBudget struct {
-	// Ratio is the repeats allowed for each request, Extra the ones allowed in
-	// addition in a Window.
+	// ratio is the repeats allowed for each request, extra the ones allowed in
+	// addition in a window.
 	ratio, extra float64
 	window       time.Duration
 	instances    func() int
+	start        time.Time // the time of day may jump, the time since start may not
 
 	mu       sync.Mutex
 	services map[string]*history
@@ -35,7 +36,7 @@
 
 // NewRetryBudget returns a budget; instances returns how many share it.
 func NewRetryBudget(ratio, extra float64, window time.Duration, instances func() int) *RetryBudget {
-	return &RetryBudget{ratio: ratio, extra: extra, window: window, instances: instances, services: map[string]*history{}}
+	return &RetryBudget{ratio: ratio, extra: extra, window: window, instances: instances, start: time.Now(), services: map[string]*history{}}
 }
 
 func (b *RetryBudget) history(service string, now time.Time) *history {
@@ -44,7 +45,7 @@
 		h = &history{}
 		b.services[service] = h
 	}
-	part := now.UnixNano() / int64(b.window/slices)
+	part := int64(now.Sub(b.start) / (b.window / slices))
 	for ; h.part < part && part-h.part <= slices; h.part++ {
 		i := (h.part + 1) % slices
 		h.firsts[i], h.agains[i] = 0, 0
