--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -27,11 +27,7 @@
 		return nil
 	}
 	p.syncer.Want(workspace, most)
-	asked := make(chan struct{})
-	go func() {
-		defer close(asked)
-		p.exchange.Ask(ctx, workspace, askFactor*most)
-	}()
+	go p.exchange.Ask(ctx, workspace, askFactor*most)
 	for {
 		changed := p.book.Changed(workspace)
 		if p.book.Reserve(workspace, most) {
@@ -40,12 +36,21 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
-			return failure.New(failure.Limited, "pay in more, or repeat later",
-				"workspace %q has too few rights here for %d tokens", workspace, most).WithOutcome(failure.NotRun)
+			return p.tooFew(workspace, most)
 		}
 	}
 }
 
+// tooFew tells what the refusal was decided from.
+func (p *purse) tooFew(workspace string, most rights.Tokens) *failure.Error {
+	now := time.Now()
+	h := p.book.Holding(workspace, now)
+	granted, age := p.syncer.Granted(workspace, now)
+	return failure.New(failure.Limited, "pay in more, or repeat later",
+		"workspace %q: %d tokens are needed, %d are free and %d reserved here; all instances had taken %d as of %d ms ago",
+		workspace, most, h.Free, h.Reserved, granted, age.Milliseconds()).WithOutcome(failure.NotRun)
+}
+
 // Settle implements gateway.Rights.
 func (p *purse) Settle(workspace string, reserved, used rights.Tokens) {
 	p.book.Settle(workspace, reserved, used)
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -53,15 +53,17 @@
 	kick  chan struct{}
 	fleet map[string]*consumption // used by Run only
 
-	mu     sync.Mutex
-	short  map[string]Tokens // what waiting requests lack
-	synced bool
-	away   bool
+	mu      sync.Mutex
+	short   map[string]Tokens // what waiting requests lack
+	granted map[string]Tokens // as of heard
+	heard   time.Time         // latest answer of the store
+	synced  bool
+	away    bool
 }
 
 // NewSyncer returns a syncer that does nothing until Run.
 func NewSyncer(opts SyncerOptions) *Syncer {
-	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, fleet: map[string]*consumption{}}
+	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, granted: map[string]Tokens{}, fleet: map[string]*consumption{}}
 }
 
 // Ready reports whether the store has answered once.
@@ -71,11 +73,12 @@
 	return s.synced
 }
 
-// Away reports whether the latest transaction got no answer.
-func (s *Syncer) Away() bool {
+// Granted returns what all instances have taken for a workspace, and the age of
+// that knowledge.
+func (s *Syncer) Granted(workspace string, now time.Time) (Tokens, time.Duration) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.away
+	return s.granted[workspace], now.Sub(s.heard)
 }
 
 // Want asks for a round soon because requests lack rights.
@@ -143,6 +146,12 @@
 	}
 	s.away = err != nil
 	s.synced = s.synced || err == nil
+	if err == nil {
+		s.heard = time.Now()
+		for w := range s.opts.Prepaid() {
+			s.granted[w] = s.opts.Ledger.Granted(w)
+		}
+	}
 }
 
 // attempt sends one transaction. again means that another one may do better.
