--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -43,8 +43,9 @@
 	metrics *metrics
 
 	mu       sync.Mutex
-	closing  bool // answers close their connections
-	closed   bool // new requests are refused
+	closing  bool      // answers close their connections
+	closed   bool      // new requests are refused unless they end before closeAt
+	closeAt  time.Time // end of the drain
 	inFlight int
 	empty    chan struct{} // closed when a closed gateway has no request left
 }
@@ -63,10 +64,13 @@
 	g.closing = true
 }
 
-// Drain refuses new requests and waits for the open ones.
+// Drain waits for the open requests until ctx ends. A new request is refused
+// unless its time ends before that: callers on open connections, and a balancer
+// without another choice, still send some.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.mu.Lock()
 	g.closing, g.closed = true, true
+	g.closeAt, _ = ctx.Deadline()
 	if g.empty == nil {
 		g.empty = make(chan struct{})
 		if g.inFlight == 0 {
@@ -91,11 +95,18 @@
 }
 
 // enter counts a request. A closed gateway counts it too until it is refused.
-func (g *Gateway) enter() (closing, closed bool) {
+func (g *Gateway) enter() (closing bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight++
-	return g.closing, g.closed
+	return g.closing
+}
+
+// takes reports whether a request that ends at the deadline may still run.
+func (g *Gateway) takes(deadline time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return !g.closed || deadline.Before(g.closeAt)
 }
 
 func (g *Gateway) leave() {
@@ -113,21 +124,21 @@
 
 // ServeHTTP answers one request of a caller.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	closing, closed := g.enter()
+	closing := g.enter()
 	defer g.leave()
 	if closing {
 		w.Header().Set("Connection", "close")
 	}
 	q := &request{g: g, w: w, r: r, arrived: time.Now()}
 	defer q.log()
-	if closed {
-		q.refuse(failure.New(failure.NotReady, "send it to another instance", "the instance is stopping").WithOutcome(failure.NotRun), againSoon)
-		return
-	}
 	if err, after := q.prepare(); err != nil {
 		q.refuse(err, after)
 		return
 	}
+	if !g.takes(q.deadline) {
+		q.refuse(notRun(failure.NotReady, "send it to another instance", "the instance is stopping"), againSoon)
+		return
+	}
 	q.serve()
 }
 
