--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -2,30 +2,53 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/rights"
 )
 
-// askFactor is the multiple of its need that a request asks other instances for,
-// so that the next requests of its workspace find rights at once.
-const askFactor = 4
+const (
+	// askFactor is the multiple of its need that a request asks other instances for,
+	// so that the next requests of its workspace find rights at once.
+	askFactor = 4
+	// searchRest is how long after a search without success in the store and at the
+	// other instances an equal search is left out.
+	searchRest = 400 * time.Millisecond
+)
 
 // purse is the rights of this instance with the ways to get more.
 type purse struct {
 	book     *rights.Book
 	syncer   *rights.Syncer
 	exchange *rights.Exchange
+
+	mu       sync.Mutex
+	searched map[string]search // latest ones without success, by workspace
+}
+
+// search is one that did not bring enough.
+type search struct {
+	at   time.Time
+	most rights.Tokens
+}
+
+func newPurse(b *rights.Book, s *rights.Syncer, x *rights.Exchange) *purse {
+	return &purse{book: b, syncer: s, exchange: x, searched: map[string]search{}}
 }
 
 // Reserve implements gateway.Rights. It asks the store and the other instances at
 // the same time, because the store may be away.
 func (p *purse) Reserve(ctx context.Context, workspace string, most rights.Tokens) *failure.Error {
-	p.book.Demand(workspace, most, time.Now())
+	now := time.Now()
+	p.book.Demand(workspace, most, now)
 	if p.book.Reserve(workspace, most) {
 		return nil
 	}
+	if p.hopeless(workspace, most, now) {
+		return p.tooFew(workspace, most)
+	}
 	p.syncer.Want(workspace, most)
 	go p.exchange.Ask(ctx, workspace, askFactor*most)
 	for {
@@ -36,11 +59,22 @@
 		select {
 		case <-changed:
 		case <-ctx.Done():
+			p.mu.Lock()
+			p.searched[workspace] = search{time.Now(), most}
+			p.mu.Unlock()
 			return p.tooFew(workspace, most)
 		}
 	}
 }
 
+// hopeless reports whether a search for as little has just failed.
+func (p *purse) hopeless(workspace string, most rights.Tokens, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	s, ok := p.searched[workspace]
+	return ok && now.Sub(s.at) < searchRest && most >= s.most
+}
+
 // tooFew tells what the refusal was decided from.
 func (p *purse) tooFew(workspace string, most rights.Tokens) *failure.Error {
 	now := time.Now()
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -36,7 +36,9 @@
 	askTimeout = 250 * time.Millisecond
 	// askRest is how long a peer that did not answer is left alone.
 	askRest = time.Second
-	// giveShare is the part of its free rights that an instance gives at most.
+	// giveShare is the part of its free rights that an instance with demand of its
+	// own gives at most. One without demand gives all: the last rights of a workspace
+	// are of use only in one place.
 	giveShare = 0.5
 )
 
@@ -99,11 +101,15 @@
 	case req.Number < last.number:
 		return AskReply{}, failure.New(failure.Fenced, "ignore the answer", "a later request was answered")
 	}
-	free := x.book.Holding(req.Workspace, time.Now()).Free
-	n := x.book.Remove(req.Workspace, min(req.Want, Tokens(float64(free)*giveShare)))
+	h := x.book.Holding(req.Workspace, time.Now())
+	most := h.Free
+	if h.Rate > 0 {
+		most = Tokens(float64(h.Free) * giveShare)
+	}
+	n := x.book.Remove(req.Workspace, min(req.Want, most))
 	x.given[to] = gift{req.Number, n}
 	if n > 0 {
-		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": to, "given": n, "free": free - n}).Info("rights given")
+		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": to, "given": n, "free": h.Free - n}).Info("rights given")
 	}
 	return AskReply{Given: n}, nil
 }
--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -30,7 +30,7 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.02, MostOfUnspent: 0.5,
+	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.02, MostOfUnspent: 0.2,
 		RefillBelow: 0.85, ReturnAbove: 1.2, MostOfRest: 1}
 }
 
