--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -43,8 +43,11 @@
 	// ListInterval is the pause between two reads of the endpoints. Draining ones
 	// must be known within the shortest drain time, 2 s.
 	ListInterval time.Duration
-	// CallTimeout bounds a read of the list or a call of a peer.
+	// CallTimeout bounds a read of the list.
 	CallTimeout time.Duration
+	// PullTimeout bounds a call of a peer, which may bring a large document over a
+	// slow link.
+	PullTimeout time.Duration
 	// RetryPause follows a failed read.
 	RetryPause time.Duration
 	// PullAfter is the silence of the source after which peers are asked.
@@ -59,6 +62,7 @@
 	return Timing{
 		ListInterval: time.Second,
 		CallTimeout:  500 * time.Millisecond,
+		PullTimeout:  3 * time.Second,
 		RetryPause:   250 * time.Millisecond,
 		PullAfter:    1600 * time.Millisecond,
 		ReturnGrace:  2200 * time.Millisecond,
@@ -277,7 +281,7 @@
 	if c := r.Current(); c != nil {
 		req.Version = c.Version
 	}
-	call, cancel := context.WithTimeout(ctx, r.opts.Timing.CallTimeout)
+	call, cancel := context.WithTimeout(ctx, r.opts.Timing.PullTimeout)
 	defer cancel()
 	var reply PullReply
 	if err := r.opts.Peers.Call(call, address, PullMethod, req, &reply); err != nil {
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
-	"crypto/rand"
+	cryptorand "crypto/rand"
 	"encoding/hex"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -74,7 +76,7 @@
 // New builds a node. It opens no listener and starts no goroutine.
 func New(opts Options) *Node {
 	var nonce [incarnationBytes]byte
-	_, _ = rand.Read(nonce[:]) // crypto/rand.Read never fails
+	_, _ = cryptorand.Read(nonce[:]) // crypto/rand.Read never fails
 	n := &Node{opts: opts, log: opts.Log, peers: &latePeers{}, self: peer.Identity{
 		Instance: opts.Name, Domain: opts.Domain, Address: opts.Peers,
 		Incarnation: opts.Name + "-" + hex.EncodeToString(nonce[:]),
@@ -88,7 +90,7 @@
 	n.crashes = &crashGuard{Tracker: quarantine.New(quarantine.Options{}, opts.Registry), peers: n.peers, others: n.roster.Others}
 	n.gateway = gateway.New(gateway.Options{
 		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
-		Rights: newPurse(n.book, n.syncer, n.exchange), Crashes: n.crashes,
+		Rights: newPurse(n.book, n.syncer, n.exchange, func() bool { _, self := n.takers(); return self }), Crashes: n.crashes,
 		Retries: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.MostSeen),
 		Log:     n.log, Registerer: opts.Registry,
 	})
@@ -100,7 +102,7 @@
 	n.exchange = rights.NewExchange(n.book, n.peers, n.members, n.log)
 	n.syncer = rights.NewSyncer(rights.SyncerOptions{
 		Book: n.book, Ledger: rights.NewLedger(n.opts.Store, n.self.Incarnation), Prepaid: n.prepaid,
-		Instances: n.roster.Size, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
+		Takers: n.takers, Borrow: n.exchange.Ask, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
 	})
 }
 
@@ -119,9 +121,35 @@
 	})
 }
 
+// leastTakers is the number of instances that take rights from the store. More of
+// them conflict with each other, fewer strand more when one dies.
+const leastTakers = 12
+
+func (n *Node) takers() (int, bool) {
+	leaders, self := n.roster.Leaders(leastTakers)
+	return len(leaders), self
+}
+
+// members returns the other instances in the order in which they are asked for
+// rights: takers before others, the own failure domain before others, and at random
+// within that.
 func (n *Node) members() []rights.Member {
-	var out []rights.Member
-	for _, o := range n.roster.Others() {
+	leaders, _ := n.roster.Leaders(leastTakers)
+	others := n.roster.Others()
+	rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+	rank := func(o peer.Identity) int {
+		r := 0
+		if !leaders[o.Incarnation] {
+			r += 2
+		}
+		if o.Domain != n.self.Domain {
+			r++
+		}
+		return r
+	}
+	slices.SortStableFunc(others, func(a, b peer.Identity) int { return rank(a) - rank(b) })
+	out := make([]rights.Member, 0, len(others))
+	for _, o := range others {
 		out = append(out, rights.Member{Incarnation: o.Incarnation, Address: o.Address})
 	}
 	return out
--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -23,6 +23,7 @@
 	book     *rights.Book
 	syncer   *rights.Syncer
 	exchange *rights.Exchange
+	taker    func() bool // whether this instance takes rights from the store
 
 	mu       sync.Mutex
 	searched map[string]search // latest ones without success, by workspace
@@ -34,8 +35,8 @@
 	most rights.Tokens
 }
 
-func newPurse(b *rights.Book, s *rights.Syncer, x *rights.Exchange) *purse {
-	return &purse{book: b, syncer: s, exchange: x, searched: map[string]search{}}
+func newPurse(b *rights.Book, s *rights.Syncer, x *rights.Exchange, taker func() bool) *purse {
+	return &purse{book: b, syncer: s, exchange: x, taker: taker, searched: map[string]search{}}
 }
 
 // Reserve implements gateway.Rights. It asks the store and the other instances at
@@ -49,8 +50,7 @@
 	if p.hopeless(workspace, most, now) {
 		return p.tooFew(workspace, most)
 	}
-	p.syncer.Want(workspace, most)
-	go p.exchange.Ask(ctx, workspace, askFactor*most)
+	go p.search(ctx, workspace, most)
 	for {
 		changed := p.book.Changed(workspace)
 		if p.book.Reserve(workspace, most) {
@@ -67,6 +67,17 @@
 	}
 }
 
+// search asks the other instances, and the store: at the same time if this
+// instance takes rights from there, and otherwise only if the others have too few.
+func (p *purse) search(ctx context.Context, workspace string, most rights.Tokens) {
+	if p.taker() {
+		p.syncer.Want(workspace, most)
+	}
+	if p.exchange.Ask(ctx, workspace, askFactor*most) < most && !p.taker() {
+		p.syncer.Want(workspace, most)
+	}
+}
+
 // hopeless reports whether a search for as little has just failed.
 func (p *purse) hopeless(workspace string, most rights.Tokens, now time.Time) bool {
 	p.mu.Lock()
--- a/pkg/rendezvous/rendezvous.go
+++ b/pkg/rendezvous/rendezvous.go
@@ -4,6 +4,15 @@
 // Limits: the hash is not meant for hostile keys.
 package rendezvous
 
+import "hash/fnv"
+
+// Hash returns the mixed hash of a name.
+func Hash(name string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(name)) // never fails
+	return Mix(h.Sum64())
+}
+
 // Mix is the finalizer of SplitMix64 (Steele, Lea, Flood 2014). FNV-1a alone gives
 // related values for names that differ only in their last character.
 func Mix(x uint64) uint64 {
--- a/pkg/rights/book.go
+++ b/pkg/rights/book.go
@@ -19,7 +19,8 @@
 	free     Tokens // may be reserved
 	reserved Tokens // by requests in flight
 	spent    Tokens // since the start of the process
-	reported Tokens // part of spent that the store knows
+	relayed  Tokens // spent by others that asked this instance to report it
+	reported Tokens // part of spent and relayed that the store knows
 	frozen   bool   // granted more than prepaid: nothing more may be spent
 	demand   rate
 	changed  chan struct{} // closed when free grows
@@ -112,13 +113,20 @@
 	return b.account(workspace).changed
 }
 
-// TakeUnreported returns what was spent since the last call.
+// Relay adds what another instance has spent to the next report.
+func (b *Book) Relay(workspace string, n Tokens) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(workspace).relayed += n
+}
+
+// TakeUnreported returns what was spent or relayed since the last call.
 func (b *Book) TakeUnreported(workspace string) Tokens {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	n := a.spent - a.reported
-	a.reported = a.spent
+	n := a.spent + a.relayed - a.reported
+	a.reported += n
 	return n
 }
 
@@ -132,7 +140,7 @@
 // Holding is the state of one workspace in a book.
 type Holding struct {
 	Free, Reserved, Spent Tokens
-	// Unreported is the part of Spent that the store does not know.
+	// Unreported is what the store does not know of Spent and of what others relayed.
 	Unreported Tokens
 	// Rate is the recent demand in tokens per second.
 	Rate float64
@@ -143,7 +151,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	return Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Unreported: a.spent - a.reported, Rate: a.demand.perSecond(now)}
+	return Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Unreported: a.spent + a.relayed - a.reported, Rate: a.demand.perSecond(now)}
 }
 
 // rateWindow is how long demand counts in full: long enough for a mean of a few
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -24,6 +23,9 @@
 	Number    uint64 `cbor:"2,keyasint"`
 	Workspace string `cbor:"3,keyasint"`
 	Want      Tokens `cbor:"4,keyasint"`
+	// Spent is what the asker has spent of the workspace since it reported last; the
+	// giver reports it with its own.
+	Spent Tokens `cbor:"5,keyasint,omitempty"`
 }
 
 // AskReply tells what was given. The rights have left the book of the giver.
@@ -36,6 +38,9 @@
 	askTimeout = 250 * time.Millisecond
 	// askRest is how long a peer that did not answer is left alone.
 	askRest = time.Second
+	// askMost bounds the peers that are asked for one request: those first in order
+	// hold the most.
+	askMost = 12
 	// giveShare is the part of its free rights that an instance with demand of its
 	// own gives at most. One without demand gives all: the last rights of a workspace
 	// are of use only in one place.
@@ -101,6 +106,7 @@
 	case req.Number < last.number:
 		return AskReply{}, failure.New(failure.Fenced, "ignore the answer", "a later request was answered")
 	}
+	x.book.Relay(req.Workspace, req.Spent)
 	h := x.book.Holding(req.Workspace, time.Now())
 	most := h.Free
 	if h.Rate > 0 {
@@ -114,14 +120,12 @@
 	return AskReply{Given: n}, nil
 }
 
-// Ask asks peers in random order until want is reached or none is left. It
-// returns what the book got of the workspace.
+// Ask asks peers in the order of members until want is reached. It returns what
+// the book got of the workspace.
 func (x *Exchange) Ask(ctx context.Context, workspace string, want Tokens) Tokens {
-	members := x.members()
-	rand.Shuffle(len(members), func(i, j int) { members[i], members[j] = members[j], members[i] })
 	var got Tokens
-	for _, m := range members {
-		if got >= want || ctx.Err() != nil {
+	for i, m := range x.members() {
+		if got >= want || i == askMost || ctx.Err() != nil {
 			break
 		}
 		got += x.askOne(ctx, m, workspace, want-got)
@@ -147,7 +151,7 @@
 		repeated := a.open != nil
 		if !repeated {
 			a.number++
-			a.open = &AskRequest{Holder: m.Incarnation, Number: a.number, Workspace: workspace, Want: want}
+			a.open = &AskRequest{Holder: m.Incarnation, Number: a.number, Workspace: workspace, Want: want, Spent: x.book.TakeUnreported(workspace)}
 		}
 		n, ok := x.call(ctx, m, a)
 		if !ok {
--- a/pkg/rights/machine_test.go
+++ b/pkg/rights/machine_test.go
@@ -41,8 +41,9 @@
 	h := &holder{name: fmt.Sprintf("i%d", f.seq), address: address, book: NewBook()}
 	h.ledger = NewLedger(f.store, h.name)
 	h.syncer = NewSyncer(SyncerOptions{Book: h.book, Ledger: h.ledger, Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: f.prepaid} },
-		Instances: func() int { return 3 }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
+		Takers: func() (int, bool) { return 2, address != "a2" }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
 	h.exchange = NewExchange(h.book, f.peers, func() []Member { return f.members(h) }, discard())
+	h.syncer.opts.Borrow = h.exchange.Ask
 	var r registrar
 	h.exchange.RegisterPeer(&r, h.name)
 	f.peers.handlers[address] = r.handler
@@ -108,6 +109,8 @@
 				}
 				_, _ = h.syncer.attempt(ctx) // its failures are the point
 				f.store.fault = serve
+				f.peers.from = peer.Identity{Incarnation: h.name}
+				h.syncer.borrow(ctx)
 			},
 			"late": func(*rapid.T) { f.store.doLate() },
 			"reserve": func(t *rapid.T) {
--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -14,7 +14,7 @@
 	// StandingShare is the part of the unspent tokens that all instances together
 	// hold whatever the recent demand, because it may rise while the store is away.
 	StandingShare float64
-	// MostStanding bounds the part of the unspent tokens that one instance holds for
+	// MostStanding bounds the part of the unspent tokens that one taker holds for
 	// that reason, which is what its death strands at least.
 	MostStanding float64
 	// MostOfUnspent bounds the part of the unspent tokens that all instances together
@@ -30,7 +30,7 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.02, MostOfUnspent: 0.2,
+	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.015, MostOfUnspent: 0.2,
 		RefillBelow: 0.85, ReturnAbove: 1.2, MostOfRest: 1}
 }
 
@@ -43,18 +43,23 @@
 	// FleetRate is the consumption of the workspace at all instances, in tokens
 	// per second.
 	FleetRate float64
-	// Instances is the number of instances that share the workspace, at least 1.
-	Instances int
+	// Takers is the number of instances that take rights from the store, at least 1.
+	Takers int
+	// Borrower marks an instance that gets its rights from takers.
+	Borrower bool
 	// Short is what waiting requests lack.
 	Short Tokens
 }
 
 // Target returns the rights that the instance should hold free.
 func (p Policy) Target(s Situation) Tokens {
-	n := float64(max(1, s.Instances))
+	n := float64(max(1, s.Takers))
 	unspent := float64(max(0, s.Prepaid-s.Spent))
 	standing := unspent * min(p.StandingShare/n, p.MostStanding)
 	shared := max(standing, min(s.FleetRate*p.Horizon.Seconds(), p.MostOfUnspent*unspent)/n)
+	if s.Borrower {
+		shared = 0
+	}
 	return Tokens(max(shared, s.Holding.Rate*p.OwnHorizon.Seconds())) + s.Short
 }
 
@@ -70,7 +75,7 @@
 	case s.Short == 0 && float64(free) >= float64(target)*p.RefillBelow:
 		return 0
 	default:
-		share := Tokens(float64(rest) * min(1, p.MostOfRest/float64(max(1, s.Instances))))
+		share := Tokens(float64(rest) * min(1, p.MostOfRest/float64(max(1, s.Takers))))
 		return max(0, min(target-free, max(share, min(s.Short, rest))))
 	}
 }
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -11,7 +11,7 @@
 func newSyncer(store Store, name string, prepaid Tokens, policy Policy) (*Syncer, *Book) {
 	b := NewBook()
 	return NewSyncer(SyncerOptions{Book: b, Ledger: NewLedger(store, name), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: prepaid} },
-		Instances: func() int { return 2 }, Policy: policy, Timing: DefaultTiming(), Log: discard()}), b
+		Takers: func() (int, bool) { return 2, true }, Policy: policy, Timing: DefaultTiming(), Log: discard()}), b
 }
 
 // Guards against a transaction without an answer whose rights are lost, or counted
@@ -105,7 +105,7 @@
 	prepaid := Tokens(10_000)
 	b := NewBook()
 	s := NewSyncer(SyncerOptions{Book: b, Ledger: NewLedger(store, "i1"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: prepaid} },
-		Instances: func() int { return 1 }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
+		Takers: func() (int, bool) { return 1, true }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
 	for range 2 {
 		if _, err := s.attempt(context.Background()); err != nil {
 			t.Fatal(err)
@@ -139,17 +139,18 @@
 		s    Situation
 		want Tokens
 	}{
-		{"standing share without demand", Situation{Prepaid: 1000, Instances: 4}, 50},
-		{"bounded standing share of few instances", Situation{Prepaid: 1000, Instances: 2}, 80},
-		{"consumption of the fleet", Situation{Prepaid: 10_000, Spent: 5000, Granted: 5000, FleetRate: 200, Instances: 4}, 450},
-		{"consumption beyond half of the rest", Situation{Prepaid: 10_000, Spent: 9000, Granted: 9000, FleetRate: 100, Instances: 4}, 125},
-		{"own demand", Situation{Prepaid: 10_000, Holding: Holding{Rate: 1000}, Instances: 4}, 2000},
-		{"enough", Situation{Prepaid: 1000, Instances: 4, Holding: Holding{Free: 45}}, 0},
-		{"too much", Situation{Prepaid: 1000, Instances: 4, Holding: Holding{Free: 100}, Granted: 100}, -50},
-		{"more granted than prepaid", Situation{Prepaid: 1000, Granted: 1020, Instances: 4, Holding: Holding{Free: 100}}, -20},
-		{"last tokens are shared", Situation{Prepaid: 1000, Granted: 980, Instances: 4}, 5},
-		{"a waiting request takes what it lacks", Situation{Prepaid: 1000, Granted: 900, Instances: 4, Short: 60}, 60},
-		{"nothing left", Situation{Prepaid: 1000, Granted: 1000, Instances: 4, Short: 60}, 0},
+		{"standing share without demand", Situation{Prepaid: 1000, Takers: 4}, 50},
+		{"bounded standing share of few instances", Situation{Prepaid: 1000, Takers: 2}, 80},
+		{"consumption of the fleet", Situation{Prepaid: 10_000, Spent: 5000, Granted: 5000, FleetRate: 200, Takers: 4}, 450},
+		{"consumption beyond half of the rest", Situation{Prepaid: 10_000, Spent: 9000, Granted: 9000, FleetRate: 100, Takers: 4}, 125},
+		{"own demand", Situation{Prepaid: 10_000, Holding: Holding{Rate: 1000}, Takers: 4}, 2000},
+		{"borrower holds for its own demand only", Situation{Prepaid: 10_000, Holding: Holding{Rate: 100}, Takers: 4, Borrower: true}, 200},
+		{"enough", Situation{Prepaid: 1000, Takers: 4, Holding: Holding{Free: 45}}, 0},
+		{"too much", Situation{Prepaid: 1000, Takers: 4, Holding: Holding{Free: 100}, Granted: 100}, -50},
+		{"more granted than prepaid", Situation{Prepaid: 1000, Granted: 1020, Takers: 4, Holding: Holding{Free: 100}}, -20},
+		{"last tokens are shared", Situation{Prepaid: 1000, Granted: 980, Takers: 4}, 5},
+		{"a waiting request takes what it lacks", Situation{Prepaid: 1000, Granted: 900, Takers: 4, Short: 60}, 60},
+		{"nothing left", Situation{Prepaid: 1000, Granted: 1000, Takers: 4, Short: 60}, 0},
 	} {
 		if got := p.Change(tc.s); got != tc.want {
 			t.Errorf("%s: change %d, want %d", tc.desc, got, tc.want)
@@ -157,6 +158,51 @@
 	}
 }
 
+// Guards against a store that is called by every instance of a large fleet, and
+// against consumption of borrowers that nobody reports.
+func TestBorrowerSparesStore(t *testing.T) {
+	store := newFakeStore()
+	ctx := context.Background()
+	taker, takerBook := newSyncer(store, "taker", 100_000, DefaultPolicy())
+	for range 2 {
+		if _, err := taker.attempt(ctx); err != nil {
+			t.Fatal(err)
+		}
+	}
+	peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "b"}, lose: func() (bool, bool) { return false, false }}
+	members := func() []Member { return []Member{{"taker", "a"}} }
+	var r registrar
+	NewExchange(takerBook, peers, members, discard()).RegisterPeer(&r, "taker")
+	peers.handlers["a"] = r.handler
+	book := NewBook()
+	x := NewExchange(book, peers, members, discard())
+	borrower := NewSyncer(SyncerOptions{Book: book, Ledger: NewLedger(store, "b"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: 100_000} },
+		Takers: func() (int, bool) { return 1, false }, Borrow: x.Ask, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
+	before := store.commits
+	const size, used, requests = 20, 15, 50 // a request is small beside the demand of a second
+	for range requests {
+		book.Demand(ws, size, time.Now())
+		if _, err := borrower.attempt(ctx); err != nil {
+			t.Fatal(err)
+		}
+		borrower.borrow(ctx)
+		if book.Reserve(ws, size) {
+			book.Settle(ws, size, used)
+		}
+	}
+	spent := book.Holding(ws, time.Now()).Spent
+	borrower.borrow(ctx)
+	if n := store.commits - before; n != 0 {
+		t.Errorf("%d transactions of a borrower", n)
+	}
+	if _, err := taker.attempt(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if got := takerBook.Holding(ws, time.Now()).Unreported + taker.opts.Ledger.Spent(ws); got < spent/2 || spent < requests*used/2 {
+		t.Errorf("%d of %d spent tokens were relayed", got, spent)
+	}
+}
+
 // Guards against a move of rights that is made twice because its answer got lost.
 func TestRepeatedMove(t *testing.T) {
 	giver, taker := NewBook(), NewBook()
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -39,11 +39,14 @@
 	Book    *Book
 	Ledger  *Ledger
 	Prepaid Prepaid
-	// Instances is the number of instances that are believed to live.
-	Instances func() int
-	Policy    Policy
-	Timing    Timing
-	Log       logrus.FieldLogger
+	// Takers returns the number of instances that take rights from the store, and
+	// whether this is one of them. The others borrow from them.
+	Takers func() (n int, self bool)
+	// Borrow asks other instances for rights; it is used by those that do not take.
+	Borrow func(ctx context.Context, workspace string, want Tokens) Tokens
+	Policy Policy
+	Timing Timing
+	Log    logrus.FieldLogger
 }
 
 // Syncer keeps the holdings of a Book near the Policy's targets. Run owns the
@@ -51,7 +54,8 @@
 type Syncer struct {
 	opts  SyncerOptions
 	kick  chan struct{}
-	fleet map[string]*consumption // used by Run only
+	fleet map[string]*consumption // used by Run only, as is lack
+	lack  map[string]Tokens       // to be borrowed
 
 	mu      sync.Mutex
 	short   map[string]Tokens // what waiting requests lack
@@ -110,6 +114,7 @@
 		case <-s.kick:
 		}
 		s.round(ctx)
+		s.borrow(ctx)
 		timer.Reset(s.opts.Timing.Interval)
 		sleep(ctx, s.opts.Timing.UrgentPause)
 	}
@@ -185,20 +190,25 @@
 	s.short = map[string]Tokens{}
 	s.mu.Unlock()
 	changes := map[string]Change{}
+	s.lack = map[string]Tokens{}
+	takers, taker := s.opts.Takers()
 	report := false
 	for w, paid := range prepaid {
 		granted := s.opts.Ledger.Granted(w)
 		s.opts.Book.Freeze(w, granted > paid)
 		sit := Situation{Holding: s.opts.Book.Holding(w, now), Prepaid: paid, Granted: granted, Spent: s.opts.Ledger.Spent(w),
-			FleetRate: s.fleetRate(w, now), Instances: s.opts.Instances(), Short: short[w]}
+			FleetRate: s.fleetRate(w, now), Takers: takers, Borrower: !taker, Short: short[w]}
 		d := s.opts.Policy.Change(sit)
-		if d < 0 {
+		switch {
+		case d < 0:
 			d = -s.opts.Book.Remove(w, -d)
+		case !taker && short[w] == 0: // other instances were asked before those who lack became urgent
+			s.lack[w], d = d, 0
 		}
 		if d != 0 {
 			changes[w] = Change{Granted: d}
 		}
-		report = report || float64(sit.Holding.Unreported) > reportAbove*float64(s.opts.Policy.Target(sit))
+		report = report || taker && float64(sit.Holding.Unreported) > reportAbove*float64(s.opts.Policy.Target(sit))
 	}
 	if len(changes) > 0 || report {
 		s.addReports(prepaid, changes)
@@ -206,6 +216,16 @@
 	return changes
 }
 
+// borrow gets what the latest plan lacks from other instances.
+func (s *Syncer) borrow(ctx context.Context) {
+	for w, n := range s.lack {
+		if n > 0 {
+			s.opts.Borrow(ctx, w, n)
+		}
+	}
+	s.lack = nil
+}
+
 // addReports adds what the store does not know yet to a transaction that is sent
 // anyway.
 func (s *Syncer) addReports(prepaid map[string]Tokens, changes map[string]Change) {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -5,7 +5,9 @@
 package roster
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +16,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 )
 
 // Prefix is where instances register.
@@ -80,6 +83,31 @@
 	return max(r.most, len(r.members)+1)
 }
 
+// Leaders returns up to least instances, and at least one of each failure domain,
+// that all instances agree on while they list the same ones: in each domain those
+// that come first by the hash of their incarnation. This instance is among them if
+// self is true.
+func (r *Roster) Leaders(least int) (leaders map[string]bool, self bool) {
+	r.mu.Lock()
+	all := append([]peer.Identity{r.self}, r.members...)
+	r.mu.Unlock()
+	byDomain := map[string][]peer.Identity{}
+	for _, id := range all {
+		byDomain[id.Domain] = append(byDomain[id.Domain], id)
+	}
+	leaders = map[string]bool{}
+	share := (least + len(byDomain) - 1) / len(byDomain)
+	for _, ids := range byDomain {
+		slices.SortFunc(ids, func(a, b peer.Identity) int {
+			return cmp.Or(cmp.Compare(rendezvous.Hash(a.Incarnation), rendezvous.Hash(b.Incarnation)), cmp.Compare(a.Incarnation, b.Incarnation))
+		})
+		for _, id := range ids[:min(share, len(ids))] {
+			leaders[id.Incarnation] = true
+		}
+	}
+	return leaders, leaders[r.self.Incarnation]
+}
+
 // Run registers and reads until ctx ends.
 func (r *Roster) Run(ctx context.Context) {
 	for round := 0; ctx.Err() == nil; round++ {
