--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -180,7 +180,7 @@
 
 // repeatAfter is the multiple of the objective after which an idempotent request
 // goes to another endpoint.
-const repeatAfter = 3
+const repeatAfter = 2
 
 func (q *request) attemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
 	if q.route.Kind == catalog.Idempotent && q.sends+1 < q.route.MaxAttempts && q.route.Objective > 0 {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -17,14 +17,17 @@
 )
 
 const (
-	// dialTimeout bounds a new connection; endpoints in reach accept within a few
-	// milliseconds.
-	dialTimeout = 500 * time.Millisecond
+	// dialTimeout bounds a new connection. Endpoints in reach accept within two
+	// round trips; a lost packet is sent again only after a second, later than a
+	// new attempt.
+	dialTimeout = 200 * time.Millisecond
 	// probeIdle, probeInterval and probeCount find a connection that went silent
-	// within 2 s, although the endpoint may rightly send nothing for longer.
-	probeIdle, probeInterval, probeCount = time.Second, 500 * time.Millisecond, 2
-	// userTimeout bounds the wait for the acknowledgement of sent bytes.
-	userTimeout = 2 * time.Second
+	// within 2 s, although the endpoint may rightly send nothing for longer. The
+	// system counts in whole seconds.
+	probeIdle, probeInterval, probeCount = time.Second, time.Second, 1
+	// userTimeout bounds the wait for the acknowledgement of sent bytes: two
+	// retransmissions.
+	userTimeout = time.Second
 	// defaultIdle is how long a connection is kept when the endpoint names no time.
 	defaultIdle = 4 * time.Second
 	// idleMargin is taken off the time that the endpoint names, so that it does not
