--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -11,6 +11,9 @@
 	// OwnHorizon is the demand that arrives at this instance which it holds by
 	// itself, so that requests find rights between two rounds.
 	OwnHorizon time.Duration
+	// MostOfOwn bounds the part of the unspent tokens that one instance holds for its
+	// own demand: near the end of a workspace's tokens requests take what they need.
+	MostOfOwn float64
 	// StandingShare is the part of the unspent tokens that all instances together
 	// hold whatever the recent demand, because it may rise while the store is away.
 	StandingShare float64
@@ -30,7 +33,7 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, StandingShare: 0.17, MostStanding: 0.015, MostOfUnspent: 0.2,
+	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, MostOfOwn: 0.1, StandingShare: 0.17, MostStanding: 0.015, MostOfUnspent: 0.2,
 		RefillBelow: 0.85, ReturnAbove: 1.2, MostOfRest: 1}
 }
 
@@ -60,7 +63,8 @@
 	if s.Borrower {
 		shared = 0
 	}
-	return Tokens(max(shared, s.Holding.Rate*p.OwnHorizon.Seconds())) + s.Short
+	own := min(s.Holding.Rate*p.OwnHorizon.Seconds(), p.MostOfOwn*unspent)
+	return Tokens(max(shared, own)) + s.Short
 }
 
 // Change returns the rights to take, or, if negative, to give back.
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -133,7 +133,7 @@
 
 // Guards against holdings that do not cover an outage, or that strand too much.
 func TestPolicy(t *testing.T) {
-	p := Policy{Horizon: 9 * time.Second, OwnHorizon: 2 * time.Second, StandingShare: 0.2, MostStanding: 0.08, MostOfUnspent: 0.5, RefillBelow: 0.8, ReturnAbove: 1.3, MostOfRest: 1}
+	p := Policy{Horizon: 9 * time.Second, OwnHorizon: 2 * time.Second, MostOfOwn: 0.3, StandingShare: 0.2, MostStanding: 0.08, MostOfUnspent: 0.5, RefillBelow: 0.8, ReturnAbove: 1.3, MostOfRest: 1}
 	for _, tc := range []struct {
 		desc string
 		s    Situation
@@ -145,6 +145,7 @@
 		{"consumption beyond half of the rest", Situation{Prepaid: 10_000, Spent: 9000, Granted: 9000, FleetRate: 100, Takers: 4}, 125},
 		{"own demand", Situation{Prepaid: 10_000, Holding: Holding{Rate: 1000}, Takers: 4}, 2000},
 		{"borrower holds for its own demand only", Situation{Prepaid: 10_000, Holding: Holding{Rate: 100}, Takers: 4, Borrower: true}, 200},
+		{"own demand beyond its part of the rest", Situation{Prepaid: 10_000, Spent: 5000, Granted: 5000, Holding: Holding{Rate: 1000}, Takers: 4}, 1250},
 		{"enough", Situation{Prepaid: 1000, Takers: 4, Holding: Holding{Free: 45}}, 0},
 		{"too much", Situation{Prepaid: 1000, Takers: 4, Holding: Holding{Free: 100}, Granted: 100}, -50},
 		{"more granted than prepaid", Situation{Prepaid: 1000, Granted: 1020, Takers: 4, Holding: Holding{Free: 100}}, -20},
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -28,7 +28,7 @@
 // DefaultTiming returns the bounds in use.
 func DefaultTiming() Timing {
 	return Timing{Interval: 1500 * time.Millisecond, CallTimeout: 500 * time.Millisecond,
-		ConflictPause: 12 * time.Millisecond, Rounds: 8, UrgentPause: 150 * time.Millisecond}
+		ConflictPause: 12 * time.Millisecond, Rounds: 8, UrgentPause: 60 * time.Millisecond}
 }
 
 // Prepaid tells what workspaces have paid, by name.
