--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -20,9 +20,10 @@
 	// MostStanding bounds the part of the unspent tokens that one taker holds for
 	// that reason, which is what its death strands at least.
 	MostStanding float64
-	// MostOfUnspent bounds the part of the unspent tokens that all instances together
-	// hold for any recent demand, so that the loss of all of them leaves the rest.
-	MostOfUnspent float64
+	// LastsFor shortens the Horizon of workspaces that will soon be used up: the part
+	// of their unspent tokens that is held is the time for which these last, divided
+	// by LastsFor. A loss of all instances then leaves them the rest.
+	LastsFor time.Duration
 	// RefillBelow is the part of the target under which more is taken, and
 	// ReturnAbove the multiple over which the rest is given back.
 	RefillBelow, ReturnAbove float64
@@ -33,7 +34,7 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 9 * time.Second, OwnHorizon: 1800 * time.Millisecond, MostOfOwn: 0.1, StandingShare: 0.17, MostStanding: 0.015, MostOfUnspent: 0.2,
+	return Policy{Horizon: 11 * time.Second, OwnHorizon: 1800 * time.Millisecond, MostOfOwn: 0.1, StandingShare: 0.17, MostStanding: 0.015, LastsFor: 150 * time.Second,
 		RefillBelow: 0.85, ReturnAbove: 1.2, MostOfRest: 1}
 }
 
@@ -59,7 +60,7 @@
 	n := float64(max(1, s.Takers))
 	unspent := float64(max(0, s.Prepaid-s.Spent))
 	standing := unspent * min(p.StandingShare/n, p.MostStanding)
-	shared := max(standing, min(s.FleetRate*p.Horizon.Seconds(), p.MostOfUnspent*unspent)/n)
+	shared := max(standing, p.covered(s.FleetRate, unspent)/n)
 	if s.Borrower {
 		shared = 0
 	}
@@ -67,6 +68,15 @@
 	return Tokens(max(shared, own)) + s.Short
 }
 
+// covered returns what all instances together hold for a recent demand.
+func (p Policy) covered(rate, unspent float64) float64 {
+	if rate <= 0 {
+		return 0
+	}
+	lasts := unspent / rate // seconds
+	return min(rate*p.Horizon.Seconds(), unspent*lasts/p.LastsFor.Seconds())
+}
+
 // Change returns the rights to take, or, if negative, to give back.
 func (p Policy) Change(s Situation) Tokens {
 	target := p.Target(s)
