--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -27,6 +27,9 @@
 	// RefillBelow is the part of the target under which more is taken, and
 	// ReturnAbove the multiple over which the rest is given back.
 	RefillBelow, ReturnAbove float64
+	// LeastChange is the part of the target below which a change is not worth a
+	// transaction.
+	LeastChange float64
 	// MostOfRest is the share of the ungranted tokens that all instances together
 	// take in one round, so that the last ones spread.
 	MostOfRest float64
@@ -35,7 +38,7 @@
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
 	return Policy{Horizon: 11 * time.Second, OwnHorizon: 1800 * time.Millisecond, MostOfOwn: 0.1, StandingShare: 0.17, MostStanding: 0.015, LastsFor: 150 * time.Second,
-		RefillBelow: 0.85, ReturnAbove: 1.2, MostOfRest: 1}
+		RefillBelow: 0.85, ReturnAbove: 1.2, LeastChange: 0.1, MostOfRest: 1}
 }
 
 // Situation is what the policy decides from.
@@ -81,15 +84,19 @@
 func (p Policy) Change(s Situation) Tokens {
 	target := p.Target(s)
 	rest := s.Prepaid - s.Granted
-	switch free := s.Holding.Free; {
+	free := s.Holding.Free
+	least := Tokens(p.LeastChange * float64(target))
+	switch {
 	case rest < 0:
 		return -min(free, -rest)
 	case float64(free) > float64(target)*p.ReturnAbove:
 		return target - free
 	case s.Short == 0 && float64(free) >= float64(target)*p.RefillBelow:
 		return 0
-	default:
-		share := Tokens(float64(rest) * min(1, p.MostOfRest/float64(max(1, s.Takers))))
-		return max(0, min(target-free, max(share, min(s.Short, rest))))
 	}
+	share := Tokens(float64(rest) * min(1, p.MostOfRest/float64(max(1, s.Takers))))
+	if d := min(target-free, max(share, min(s.Short, rest))); d > 0 && d >= least {
+		return d
+	}
+	return 0
 }
