--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -192,7 +192,6 @@
 	changes := map[string]Change{}
 	s.lack = map[string]Tokens{}
 	takers, taker := s.opts.Takers()
-	report := false
 	for w, paid := range prepaid {
 		granted := s.opts.Ledger.Granted(w)
 		s.opts.Book.Freeze(w, granted > paid)
@@ -208,11 +207,11 @@
 		if d != 0 {
 			changes[w] = Change{Granted: d}
 		}
-		report = report || taker && float64(sit.Holding.Unreported) > reportAbove*float64(s.opts.Policy.Target(sit))
-	}
-	if len(changes) > 0 || report {
-		s.addReports(prepaid, changes)
+		if taker && float64(sit.Holding.Unreported) > reportAbove*float64(s.opts.Policy.Target(sit)) {
+			changes[w] = Change{Granted: d}
+		}
 	}
+	s.addReports(prepaid, changes)
 	return changes
 }
 
@@ -226,10 +225,18 @@
 	s.lack = nil
 }
 
-// addReports adds what the store does not know yet to a transaction that is sent
-// anyway.
+// addReports adds what the store does not know yet of workspaces whose records a
+// transaction changes anyway. Others wait: a transaction on more records conflicts
+// with more instances.
 func (s *Syncer) addReports(prepaid map[string]Tokens, changes map[string]Change) {
+	var touched [Shards]bool
+	for w := range changes {
+		touched[shardOf(w)] = true
+	}
 	for w := range prepaid {
+		if !touched[shardOf(w)] {
+			continue
+		}
 		if n := s.opts.Book.TakeUnreported(w); n > 0 {
 			c := changes[w]
 			c.Spent = n
@@ -316,6 +323,11 @@
 					changes[w] = Change{Granted: -n}
 				}
 			}
+			for w := range prepaid {
+				if s.opts.Book.Holding(w, time.Now()).Unreported > 0 {
+					changes[w] = Change{Granted: changes[w].Granted}
+				}
+			}
 			s.addReports(prepaid, changes)
 			if len(changes) == 0 {
 				return nil
