--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -81,6 +81,9 @@
 			kept = held
 		}
 		if v == done {
+			if q.broken {
+				panic(http.ErrAbortHandler) // the connection ends without the end of the body
+			}
 			return
 		}
 		q.excluded[choice.ID] = true
@@ -109,7 +112,7 @@
 		q.err = failure.New(failure.Truncated, "repeat the request", "the caller left")
 	case s.begun:
 		q.err = failure.New(failure.Truncated, "resume after the last event", "the stream broke off")
-		q.log499()
+		q.status = 0                // the caller got no end
 		panic(http.ErrAbortHandler) // the connection ends without the end of the body
 	case ctx.Err() != nil:
 		q.refuse(failure.New(failure.Timeout, "allow more time", "the time of the request has passed").WithOutcome(q.outcome()), 0)
@@ -125,9 +128,6 @@
 	}
 }
 
-// log499 marks that the caller got no final status.
-func (q *request) log499() { q.status = 0 }
-
 func (q *request) outcome() failure.Outcome {
 	if q.mayRun {
 		return failure.Unknown
@@ -242,6 +242,10 @@
 		return q.forward(c, s, a)
 	}
 	body, err := a.ReadAll(maxHeldAnswer)
+	if errors.Is(err, upstream.ErrTooLarge) && !s.begun {
+		c.Begun(time.Now())
+		return q.passLarge(a, body)
+	}
 	if err != nil {
 		return lost, placement.Failed, "broke off: " + err.Error(), nil
 	}
@@ -268,6 +272,23 @@
 	_, _ = q.w.Write(h.body) // fails only when the caller has left
 }
 
+// passLarge passes on an answer that is too large to be held. One that breaks off
+// ends without the end of its body.
+func (q *request) passLarge(a *upstream.Answer, begin []byte) (verdict, placement.Outcome, string, *heldAnswer) {
+	q.status = a.Status
+	q.writeHeader(a.Status, a.Header, int(a.Length))
+	_, err := q.w.Write(begin)
+	if err == nil {
+		_, err = io.Copy(q.w, a)
+	}
+	if err != nil {
+		q.err = failure.New(failure.Truncated, "repeat the request if it may run twice", "the answer broke off: %v", err)
+		q.broken = true
+		return done, placement.Failed, "broke off: " + err.Error(), nil
+	}
+	return done, placement.Served, "answered " + strconv.Itoa(a.Status), nil
+}
+
 // writeHeader sends the header of an endpoint's answer; a negative length means
 // that it is not known.
 func (q *request) writeHeader(status int, header http.Header, length int) {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -367,6 +367,23 @@
 	}
 }
 
+// Guards against a large answer that is refused although it arrived, and against
+// one that ends like a whole one although it broke off.
+func TestLargeAnswers(t *testing.T) {
+	large := strings.Repeat("x", 5<<20)
+	r := newRig(t, machines.Answer(200, large))
+	if got := r.send(r.request("/book/1", "body")); got.err != nil || got.body != large {
+		t.Errorf("%d bytes, %v", len(got.body), got.err)
+	}
+	r.runners[0].SetScript(func(q *http.Request, _ []byte, c net.Conn) bool {
+		_, _ = io.WriteString(c, machines.Head(q, 200, fmt.Sprintf("Content-Length: %d", len(large)))+large[1:])
+		return false
+	})
+	if got := r.send(r.request("/book/1", "body")); got.err == nil {
+		t.Errorf("a broken answer of %d bytes passes for a whole one", len(got.body))
+	}
+}
+
 // Guards against events that wait for later ones.
 func TestStreamAsItComes(t *testing.T) {
 	next := make(chan struct{})
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -43,6 +43,7 @@
 	arrivals int  // attempts that reached an endpoint
 	sends    int  // attempts that an endpoint may have run
 	mayRun   bool // an endpoint may run or have run it
+	broken   bool // the answer to the caller has begun and cannot be ended
 
 	status int            // told to the caller
 	err    *failure.Error // why it was not served
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -41,14 +41,12 @@
 	a.x.end(reuse)
 }
 
-// ReadAll returns the whole body, at most limit bytes.
+// ReadAll returns the whole body. With ErrTooLarge it returns what was read of a
+// longer one, at least limit bytes; the rest can still be read.
 func (a *Answer) ReadAll(limit int64) ([]byte, error) {
-	if a.Length > limit {
-		return nil, ErrTooLarge
-	}
 	b, err := io.ReadAll(io.LimitReader(a, limit+1))
 	if err == nil && int64(len(b)) > limit {
-		return nil, ErrTooLarge
+		return b, ErrTooLarge
 	}
 	return b, err
 }
