--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // Guards against a request that takes a shorter prefix, another host's route, or
@@ -45,7 +46,7 @@
 }
 
 func (s *source) Document(ctx context.Context, after uint64) (*Document, error) {
-	sleep(ctx, 100*time.Millisecond)
+	wait.Sleep(ctx, 100*time.Millisecond)
 	switch {
 	case s.away:
 		return nil, errors.New("away")
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // Source reads declarations and endpoints from where operators and endpoints
@@ -150,7 +151,7 @@
 		d, err := r.opts.Source.Document(ctx, after)
 		if err != nil {
 			r.note(&lost, "declarations", err)
-			sleep(ctx, r.opts.Timing.RetryPause)
+			wait.Sleep(ctx, r.opts.Timing.RetryPause)
 			continue
 		}
 		r.note(&lost, "declarations", nil)
@@ -196,11 +197,11 @@
 		cancel()
 		r.note(&lost, "endpoints", err)
 		if err != nil {
-			sleep(ctx, r.opts.Timing.RetryPause)
+			wait.Sleep(ctx, r.opts.Timing.RetryPause)
 			continue
 		}
 		r.applyList(list, time.Now(), true)
-		sleep(ctx, r.opts.Timing.ListInterval)
+		wait.Sleep(ctx, r.opts.Timing.ListInterval)
 	}
 }
 
@@ -264,7 +265,7 @@
 // pullWhileSilent asks one peer after the other while the source is silent.
 func (r *Replica) pullWhileSilent(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, r.opts.Timing.RetryPause*2)
+		wait.Sleep(ctx, r.opts.Timing.RetryPause*2)
 		r.mu.Lock()
 		silence := time.Since(r.heardList)
 		r.mu.Unlock()
@@ -295,12 +296,3 @@
 		r.applyList(*reply.Endpoints, time.Now(), false)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/config/change.go
+++ b/pkg/config/change.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // maxAppliedChanges bounds Document.Applied: 64 commands outlast every retry of
@@ -47,7 +48,7 @@
 	c := &change{replica: r, req: req}
 	for i := range maxChangeAttempts {
 		if i > 0 {
-			sleep(ctx, jittered(changePause))
+			wait.Sleep(ctx, jittered(changePause))
 		}
 		d, done, err := c.attempt(ctx)
 		if err != nil {
--- a/pkg/config/replica.go
+++ b/pkg/config/replica.go
@@ -16,6 +16,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // Defaults of ReplicaOptions.
@@ -207,7 +208,7 @@
 				r.opts.Log.WithError(err).Warn("configuration watch failed; peers are followed meanwhile")
 			}
 			failing = true
-			sleep(ctx, pause.NextBackOff())
+			wait.Sleep(ctx, pause.NextBackOff())
 			continue
 		}
 		if failing {
@@ -219,7 +220,7 @@
 		after = rec.Version
 		r.observe(ctx, rec)
 		if unchanged {
-			sleep(ctx, jittered(rewatchPause))
+			wait.Sleep(ctx, jittered(rewatchPause))
 		}
 	}
 }
@@ -262,7 +263,7 @@
 // republish writes the document in force over an older one. The swap is guarded
 // by the version read, so one instance wins and the others read its result.
 func (r *Replica) republish(ctx context.Context) {
-	sleep(ctx, rand.N(republishSpread))
+	wait.Sleep(ctx, rand.N(republishSpread))
 	rec, err := r.get(ctx)
 	if err != nil {
 		return // the watch loop notices the older value again
@@ -295,15 +296,6 @@
 	return r.store.CompareAndSwap(ctx, StoreKey, expect, data)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 func jittered(d time.Duration) time.Duration { return d/2 + rand.N(d) }
 
 func shardsFixed(now, wanted int) error {
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // Timing bounds the work of a Syncer.
@@ -116,7 +117,7 @@
 		s.round(ctx)
 		s.borrow(ctx)
 		timer.Reset(s.opts.Timing.Interval)
-		sleep(ctx, s.opts.Timing.UrgentPause)
+		wait.Sleep(ctx, s.opts.Timing.UrgentPause)
 	}
 }
 
@@ -135,7 +136,7 @@
 		if err != nil || !again {
 			return
 		}
-		sleep(ctx, rand.N(2*s.opts.Timing.ConflictPause))
+		wait.Sleep(ctx, rand.N(2*s.opts.Timing.ConflictPause))
 	}
 }
 
@@ -342,19 +343,10 @@
 		if ctx.Err() != nil {
 			break
 		}
-		sleep(ctx, rand.N(2*s.opts.Timing.ConflictPause))
+		wait.Sleep(ctx, rand.N(2*s.opts.Timing.ConflictPause))
 	}
 	if last == nil {
 		last = failure.New(failure.Conflict, "the rights stay granted", "the rights could not be given back")
 	}
 	return last
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/shard/drain.go
+++ b/pkg/shard/drain.go
@@ -7,6 +7,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // drainPoll is the interval at which Drain looks for shards that are left.
@@ -24,7 +25,7 @@
 		if left == 0 {
 			return nil
 		}
-		sleep(ctx, drainPoll)
+		wait.Sleep(ctx, drainPoll)
 		if ctx.Err() != nil {
 			return failure.New(failure.Timeout, "give a longer [stop] grace, or check that another instance of the domain is alive",
 				"%d shards could not be moved before the stop deadline", left)
@@ -152,7 +153,7 @@
 func (r *replica) retryHandover(l *link) {
 	m, current := r.m, r.handover
 	m.background(m.opts.Timing.PeerTimeout, func(ctx context.Context) {
-		sleep(ctx, linkRetry)
+		wait.Sleep(ctx, linkRetry)
 		m.post(func() {
 			if r.handingOver(current) {
 				r.sendHandover(l)
--- a/pkg/shard/link.go
+++ b/pkg/shard/link.go
@@ -7,6 +7,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // link sends the owner's mutations to one replica. It belongs to the control
@@ -136,7 +137,7 @@
 	}
 	m := l.r.m
 	m.background(m.opts.Timing.PeerTimeout+linkRetry, func(ctx context.Context) {
-		sleep(ctx, linkRetry)
+		wait.Sleep(ctx, linkRetry)
 		m.post(func() {
 			if !l.closed {
 				again()
@@ -153,12 +154,3 @@
 		m.post(func() { done(err) })
 	})
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/pkg/shard/mapsync.go
+++ b/pkg/shard/mapsync.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // storeRetry is the pause between attempts to reach a store that is down.
@@ -20,8 +21,8 @@
 	for posted := uint64(0); ctx.Err() == nil; {
 		_, known := m.MapView()
 		known = max(known, posted) // the control goroutine may still have to adopt it
-		wait, cancel := context.WithTimeout(ctx, mapWatchWait)
-		rec, err := m.readMap(wait, known)
+		waiting, cancel := context.WithTimeout(ctx, mapWatchWait)
+		rec, err := m.readMap(waiting, known)
 		cancel()
 		if err == nil {
 			err = m.learn(rec)
@@ -30,7 +31,7 @@
 			posted = max(posted, rec.Version)
 		}
 		if err != nil || rec.Version <= known {
-			sleep(ctx, storeRetry)
+			wait.Sleep(ctx, storeRetry)
 		}
 	}
 }
@@ -120,7 +121,7 @@
 			return
 		}
 		if failure.Is(err, failure.Unavailable) {
-			sleep(parent, storeRetry)
+			wait.Sleep(parent, storeRetry)
 			m.post(func() { m.swapping = false })
 			return
 		}
@@ -143,7 +144,7 @@
 		if err == nil && m.learn(rec) == nil {
 			break
 		}
-		sleep(parent, storeRetry)
+		wait.Sleep(parent, storeRetry)
 	}
 	m.post(func() { m.swapping = false })
 }
--- a/pkg/shard/takeover.go
+++ b/pkg/shard/takeover.go
@@ -6,6 +6,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // fenceResult is what a takeover learned about the pending epoch: its state, or
@@ -78,7 +79,7 @@
 			return state
 		}
 		if targets = rest; len(targets) > 0 {
-			sleep(ctx, fenceRetry)
+			wait.Sleep(ctx, fenceRetry)
 		}
 	}
 	return nil
--- a/pkg/shard/world_test.go
+++ b/pkg/shard/world_test.go
@@ -21,6 +21,7 @@
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/peer/peertest"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // world is a small fleet in one process: real managers and routers over the
@@ -370,7 +371,7 @@
 		if err == nil || ctx.Err() != nil {
 			return reply, err
 		}
-		sleep(ctx, 200*time.Millisecond)
+		wait.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -396,7 +397,7 @@
 		if err == nil || failure.Is(err, failure.NotFound) {
 			break
 		}
-		sleep(ctx, 200*time.Millisecond)
+		wait.Sleep(ctx, 200*time.Millisecond)
 	}
 	w.at("settled")
 	return "answered"
