--- a/pkg/rights/fakes_test.go
+++ b/pkg/rights/fakes_test.go
@@ -32,6 +32,7 @@
 	fault    storeFault
 	late     []kvstore.Transaction
 	commits  int
+	before   func() // called before each transaction
 }
 
 var _ Store = (*fakeStore)(nil)
@@ -60,6 +61,9 @@
 
 func (f *fakeStore) Commit(_ context.Context, t kvstore.Transaction) (uint64, []kvstore.Item, error) {
 	f.commits++
+	if f.before != nil {
+		f.before()
+	}
 	uncertain := failure.New(failure.Uncertain, "", "no answer")
 	switch f.fault {
 	case refuse:
--- a/pkg/rights/machine_test.go
+++ b/pkg/rights/machine_test.go
@@ -104,10 +104,11 @@
 			"sync": func(t *rapid.T) {
 				f.store.fault = storeFault(rapid.IntRange(0, int(doLate)).Draw(t, "fault"))
 				h := f.any("who")
+				short := map[string]Tokens{}
 				if rapid.Bool().Draw(t, "short") {
-					h.syncer.Want(ws, Tokens(rapid.IntRange(1, 3000).Draw(t, "lack")))
+					short[ws] = Tokens(rapid.IntRange(1, 3000).Draw(t, "lack"))
 				}
-				_, _ = h.syncer.attempt(ctx) // its failures are the point
+				_, _ = h.syncer.attempt(ctx, short) // its failures are the point
 				f.store.fault = serve
 				f.peers.from = peer.Identity{Incarnation: h.name}
 				h.syncer.borrow(ctx)
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -39,7 +39,7 @@
 			round := func(s *Syncer) {
 				t.Helper()
 				for range 3 {
-					if again, err := s.attempt(ctx); err != nil {
+					if again, err := s.attempt(ctx, nil); err != nil {
 						t.Fatal(err)
 					} else if !again {
 						return
@@ -47,7 +47,7 @@
 				}
 			}
 			store.fault = tc.fault
-			if _, err := s.attempt(ctx); err == nil {
+			if _, err := s.attempt(ctx, nil); err == nil {
 				t.Fatal("the first round got an answer")
 			}
 			store.fault = serve
@@ -73,12 +73,36 @@
 	}
 }
 
+// Guards against a waiting request that is forgotten because the first transaction
+// of a round lost a race.
+func TestShortSurvivesConflict(t *testing.T) {
+	store := newFakeStore()
+	s, book := newSyncer(store, "i1", 100_000, DefaultPolicy())
+	other, _ := newSyncer(store, "i2", 100_000, DefaultPolicy())
+	ctx := context.Background()
+	s.round(ctx)
+	other.round(ctx)
+	s.Want(ws, 20_000)
+	raced := false
+	store.before = func() {
+		if !raced {
+			raced = true
+			other.Want(ws, 1000)
+			other.round(ctx)
+		}
+	}
+	s.round(ctx)
+	if !raced || !book.Reserve(ws, 20_000) {
+		t.Errorf("the request lacks its rights after a conflict: %+v", book.Holding(ws, time.Now()))
+	}
+}
+
 // Guards against a stop that strands rights although the store answers.
 func TestGiveBack(t *testing.T) {
 	store := newFakeStore()
 	s, book := newSyncer(store, "i1", 10_000, DefaultPolicy())
 	for range 2 {
-		if _, err := s.attempt(context.Background()); err != nil {
+		if _, err := s.attempt(context.Background(), nil); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -107,7 +131,7 @@
 	s := NewSyncer(SyncerOptions{Book: b, Ledger: NewLedger(store, "i1"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: prepaid} },
 		Takers: func() (int, bool) { return 1, true }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
 	for range 2 {
-		if _, err := s.attempt(context.Background()); err != nil {
+		if _, err := s.attempt(context.Background(), nil); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -116,13 +140,13 @@
 	}
 	prepaid = 100
 	store.fault = refuse
-	_, _ = s.attempt(context.Background()) // the store is away
+	_, _ = s.attempt(context.Background(), nil) // the store is away
 	if b.Reserve(ws, 1) {
 		t.Error("rights above what is prepaid were spent")
 	}
 	store.fault = serve
 	for range 3 {
-		if _, err := s.attempt(context.Background()); err != nil {
+		if _, err := s.attempt(context.Background(), nil); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -167,7 +191,7 @@
 	ctx := context.Background()
 	taker, takerBook := newSyncer(store, "taker", 100_000, DefaultPolicy())
 	for range 2 {
-		if _, err := taker.attempt(ctx); err != nil {
+		if _, err := taker.attempt(ctx, nil); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -184,7 +208,7 @@
 	const size, used, requests = 20, 15, 50 // a request is small beside the demand of a second
 	for range requests {
 		book.Demand(ws, size, time.Now())
-		if _, err := borrower.attempt(ctx); err != nil {
+		if _, err := borrower.attempt(ctx, nil); err != nil {
 			t.Fatal(err)
 		}
 		borrower.borrow(ctx)
@@ -197,7 +221,7 @@
 	if n := store.commits - before; n != 0 {
 		t.Errorf("%d transactions of a borrower", n)
 	}
-	if _, err := taker.attempt(ctx); err != nil {
+	if _, err := taker.attempt(ctx, nil); err != nil {
 		t.Fatal(err)
 	}
 	if got := takerBook.Holding(ws, time.Now()).Unreported + taker.opts.Ledger.Spent(ws); got < spent/2 || spent < requests*used/2 {
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -130,8 +130,12 @@
 		s.note(err)
 		return
 	}
+	s.mu.Lock()
+	short := s.short
+	s.short = map[string]Tokens{}
+	s.mu.Unlock()
 	for range s.opts.Timing.Rounds {
-		again, err := s.attempt(ctx)
+		again, err := s.attempt(ctx, short)
 		s.note(err)
 		if err != nil || !again {
 			return
@@ -160,8 +164,9 @@
 	}
 }
 
-// attempt sends one transaction. again means that another one may do better.
-func (s *Syncer) attempt(ctx context.Context) (again bool, err error) {
+// attempt sends one transaction. short is what waiting requests lack. again means
+// that another attempt may do better.
+func (s *Syncer) attempt(ctx context.Context, short map[string]Tokens) (again bool, err error) {
 	call, cancel := context.WithTimeout(ctx, s.opts.Timing.CallTimeout)
 	defer cancel()
 	applied, undone, err := s.opts.Ledger.Settle(call)
@@ -169,7 +174,7 @@
 	if err != nil {
 		return false, err
 	}
-	changes := s.plan(time.Now())
+	changes := s.plan(time.Now(), short)
 	if len(changes) == 0 {
 		return false, nil
 	}
@@ -184,12 +189,8 @@
 
 // plan returns the changes to ask for and takes what is to be given back out of
 // the book.
-func (s *Syncer) plan(now time.Time) map[string]Change {
+func (s *Syncer) plan(now time.Time, short map[string]Tokens) map[string]Change {
 	prepaid := s.opts.Prepaid()
-	s.mu.Lock()
-	short := s.short
-	s.short = map[string]Tokens{}
-	s.mu.Unlock()
 	changes := map[string]Change{}
 	s.lack = map[string]Tokens{}
 	takers, taker := s.opts.Takers()
