--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -11,8 +11,9 @@
 	// OwnHorizon is the demand that arrives at this instance which it holds by
 	// itself, so that requests find rights between two rounds.
 	OwnHorizon time.Duration
-	// MostOfOwn bounds the part of the unspent tokens that one instance holds for its
-	// own demand: near the end of a workspace's tokens requests take what they need.
+	// MostOfOwn bounds the part of the unspent tokens that all instances together hold
+	// for that reason: near the end of a workspace's tokens requests take what they
+	// need.
 	MostOfOwn float64
 	// StandingShare is the part of the unspent tokens that all instances together
 	// hold whatever the recent demand, because it may rise while the store is away.
@@ -37,7 +38,7 @@
 
 // DefaultPolicy returns the values in use; docs/platform.md compares them.
 func DefaultPolicy() Policy {
-	return Policy{Horizon: 11 * time.Second, OwnHorizon: 1800 * time.Millisecond, MostOfOwn: 0.1, StandingShare: 0.17, MostStanding: 0.015, LastsFor: 150 * time.Second,
+	return Policy{Horizon: 11 * time.Second, OwnHorizon: 1800 * time.Millisecond, MostOfOwn: 0.05, StandingShare: 0.17, MostStanding: 0.015, LastsFor: 150 * time.Second,
 		RefillBelow: 0.85, ReturnAbove: 1.2, LeastChange: 0.1, MostOfRest: 1}
 }
 
@@ -67,7 +68,7 @@
 	if s.Borrower {
 		shared = 0
 	}
-	own := min(s.Holding.Rate*p.OwnHorizon.Seconds(), p.MostOfOwn*unspent)
+	own := s.Holding.Rate * min(p.OwnHorizon.Seconds(), p.MostOfOwn*unspent/max(s.FleetRate, s.Holding.Rate, 1))
 	return Tokens(max(shared, own)) + s.Short
 }
 
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -169,7 +169,7 @@
 		{"consumption of a workspace that lasts for 10 s", Situation{Prepaid: 100_000, Spent: 90_000, Granted: 90_000, FleetRate: 1000, Takers: 40}, 50},
 		{"own demand", Situation{Prepaid: 10_000, Holding: Holding{Rate: 1000}, Takers: 4}, 2000},
 		{"borrower holds for its own demand only", Situation{Prepaid: 10_000, Holding: Holding{Rate: 100}, Takers: 4, Borrower: true}, 200},
-		{"own demand beyond its part of the rest", Situation{Prepaid: 10_000, Spent: 5000, Granted: 5000, Holding: Holding{Rate: 1000}, Takers: 4}, 1250},
+		{"own demand beyond its part of the rest", Situation{Prepaid: 10_000, Spent: 9000, Granted: 9000, FleetRate: 1000, Holding: Holding{Rate: 500}, Takers: 4}, 150},
 		{"enough", Situation{Prepaid: 1000, Takers: 4, Holding: Holding{Free: 45}}, 0},
 		{"too much", Situation{Prepaid: 1000, Takers: 4, Holding: Holding{Free: 100}, Granted: 100}, -50},
 		{"more granted than prepaid", Situation{Prepaid: 1000, Granted: 1020, Takers: 4, Holding: Holding{Free: 100}}, -20},
