--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -169,9 +170,13 @@
 		outcome = placement.Gone // the caller's leaving says nothing about the endpoint
 	}
 	if outcome == placement.Unreached {
-		q.g.opts.Crashes.Unreached(c.ID, now)
 		q.g.opts.Client.Forget(c.Address)
 	}
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		// Only a refused connection shows that the process has ended: an endpoint
+		// behind a cut does not answer either.
+		q.g.opts.Crashes.Died(c.ID, now)
+	}
 	c.Done(outcome, now)
 	q.attempts = append(q.attempts, attempt{c.ID, c.Rank, c.Cost, result, now.Sub(start)})
 	q.g.metrics.attempt(result)
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -14,6 +14,6 @@
 	Started(f quarantine.Fingerprint, endpoint string, now time.Time)
 	Ended(f quarantine.Fingerprint, endpoint string)
 	Broken(f quarantine.Fingerprint, endpoint string, now time.Time)
-	// Unreached reports that an endpoint accepts no connection.
-	Unreached(endpoint string, now time.Time)
+	// Died reports that the process of an endpoint has ended.
+	Died(endpoint string, now time.Time)
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -7,10 +7,12 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -60,10 +62,13 @@
 	return p.free, p.reserved
 }
 
-// guard counts no crash by itself.
-type guard struct{ *quarantine.Tracker }
+// guard counts the reported ends of endpoints.
+type guard struct {
+	*quarantine.Tracker
+	died *atomic.Int64
+}
 
-func (guard) Unreached(string, time.Time) {}
+func (g guard) Died(string, time.Time) { g.died.Add(1) }
 
 const (
 	key       = "key1"
@@ -84,6 +89,8 @@
 	doc     *catalog.Document
 	pool    *placement.Pool
 	retries *gateway.RetryBudget
+	dial    func(context.Context, string) (net.Conn, error) // nil: the usual one
+	died    atomic.Int64
 }
 
 // newRig starts a runner for each script. All serve the same service.
@@ -132,12 +139,15 @@
 // build starts the gateway, and replaces an earlier one.
 func (r *rig) build() {
 	client := upstream.New()
+	if r.dial != nil {
+		client = upstream.NewWithDialer(r.dial)
+	}
 	r.t.Cleanup(client.Close)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	index := catalog.Index(r.doc)
 	r.gateway = gateway.New(gateway.Options{Codec: platform.Codec{}, Catalog: func() *catalog.Catalog { return index }, Pool: r.pool, Client: client,
-		Rights: r.purse, Crashes: guard{quarantine.New(quarantine.Options{}, nil)}, Log: log, Retries: r.retries})
+		Rights: r.purse, Crashes: guard{quarantine.New(quarantine.Options{}, nil), &r.died}, Log: log, Retries: r.retries})
 	r.server = httptest.NewServer(r.gateway)
 	r.t.Cleanup(r.server.Close)
 }
@@ -507,6 +517,27 @@
 	}
 }
 
+// Guards against requests that are taken for the cause of a crash because their
+// endpoint is behind a cut.
+func TestOnlyRefusedConnectionsShowCrashes(t *testing.T) {
+	for _, tc := range []struct {
+		cause error
+		died  bool
+	}{{syscall.ECONNREFUSED, true}, {os.ErrDeadlineExceeded, false}, {syscall.EHOSTUNREACH, false}} {
+		r := newRig(t, machines.Answer(200, "whole"))
+		r.dial = func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Net: "tcp", Err: tc.cause}
+		}
+		r.build()
+		if got := r.send(r.request("/book/1", "body")); got.status != 503 {
+			t.Errorf("%v: status %d", tc.cause, got.status)
+		}
+		if died := r.died.Load() > 0; died != tc.died {
+			t.Errorf("%v: counts as the end of the process: %v", tc.cause, died)
+		}
+	}
+}
+
 // Guards against a stop that cuts an open request, that takes one which it may
 // not be able to finish, or that refuses one which ends in time.
 func TestDrain(t *testing.T) {
--- a/pkg/node/crashes.go
+++ b/pkg/node/crashes.go
@@ -21,8 +21,8 @@
 	others func() []peer.Identity
 }
 
-// Unreached implements gateway.CrashGuard.
-func (g *crashGuard) Unreached(endpoint string, now time.Time) {
+// Died implements gateway.CrashGuard.
+func (g *crashGuard) Died(endpoint string, now time.Time) {
 	notices := g.EndpointDied(endpoint, "", now)
 	if len(notices) == 0 {
 		return
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -27,7 +27,7 @@
 	"github.com/clementinerack/clementinerack/pkg/upstream"
 )
 
-// Options hold what a Node consumes. All fields are required.
+// Options hold what a Node consumes. All fields but Listen are required.
 type Options struct {
 	Name, Domain string
 	// Callers, Ready, Peers and Metrics are listening addresses, host:port.
@@ -43,6 +43,8 @@
 	Grace    time.Duration
 	Log      logrus.FieldLogger
 	Registry *prometheus.Registry
+	// Listen opens a listener at one of the addresses above; nil means TCP.
+	Listen func(address string) (net.Listener, error)
 }
 
 // RetryLimit bounds the repeated arrivals at a service over all instances.
@@ -75,6 +77,9 @@
 
 // New builds a node. It opens no listener and starts no goroutine.
 func New(opts Options) *Node {
+	if opts.Listen == nil {
+		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
 	var nonce [incarnationBytes]byte
 	_, _ = cryptorand.Read(nonce[:]) // crypto/rand.Read never fails
 	n := &Node{opts: opts, log: opts.Log, peers: &latePeers{}, self: peer.Identity{
@@ -192,7 +197,7 @@
 		{n.opts.Ready, http.HandlerFunc(n.serveReady)},
 		{n.opts.Metrics, metrics},
 	} {
-		ln, err := net.Listen("tcp", l.address)
+		ln, err := n.opts.Listen(l.address)
 		if err != nil {
 			return nil, err
 		}
@@ -213,7 +218,7 @@
 	n.replica.RegisterPeer(t)
 	n.exchange.RegisterPeer(t, n.self.Incarnation)
 	n.crashes.register(t)
-	ln, err := net.Listen("tcp", n.opts.Peers)
+	ln, err := n.opts.Listen(n.opts.Peers)
 	if err != nil {
 		n.log.WithError(err).Error("the peers' listener cannot be opened")
 		return
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -109,26 +109,34 @@
 	return f
 }
 
-func freeAddress(t *testing.T) string {
+// listeners are opened before a node knows their addresses, so that no other test
+// takes one in between.
+type listeners map[string]net.Listener
+
+func (l listeners) address(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = ln.Close() }) // the node has closed those that it used
+	l[ln.Addr().String()] = ln
+	return ln.Addr().String()
 }
 
+func (l listeners) open(address string) (net.Listener, error) { return l[address], nil }
+
 // start runs a node until the end of the test and waits until it is ready.
 func (f *fleet) start(name string) *member {
 	f.t.Helper()
 	registry := prometheus.NewRegistry()
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	m := &member{f: f, callers: freeAddress(f.t), ready: freeAddress(f.t), done: make(chan error, 1),
+	open := listeners{}
+	m := &member{f: f, callers: open.address(f.t), ready: open.address(f.t), done: make(chan error, 1),
 		store: &cuttable{Store: platform.NewStore(strings.TrimPrefix(f.server.URL, "http://"), registry)}}
 	n := node.New(node.Options{
-		Name: name, Domain: "z", Callers: m.callers, Ready: m.ready, Peers: freeAddress(f.t), Metrics: freeAddress(f.t),
+		Name: name, Domain: "z", Callers: m.callers, Ready: m.ready, Peers: open.address(f.t), Metrics: open.address(f.t), Listen: open.open,
 		ReadyPath: "/ready", MetricsPath: "/metrics", Store: m.store, Source: platform.NewSource(m.store, log), Codec: platform.Codec{},
 		Retry: node.RetryLimit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, Grace: 9 * time.Second, Log: log, Registry: registry,
 	})
@@ -261,8 +269,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	store := platform.NewStore(strings.TrimPrefix(f.server.URL, "http://"), registry)
-	m := &member{f: f, callers: freeAddress(t), ready: freeAddress(t)}
-	n := node.New(node.Options{Name: "n1", Domain: "z", Callers: m.callers, Ready: m.ready, Peers: freeAddress(t), Metrics: freeAddress(t),
+	open := listeners{}
+	m := &member{f: f, callers: open.address(t), ready: open.address(t)}
+	n := node.New(node.Options{Name: "n1", Domain: "z", Callers: m.callers, Ready: m.ready, Peers: open.address(t), Metrics: open.address(t), Listen: open.open,
 		ReadyPath: "/ready", MetricsPath: "/metrics", Store: store, Source: platform.NewSource(store, log), Codec: platform.Codec{},
 		Grace: 2 * time.Second, Log: log, Registry: registry})
 	ctx, cancel := context.WithCancel(t.Context())
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -34,8 +34,9 @@
 }
 
 const (
-	// askTimeout bounds one call; a peer in reach answers within milliseconds.
-	askTimeout = 250 * time.Millisecond
+	// askTimeout bounds one call; a peer in reach answers within milliseconds, and a
+	// request does not wait for more than a few of them.
+	askTimeout = 80 * time.Millisecond
 	// askRest is how long a peer that did not answer is left alone.
 	askRest = time.Second
 	// askMost bounds the peers that are asked for one request: those first in order
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -217,8 +217,14 @@
 	return changes
 }
 
+// borrowTimeout bounds the calls for what one plan lacks, so that peers out of
+// reach do not hold up the next round.
+const borrowTimeout = 500 * time.Millisecond
+
 // borrow gets what the latest plan lacks from other instances.
 func (s *Syncer) borrow(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, borrowTimeout)
+	defer cancel()
 	for w, n := range s.lack {
 		if n > 0 {
 			s.opts.Borrow(ctx, w, n)
