--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -54,6 +54,9 @@
 	last      int64 // number of lastEvent
 	numbered  bool
 	resumed   bool // the next event is the first of another run
+	// unnumbered is true once an event without an id was passed on: another run
+	// could not tell whether the caller has it.
+	unnumbered bool
 }
 
 // run makes attempts until there is an answer.
@@ -88,7 +91,7 @@
 			return
 		}
 		q.excluded[choice.ID] = true
-		if ctx.Err() != nil || !q.mayTryAgain(v, tries) {
+		if ctx.Err() != nil || s.unnumbered || !q.mayTryAgain(v, tries) {
 			q.giveUp(ctx, s, kept, nil)
 			return
 		}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -85,6 +85,7 @@
 		rest = rest[len(event):]
 		id, ok := eventID(event)
 		if !ok {
+			s.unnumbered = true
 			out.bytes = append(out.bytes, event...)
 			continue
 		}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -340,6 +340,10 @@
 		{"breaks off before the first event, resumable", "/chat/1", machines.Stream(1, 0, false), whole, events(1, 5), true, 5},
 		{"second run repeats events", "/chat/1", machines.Stream(1, 2, false), whole, events(1, 5), true, 5},
 		{"second run misses an event", "/chat/1", machines.Stream(1, 2, false), machines.Stream(4, 5, true), events(1, 2), false, 2},
+		{"events without ids break off", "/chat/1", func(q *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, machines.Head(q, 200, "Transfer-Encoding: chunked")+"9\r\ndata: x\n\n\r\n")
+			return false
+		}, whole, "data: x\n\n", false, 0},
 		{"second run fails", "/chat/1", machines.Stream(1, 2, false), machines.Answer(500, "x"), events(1, 2), false, 2},
 		{"second run breaks off", "/chat/1", machines.Stream(1, 2, false), machines.Stream(3, 4, false), events(1, 4), false, 4},
 	} {
