--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -162,9 +162,9 @@
 		if got := ids(r.Endpoints()); len(got) != 2 {
 			t.Errorf("endpoints soon after the return: %v", got)
 		}
-		time.Sleep(3 * time.Second)
+		time.Sleep(900 * time.Millisecond)
 		if got := ids(r.Endpoints()); len(got) != 1 || got[0] != "e2" {
-			t.Errorf("endpoints some time after the return: %v", got)
+			t.Errorf("endpoints 2.4 s after the return: %v", got)
 		}
 		s.list = endpoints(30)
 		time.Sleep(1500 * time.Millisecond)
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -66,7 +66,7 @@
 		PullTimeout:  3 * time.Second,
 		RetryPause:   250 * time.Millisecond,
 		PullAfter:    1600 * time.Millisecond,
-		ReturnGrace:  2200 * time.Millisecond,
+		ReturnGrace:  2 * time.Second,
 	}
 }
 
@@ -201,10 +201,21 @@
 			continue
 		}
 		r.applyList(list, time.Now(), true)
-		wait.Sleep(ctx, r.opts.Timing.ListInterval)
+		wait.Sleep(ctx, r.untilNextList(time.Now()))
 	}
 }
 
+// untilNextList returns the pause before the next read. The end of a grace does not
+// wait for the next regular one: endpoints that left meanwhile still get work.
+func (r *Replica) untilNextList(now time.Time) time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if left := r.returned.Add(r.opts.Timing.ReturnGrace).Sub(now); left > 0 {
+		return min(left, r.opts.Timing.ListInterval)
+	}
+	return r.opts.Timing.ListInterval
+}
+
 // applyList takes a list unless it is older than the present one. After a
 // silence of the source, endpoints that it misses stay for ReturnGrace.
 func (r *Replica) applyList(list EndpointList, now time.Time, fromSource bool) {
