Let instances without the store learn of, and be supplied by, those with it

Those with the store also gave at most half of what they held and took no more for others.

Change: a connection tells both sides the other's identity, the roster takes it over until the list of the store has caught up, and a search goes through the list once more. An instance that is asked by one without the store takes from the store what it lacks and gives all of it.

Tests, red before: TestMeet, TestOnPeer, TestSupplyOfCutOffInstance, TestAskFindsSuccessor.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -104,11 +104,15 @@
 
 func (n *Node) buildRights() {
 	n.book = rights.NewBook()
-	n.exchange = rights.NewExchange(n.book, n.peers, n.members, n.log)
 	n.syncer = rights.NewSyncer(rights.SyncerOptions{
 		Book: n.book, Ledger: rights.NewLedger(n.opts.Store, n.self.Incarnation), Prepaid: n.prepaid,
-		Takers: n.takers, Borrow: n.exchange.Ask, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
+		Takers: n.takers, Borrow: n.borrow, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
 	})
+	n.exchange = rights.NewExchange(n.book, n.peers, n.members, n.syncer, n.log)
+}
+
+func (n *Node) borrow(ctx context.Context, workspace string, want rights.Tokens) rights.Tokens {
+	return n.exchange.Ask(ctx, workspace, want)
 }
 
 func (n *Node) buildCatalog() {
@@ -214,7 +218,8 @@
 	if err != nil {
 		return // ctx has ended
 	}
-	t := peer.New(n.self, peer.Options{Credential: secret, Idle: peerIdle, Silence: peerSilence}, n.opts.Registry)
+	t := peer.New(n.self, peer.Options{Credential: secret, Idle: peerIdle, Silence: peerSilence,
+		OnPeer: func(id peer.Identity) { n.roster.Meet(id, time.Now()) }}, n.opts.Registry)
 	n.replica.RegisterPeer(t)
 	n.exchange.RegisterPeer(t, n.self.Incarnation)
 	n.crashes.register(t)
--- a/pkg/peer/options.go
+++ b/pkg/peer/options.go
@@ -51,6 +51,9 @@
 	// refused with failure.Limited.
 	MaxHandlers int
 	MaxWaiting  int
+	// OnPeer is called with the identity of each instance with which a connection
+	// was opened, from either side. It must return at once.
+	OnPeer func(Identity)
 
 	dial func(ctx context.Context, network, address string) (net.Conn, error) // replaced in tests
 }
--- a/pkg/peer/transport.go
+++ b/pkg/peer/transport.go
@@ -212,9 +212,16 @@
 		_ = ws.CloseNow() // the handshake error matters
 		return nil, t.handshakeError(address, err)
 	}
+	t.met(remote)
 	return newConn(t, ws, remote, address, true), nil
 }
 
+func (t *Transport) met(remote Identity) {
+	if t.opts.OnPeer != nil {
+		t.opts.OnPeer(remote)
+	}
+}
+
 // handshakeError keeps a typed refusal and turns anything else into Unavailable.
 func (t *Transport) handshakeError(address string, err error) error {
 	var typed *failure.Error
@@ -246,6 +253,7 @@
 		_ = ws.CloseNow()                       // the client has its refusal
 		return
 	}
+	t.met(remote)
 	newConn(t, ws, remote, remote.Address, false).run(func() {})
 }
 
--- a/pkg/peer/transport_test.go
+++ b/pkg/peer/transport_test.go
@@ -109,6 +109,36 @@
 	}
 }
 
+// TestOnPeer guards against a side that does not learn whom it talks to, and against
+// one that takes over an identity without a proof.
+func TestOnPeer(t *testing.T) {
+	for _, tc := range []struct {
+		desc       string
+		credential []byte
+		want       int
+	}{
+		{"credential known", secret, 1},
+		{"wrong credential", []byte("another secret"), 0},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			met := make(chan string, 4)
+			note := func(id Identity) { met <- id.Instance }
+			_, address := serve(t, Options{Credential: secret, OnPeer: note})
+			tr := client(t, Options{Credential: tc.credential, OnPeer: note})
+			var got string
+			_ = tr.Call(t.Context(), address, "echo", "hi", &got) // it fails without the credential
+			if n := len(met); n != 2*tc.want {
+				t.Fatalf("%d meetings, want %d", n, 2*tc.want)
+			}
+			if tc.want > 0 {
+				if a, b := <-met, <-met; a == b {
+					t.Errorf("both sides met %q", a)
+				}
+			}
+		})
+	}
+}
+
 // TestTLS guards against a configuration that falls back to plain connections.
 func TestTLS(t *testing.T) {
 	opts := Options{Credential: secret, TLS: &tls.Config{MinVersion: tls.VersionTLS13}}
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -26,6 +26,9 @@
 	// Spent is what the asker has spent of the workspace since it reported last; the
 	// giver reports it with its own.
 	Spent Tokens `cbor:"5,keyasint,omitempty"`
+	// Away tells that the asker does not reach the store: the giver may get more
+	// rights from there, the asker may not.
+	Away bool `cbor:"6,keyasint,omitempty"`
 }
 
 // AskReply tells what was given. The rights have left the book of the giver.
@@ -46,8 +49,23 @@
 	// own gives at most. One without demand gives all: the last rights of a workspace
 	// are of use only in one place.
 	giveShare = 0.5
+	// supplyWait is how long a giver waits for rights from the store, which answers
+	// within milliseconds; it is well below askTimeout.
+	supplyWait = 40 * time.Millisecond
+	// askPasses is how often the list of members is gone through: calls of the first
+	// pass show which instances took the place of listed ones.
+	askPasses = 2
 )
 
+// Supply is the store as a source of rights.
+type Supply interface {
+	// Away reports whether the store did not answer last.
+	Away() bool
+	// Supply asks for rights that another instance lacks. It reports false when there
+	// are none left, or the store is away.
+	Supply(workspace string, lack Tokens) bool
+}
+
 // Member is another instance.
 type Member struct{ Incarnation, Address string }
 
@@ -57,6 +75,7 @@
 	book    *Book
 	peers   peer.Caller
 	members func() []Member
+	supply  Supply
 	log     logrus.FieldLogger
 
 	mu    sync.Mutex
@@ -79,13 +98,13 @@
 }
 
 // NewExchange returns an exchange for the rights of book.
-func NewExchange(book *Book, peers peer.Caller, members func() []Member, log logrus.FieldLogger) *Exchange {
-	return &Exchange{book: book, peers: peers, members: members, log: log, asks: map[string]*asker{}, given: map[string]gift{}}
+func NewExchange(book *Book, peers peer.Caller, members func() []Member, supply Supply, log logrus.FieldLogger) *Exchange {
+	return &Exchange{book: book, peers: peers, members: members, supply: supply, log: log, asks: map[string]*asker{}, given: map[string]gift{}}
 }
 
 // RegisterPeer registers the handler of AskMethod for this incarnation.
 func (x *Exchange) RegisterPeer(reg peer.Registrar, incarnation string) {
-	reg.Handle(AskMethod, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
+	reg.Handle(AskMethod, func(ctx context.Context, from peer.Identity, body []byte) (any, error) {
 		var req AskRequest
 		if err := peer.Unmarshal(body, &req); err != nil {
 			return nil, err
@@ -93,11 +112,34 @@
 		if req.Holder != incarnation {
 			return nil, failure.New(failure.NotFound, "ask the present incarnation", "incarnation %s has ended", req.Holder)
 		}
-		return x.give(from.Incarnation, req)
+		supplied := req.Away && x.stock(ctx, req.Workspace, req.Want)
+		return x.give(from.Incarnation, req, supplied)
 	})
 }
 
-func (x *Exchange) give(to string, req AskRequest) (AskReply, error) {
+// stock gets rights from the store for an instance that does not reach it. It reports
+// whether this instance can replace what it gives away.
+func (x *Exchange) stock(ctx context.Context, workspace string, want Tokens) bool {
+	changed := x.book.Changed(workspace)
+	free := x.book.Holding(workspace, time.Now()).Free
+	if !x.supply.Supply(workspace, want) {
+		return false
+	}
+	if free >= want {
+		return true
+	}
+	timer := time.NewTimer(supplyWait)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return true
+}
+
+// give moves rights to an asker. supplied tells that what is given can be replaced.
+func (x *Exchange) give(to string, req AskRequest, supplied bool) (AskReply, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	last := x.given[to]
@@ -110,7 +152,7 @@
 	x.book.Relay(req.Workspace, req.Spent)
 	h := x.book.Holding(req.Workspace, time.Now())
 	most := h.Free
-	if h.Rate > 0 {
+	if h.Rate > 0 && !supplied {
 		most = Tokens(float64(h.Free) * giveShare)
 	}
 	n := x.book.Remove(req.Workspace, min(req.Want, most))
@@ -125,11 +167,17 @@
 // the book got of the workspace.
 func (x *Exchange) Ask(ctx context.Context, workspace string, want Tokens) Tokens {
 	var got Tokens
-	for i, m := range x.members() {
-		if got >= want || i == askMost || ctx.Err() != nil {
-			break
+	asked := map[string]bool{}
+	for range askPasses {
+		for _, m := range x.members() {
+			if got >= want || len(asked) == askMost || ctx.Err() != nil {
+				return got
+			}
+			if !asked[m.Incarnation] {
+				asked[m.Incarnation] = true
+				got += x.askOne(ctx, m, workspace, want-got)
+			}
 		}
-		got += x.askOne(ctx, m, workspace, want-got)
 	}
 	return got
 }
@@ -152,7 +200,7 @@
 		repeated := a.open != nil
 		if !repeated {
 			a.number++
-			a.open = &AskRequest{Holder: m.Incarnation, Number: a.number, Workspace: workspace, Want: want, Spent: x.book.TakeUnreported(workspace)}
+			a.open = &AskRequest{Holder: m.Incarnation, Number: a.number, Workspace: workspace, Want: want, Spent: x.book.TakeUnreported(workspace), Away: x.supply.Away()}
 		}
 		n, ok := x.call(ctx, m, a)
 		if !ok {
--- a/pkg/rights/fakes_test.go
+++ b/pkg/rights/fakes_test.go
@@ -152,3 +152,27 @@
 	log.SetOutput(io.Discard)
 	return log
 }
+
+// noSupply is a store that answers and has no rights left.
+type noSupply struct{}
+
+var _ Supply = noSupply{}
+
+func (noSupply) Away() bool                 { return false }
+func (noSupply) Supply(string, Tokens) bool { return false }
+
+// awaySupply is a store out of reach.
+type awaySupply struct{ noSupply }
+
+func (awaySupply) Away() bool { return true }
+
+// ampleSupply is a store that adds what is asked for to a book.
+type ampleSupply struct {
+	noSupply
+	book *Book
+}
+
+func (s ampleSupply) Supply(workspace string, lack Tokens) bool {
+	s.book.Add(workspace, lack)
+	return true
+}
--- a/pkg/rights/machine_test.go
+++ b/pkg/rights/machine_test.go
@@ -42,7 +42,7 @@
 	h.ledger = NewLedger(f.store, h.name)
 	h.syncer = NewSyncer(SyncerOptions{Book: h.book, Ledger: h.ledger, Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: f.prepaid} },
 		Takers: func() (int, bool) { return 2, address != "a2" }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
-	h.exchange = NewExchange(h.book, f.peers, func() []Member { return f.members(h) }, discard())
+	h.exchange = NewExchange(h.book, f.peers, func() []Member { return f.members(h) }, h.syncer, discard())
 	h.syncer.opts.Borrow = h.exchange.Ask
 	var r registrar
 	h.exchange.RegisterPeer(&r, h.name)
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -198,10 +198,10 @@
 	peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "b"}, lose: func() (bool, bool) { return false, false }}
 	members := func() []Member { return []Member{{"taker", "a"}} }
 	var r registrar
-	NewExchange(takerBook, peers, members, discard()).RegisterPeer(&r, "taker")
+	NewExchange(takerBook, peers, members, noSupply{}, discard()).RegisterPeer(&r, "taker")
 	peers.handlers["a"] = r.handler
 	book := NewBook()
-	x := NewExchange(book, peers, members, discard())
+	x := NewExchange(book, peers, members, noSupply{}, discard())
 	borrower := NewSyncer(SyncerOptions{Book: book, Ledger: NewLedger(store, "b"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: 100_000} },
 		Takers: func() (int, bool) { return 1, false }, Borrow: x.Ask, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
 	before := store.commits
@@ -238,9 +238,9 @@
 		lose: func() (bool, bool) { return false, lost }}
 	members := func() []Member { return []Member{{"giver", "a"}} }
 	var r registrar
-	NewExchange(giver, peers, members, discard()).RegisterPeer(&r, "giver")
+	NewExchange(giver, peers, members, noSupply{}, discard()).RegisterPeer(&r, "giver")
 	peers.handlers["a"] = r.handler
-	x := NewExchange(taker, peers, members, discard())
+	x := NewExchange(taker, peers, members, noSupply{}, discard())
 	if got := x.Ask(context.Background(), ws, 100); got != 0 {
 		t.Fatalf("got %d without an answer", got)
 	}
@@ -253,3 +253,49 @@
 		t.Errorf("%d of 1000 are left", sum)
 	}
 }
+
+// Guards against an instance without the store that gets only a part of what its
+// neighbour holds, although the neighbour can take more from the store.
+func TestSupplyOfCutOffInstance(t *testing.T) {
+	const held, want = 100, 1000
+	for _, tc := range []struct {
+		desc         string
+		asker, giver func(*Book) Supply
+		want         Tokens
+	}{
+		{"both reach the store", func(*Book) Supply { return noSupply{} }, func(b *Book) Supply { return ampleSupply{book: b} }, held / 2},
+		{"the asker does not", func(*Book) Supply { return awaySupply{} }, func(b *Book) Supply { return ampleSupply{book: b} }, want},
+		{"neither does", func(*Book) Supply { return awaySupply{} }, func(*Book) Supply { return awaySupply{} }, held / 2},
+	} {
+		giver, asker := NewBook(), NewBook()
+		giver.Add(ws, held)
+		giver.Demand(ws, held, time.Now())
+		peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "asker"}, lose: func() (bool, bool) { return false, false }}
+		var r registrar
+		NewExchange(giver, peers, nil, tc.giver(giver), discard()).RegisterPeer(&r, "giver")
+		peers.handlers["a"] = r.handler
+		x := NewExchange(asker, peers, func() []Member { return []Member{{"giver", "a"}} }, tc.asker(asker), discard())
+		if got := x.Ask(context.Background(), ws, want); got != tc.want {
+			t.Errorf("%s: got %d, want %d", tc.desc, got, tc.want)
+		}
+	}
+}
+
+// Guards against rights out of reach because they are held by an instance that
+// started after the list of instances was read: the call of its predecessor shows it.
+func TestAskFindsSuccessor(t *testing.T) {
+	giver, asker := NewBook(), NewBook()
+	giver.Add(ws, 1000)
+	peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "asker"}, lose: func() (bool, bool) { return false, false }}
+	var r registrar
+	NewExchange(giver, peers, nil, noSupply{}, discard()).RegisterPeer(&r, "second")
+	members := []Member{{"first", "a"}}
+	peers.handlers["a"] = func(ctx context.Context, from peer.Identity, body []byte) (any, error) {
+		members = []Member{{"second", "a"}}
+		return r.handler(ctx, from, body)
+	}
+	x := NewExchange(asker, peers, func() []Member { return members }, awaySupply{}, discard())
+	if got := x.Ask(context.Background(), ws, 100); got != 100 {
+		t.Errorf("got %d, want 100", got)
+	}
+}
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -71,6 +71,8 @@
 	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, granted: map[string]Tokens{}, fleet: map[string]*consumption{}}
 }
 
+var _ Supply = (*Syncer)(nil)
+
 // Ready reports whether the store has answered once.
 func (s *Syncer) Ready() bool {
 	s.mu.Lock()
@@ -94,6 +96,26 @@
 	s.Kick()
 }
 
+// Away implements Supply.
+func (s *Syncer) Away() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.away
+}
+
+// Supply implements Supply.
+func (s *Syncer) Supply(workspace string, lack Tokens) bool {
+	paid := s.opts.Prepaid()[workspace]
+	s.mu.Lock()
+	none := s.away || s.granted[workspace] >= paid
+	s.mu.Unlock()
+	if none {
+		return false
+	}
+	s.Want(workspace, lack)
+	return true
+}
+
 // Kick asks for a round soon.
 func (s *Syncer) Kick() {
 	select {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -1,7 +1,8 @@
 // Package roster keeps the list of live instances in the store.
 //
 // Each instance holds a key under a lease. While the store is away, the latest
-// list stays in force: it is only a hint whom to call.
+// list stays in force, with the instances that were met on connections since: it is
+// only a hint whom to call.
 package roster
 
 import (
@@ -34,6 +35,9 @@
 	retryPause = 500 * time.Millisecond
 	// callTimeout bounds one call of the store.
 	callTimeout = 500 * time.Millisecond
+	// listLag is how far a list may be behind a meeting: the cheap read is at most a
+	// few seconds old.
+	listLag = 5 * time.Second
 )
 
 // Store is what a Roster needs of the store.
@@ -53,9 +57,18 @@
 
 	mu      sync.Mutex
 	members []peer.Identity // without this instance
+	met     []meeting       // newer than the list
 	most    int
 }
 
+// meeting is a connection to an instance that the list does not hold yet.
+type meeting struct {
+	peer.Identity
+	at time.Time
+	// after is the incarnation that was known at its address before.
+	after string
+}
+
 // New returns a roster that does nothing until Run.
 func New(self peer.Identity, store Store, log logrus.FieldLogger) *Roster {
 	return &Roster{self: self, store: store, log: log}
@@ -68,6 +81,54 @@
 	return append([]peer.Identity(nil), r.members...)
 }
 
+// Meet adds an instance that proved its identity on a connection at time now. It takes
+// the place of a listed one with the same address, which must have ended.
+func (r *Roster) Meet(id peer.Identity, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if id.Incarnation == r.self.Incarnation || slices.ContainsFunc(r.members, func(m peer.Identity) bool { return m.Incarnation == id.Incarnation }) {
+		return
+	}
+	var former string
+	r.members, former = replace(r.members, id)
+	r.met = append(r.met, meeting{id, now, former})
+	r.log.WithField("met", id.Incarnation).WithField("instances", len(r.members)+1).Info("list of instances changed")
+}
+
+// replace returns members with id instead of the one with its address, and the
+// incarnation of that one.
+func replace(members []peer.Identity, id peer.Identity) (out []peer.Identity, former string) {
+	out = slices.DeleteFunc(slices.Clone(members), func(m peer.Identity) bool {
+		if m.Address == id.Address {
+			former = m.Incarnation
+		}
+		return m.Address == id.Address
+	})
+	return append(out, id), former
+}
+
+// adopt takes over a list of the store. Recent meetings stay, because the list may be
+// older than they are.
+func (r *Roster) adopt(listed []peer.Identity, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.met = slices.DeleteFunc(r.met, func(m meeting) bool {
+		return now.Sub(m.at) > listLag || slices.Contains(listed, m.Identity)
+	})
+	members := listed
+	for _, m := range r.met {
+		// Another incarnation in its place is newer than the meeting.
+		if with, former := replace(members, m.Identity); former == "" || former == m.after {
+			members = with
+		}
+	}
+	if len(members) != len(r.members) {
+		r.log.WithField("instances", len(members)+1).Info("list of instances changed")
+	}
+	r.members = members
+	r.most = max(r.most, len(members)+1)
+}
+
 // Size returns the number of instances including this one.
 func (r *Roster) Size() int {
 	r.mu.Lock()
@@ -148,13 +209,7 @@
 			members = append(members, id)
 		}
 	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if len(members) != len(r.members) {
-		r.log.WithField("instances", len(members)+1).Info("list of instances changed")
-	}
-	r.members = members
-	r.most = max(r.most, len(members)+1)
+	r.adopt(members, time.Now())
 	return nil
 }
 
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"maps"
+	"slices"
 	"testing"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -54,3 +56,44 @@
 		}
 	}
 }
+
+// Guards against an instance without the store that does not learn which instances
+// started since, and against a meeting that hides a newer list.
+func TestMeet(t *testing.T) {
+	id := func(incarnation, address string) peer.Identity {
+		return peer.Identity{Incarnation: incarnation, Address: address}
+	}
+	start := time.Unix(1000, 0)
+	for _, tc := range []struct {
+		desc   string
+		listed []peer.Identity // before the meeting
+		met    peer.Identity
+		after  time.Duration   // from the meeting to the next list; 0: there is none
+		next   []peer.Identity // next list
+		want   []string
+	}{
+		{"another address", []peer.Identity{id("a1", "a")}, id("b1", "b"), 0, nil, []string{"a1", "b1"}},
+		{"after a restart", []peer.Identity{id("a1", "a")}, id("a2", "a"), 0, nil, []string{"a2"}},
+		{"itself", nil, id("self", "s"), 0, nil, nil},
+		{"the list lags", []peer.Identity{id("a1", "a")}, id("a2", "a"), time.Second, []peer.Identity{id("a1", "a")}, []string{"a2"}},
+		{"the list has caught up", []peer.Identity{id("a1", "a")}, id("a2", "a"), time.Second, []peer.Identity{id("a2", "a")}, []string{"a2"}},
+		{"the list is ahead", []peer.Identity{id("a1", "a")}, id("a2", "a"), time.Second, []peer.Identity{id("a3", "a")}, []string{"a3"}},
+		{"the instance has ended since", []peer.Identity{id("a1", "a")}, id("a2", "a"), time.Minute, []peer.Identity{id("a3", "a")}, []string{"a3"}},
+	} {
+		log := logrus.New()
+		log.SetOutput(io.Discard)
+		r := New(id("self", "s"), nil, log)
+		r.adopt(tc.listed, start)
+		r.Meet(tc.met, start)
+		if tc.after > 0 {
+			r.adopt(tc.next, start.Add(tc.after))
+		}
+		var got []string
+		for _, o := range r.Others() {
+			got = append(got, o.Incarnation)
+		}
+		if !slices.Equal(got, tc.want) {
+			t.Errorf("%s: %v, want %v", tc.desc, got, tc.want)
+		}
+	}
+}
