Read the endpoints for others in large failure domains; resolve open moves

A supplier also took the same lack again for each repeated call.

Ruled out: relays for the document as well.

Change: the leaders of a failure domain answer when the endpoints change, the others read the store only while no leader answers or reaches it. Calls run in channels by ledger shard, refills apart from requests. Each round repeats calls without an answer. What one instance lacks counts once.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -40,9 +41,10 @@
 
 // source answers with what a test sets.
 type source struct {
-	doc  *Document
-	list EndpointList
-	away bool
+	doc   *Document
+	list  EndpointList
+	away  bool
+	lists atomic.Int64
 }
 
 func (s *source) Document(ctx context.Context, after uint64) (*Document, error) {
@@ -57,6 +59,7 @@
 }
 
 func (s *source) Endpoints(context.Context) (EndpointList, error) {
+	s.lists.Add(1)
 	if s.away {
 		return EndpointList{}, errors.New("away")
 	}
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -31,12 +31,23 @@
 type PullRequest struct {
 	Version  uint64 `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
+	// WaitMillis is how long the answer may wait for other endpoints. It then leaves out
+	// the document, which is large and which the caller watches itself.
+	WaitMillis int64 `cbor:"3,keyasint,omitempty"`
+	// Digest is that of the caller's endpoints; equal ones are left out.
+	Digest uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // PullReply carries only what is newer than the request.
 type PullReply struct {
 	Document  *Document     `cbor:"1,keyasint,omitempty"`
 	Endpoints *EndpointList `cbor:"2,keyasint,omitempty"`
+	// AgeMillis is the time since the source has answered the replying instance.
+	AgeMillis int64 `cbor:"3,keyasint,omitempty"`
+	// Away tells that the latest read of the source failed.
+	Away bool `cbor:"4,keyasint,omitempty"`
+	// Unchanged tells that the endpoints are those of the request's digest.
+	Unchanged bool `cbor:"5,keyasint,omitempty"`
 }
 
 // Timing bounds the work of a Replica.
@@ -53,6 +64,14 @@
 	RetryPause time.Duration
 	// PullAfter is the silence of the source after which peers are asked.
 	PullAfter time.Duration
+	// RelayWait is how long a relay may wait for other endpoints, and RelayMargin what
+	// its answer may take beyond. Both pass before its silence is noticed.
+	RelayWait, RelayMargin time.Duration
+	// RelayPause is the least time between two calls of a relay, so that its changes
+	// come in batches.
+	RelayPause time.Duration
+	// RelayRest is how long a relay that failed is left out.
+	RelayRest time.Duration
 	// ReturnGrace is how long endpoints that are missing after an outage of the
 	// source stay listed; living ones register again within 2 s.
 	ReturnGrace time.Duration
@@ -66,6 +85,10 @@
 		PullTimeout:  3 * time.Second,
 		RetryPause:   250 * time.Millisecond,
 		PullAfter:    1600 * time.Millisecond,
+		RelayWait:    500 * time.Millisecond,
+		RelayMargin:  300 * time.Millisecond,
+		RelayPause:   50 * time.Millisecond,
+		RelayRest:    3 * time.Second,
 		ReturnGrace:  2 * time.Second,
 	}
 }
@@ -76,8 +99,11 @@
 	// Peers and Members are used while the source is silent.
 	Peers   peer.Caller
 	Members func() []string
-	Timing  Timing
-	Log     logrus.FieldLogger
+	// Relays returns the addresses of the instances that read the endpoints for this
+	// one, in the order in which they are followed. Without any it reads them itself.
+	Relays func() []string
+	Timing Timing
+	Log    logrus.FieldLogger
 	// OnDocument and OnEndpoints are called after each change, from one goroutine
 	// at a time.
 	OnDocument  func(*Catalog)
@@ -92,8 +118,12 @@
 
 	mu        sync.Mutex // orders changes
 	listed    EndpointList
-	heardList time.Time // last answer of the source about endpoints
-	returned  time.Time // end of the latest silence about endpoints
+	digest    uint64        // of listed
+	heardList time.Time     // last answer of the source about endpoints
+	away      bool          // the latest read of the endpoints failed
+	returned  time.Time     // end of the latest silence about endpoints
+	news      chan struct{} // closed at each change and replaced
+	relayed   chan struct{} // closed when the relay is lost; nil without one
 }
 
 // NewReplica returns a replica without any content.
@@ -101,7 +131,10 @@
 	if opts.Timing == (Timing{}) {
 		opts.Timing = DefaultTiming()
 	}
-	return &Replica{opts: opts}
+	if opts.Relays == nil {
+		opts.Relays = func() []string { return nil }
+	}
+	return &Replica{opts: opts, news: make(chan struct{})}
 }
 
 // Current returns the latest catalog, or nil.
@@ -116,19 +149,13 @@
 
 // RegisterPeer registers the handler of PullMethod.
 func (r *Replica) RegisterPeer(reg peer.Registrar) {
-	reg.Handle(PullMethod, func(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	reg.Handle(PullMethod, func(ctx context.Context, _ peer.Identity, body []byte) (any, error) {
 		var req PullRequest
 		if err := peer.Unmarshal(body, &req); err != nil {
 			return nil, err
 		}
-		var reply PullReply
-		if c := r.Current(); c != nil && c.Version > req.Version {
-			reply.Document = c.Document
-		}
-		if l := r.Endpoints(); l.Revision > req.Revision {
-			reply.Endpoints = &l
-		}
-		return reply, nil
+		r.awaitNews(ctx, req)
+		return r.answer(req, time.Now()), nil
 	})
 }
 
@@ -138,6 +165,7 @@
 	wg.Go(func() { r.followDocument(ctx) })
 	wg.Go(func() { r.followEndpoints(ctx) })
 	wg.Go(func() { r.pullWhileSilent(ctx) })
+	wg.Go(func() { r.followRelays(ctx) })
 	wg.Wait()
 }
 
@@ -191,11 +219,12 @@
 
 func (r *Replica) followEndpoints(ctx context.Context) {
 	lost := false
-	for ctx.Err() == nil {
+	for r.awaitRelayLoss(ctx) {
 		call, cancel := context.WithTimeout(ctx, r.opts.Timing.CallTimeout)
 		list, err := r.opts.Source.Endpoints(call)
 		cancel()
 		r.note(&lost, "endpoints", err)
+		r.setAway(err != nil)
 		if err != nil {
 			wait.Sleep(ctx, r.opts.Timing.RetryPause)
 			continue
@@ -235,6 +264,10 @@
 	}
 	r.logList(list)
 	r.listed = list
+	if digest := digestOf(list.Endpoints); digest != r.digest {
+		r.digest = digest
+		r.announce()
+	}
 	if r.opts.OnEndpoints != nil {
 		r.opts.OnEndpoints(list)
 	}
@@ -293,10 +326,8 @@
 	if c := r.Current(); c != nil {
 		req.Version = c.Version
 	}
-	call, cancel := context.WithTimeout(ctx, r.opts.Timing.PullTimeout)
-	defer cancel()
-	var reply PullReply
-	if err := r.opts.Peers.Call(call, address, PullMethod, req, &reply); err != nil {
+	reply, err := r.pullFrom(ctx, address, req, r.opts.Timing.PullTimeout)
+	if err != nil {
 		if !failure.Is(err, failure.Unavailable) {
 			r.opts.Log.WithError(err).WithField("peer", address).Debug("peer did not answer a pull")
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	cryptorand "crypto/rand"
 	"encoding/hex"
@@ -22,6 +23,7 @@
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
+	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 	"github.com/clementinerack/clementinerack/pkg/rights"
 	"github.com/clementinerack/clementinerack/pkg/roster"
 	"github.com/clementinerack/clementinerack/pkg/upstream"
@@ -106,7 +108,7 @@
 	n.book = rights.NewBook()
 	n.syncer = rights.NewSyncer(rights.SyncerOptions{
 		Book: n.book, Ledger: rights.NewLedger(n.opts.Store, n.self.Incarnation), Prepaid: n.prepaid,
-		Takers: n.takers, Supplies: n.supplies, Refill: n.refill, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
+		Takers: n.takers, Supplies: n.supplies, Resolve: n.resolve, Refill: n.refill, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
 	})
 	n.exchange = rights.NewExchange(n.book, n.peers, n.members, n.syncer, n.log)
 }
@@ -115,6 +117,8 @@
 	return n.exchange.Refill(ctx, workspace, want)
 }
 
+func (n *Node) resolve(ctx context.Context) { n.exchange.Resolve(ctx) }
+
 func (n *Node) buildCatalog() {
 	n.replica = catalog.NewReplica(catalog.ReplicaOptions{
 		Source: n.opts.Source, Peers: n.peers, Log: n.log,
@@ -125,11 +129,36 @@
 			}
 			return out
 		},
+		Relays:      n.relays,
 		OnDocument:  func(*catalog.Catalog) { n.syncer.Kick() },
 		OnEndpoints: n.pool.Update,
 	})
 }
 
+// relays returns the instances of the own failure domain that read the store for this
+// one: none if it is among them. Each instance prefers another one.
+func (n *Node) relays() []string {
+	leaders, self := n.roster.Leaders(leastTakers)
+	if self {
+		return nil
+	}
+	var near []peer.Identity
+	for _, o := range n.roster.Others() {
+		if leaders[o.Incarnation] && o.Domain == n.self.Domain {
+			near = append(near, o)
+		}
+	}
+	own := rendezvous.Hash(n.self.Incarnation)
+	slices.SortFunc(near, func(a, b peer.Identity) int {
+		return cmp.Compare(rendezvous.Mix(rendezvous.Hash(a.Incarnation)^own), rendezvous.Mix(rendezvous.Hash(b.Incarnation)^own))
+	})
+	var out []string
+	for _, o := range near {
+		out = append(out, o.Address)
+	}
+	return out
+}
+
 // leastTakers is the number of instances that hold rights for a time without the
 // store. More of them spread each workspace thinner, fewer strand more when one dies.
 const leastTakers = 12
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -36,6 +36,9 @@
 	Replaceable bool `cbor:"7,keyasint,omitempty"`
 	// Returned has left the book of the asker for that of the giver.
 	Returned Tokens `cbor:"8,keyasint,omitempty"`
+	// Channel has a row of numbers of its own, so that calls for some workspaces do not
+	// wait for those for others, nor for refills.
+	Channel uint8 `cbor:"9,keyasint,omitempty"`
 }
 
 // AskReply tells what was given. The rights have left the book of the giver.
@@ -49,6 +52,9 @@
 	// askTimeout bounds one call; a peer in reach answers within milliseconds, and a
 	// request does not wait for more than a few of them.
 	askTimeout = 80 * time.Millisecond
+	// refillCallTimeout bounds one call for which no request waits: a supplier with a
+	// fifth of a core and a full link takes longer than askTimeout.
+	refillCallTimeout = 250 * time.Millisecond
 	// askRest is how long a peer that did not answer is left alone.
 	askRest = time.Second
 	// askMost bounds the peers that are asked for one request: those first in order
@@ -74,9 +80,9 @@
 type Supply interface {
 	// Away reports whether the store did not answer last.
 	Away() bool
-	// Supply asks for rights that another instance lacks. It reports false when there
+	// Supply asks for rights that the instance asker lacks. It reports false when there
 	// are none left, or the store is away.
-	Supply(workspace string, lack Tokens) bool
+	Supply(workspace, asker string, lack Tokens) bool
 }
 
 // Member is another instance.
@@ -112,30 +118,50 @@
 	wait    time.Duration // supplyWait, but in tests
 	log     logrus.FieldLogger
 
-	mu    sync.Mutex
-	asks  map[string]*asker // by incarnation of the asked
-	given map[string]gift   // latest by incarnation of the asking
+	mu     sync.Mutex
+	asks   map[channel]*asker // by the asked
+	given  map[channel]gift   // latest by the asking
+	states map[string]away    // by incarnation
+}
+
+// channel is a row of numbered calls between two instances.
+type channel struct {
+	incarnation string
+	number      uint8
+}
+
+// channelOf returns the number of the channel for a workspace.
+func channelOf(workspace string, refill bool) uint8 {
+	n := uint8(shardOf(workspace)) * 2
+	if refill {
+		n++
+	}
+	return n
+}
+
+// away is what calls have shown of another instance.
+type away struct {
+	silent time.Time // no request waits for it until then
+	dry    time.Time // it is not asked to supply until then
 }
 
-// gift is the latest answer to one asking instance.
+// gift is the latest answer on one channel.
 type gift struct {
 	number uint64
 	given  AskReply
 }
 
-// asker is the state of the calls to one peer; its mutex orders them.
+// asker is the state of one channel to a peer; its mutex orders the calls.
 type asker struct {
 	mu     sync.Mutex
 	number uint64
 	open   *AskRequest // without an answer
 	sent   bool        // open may have arrived
-	rest   time.Time   // left alone until then
-	dry    time.Time   // does not reach the store until then
 }
 
 // NewExchange returns an exchange for the rights of book.
 func NewExchange(book *Book, peers peer.Caller, members Members, supply Supply, log logrus.FieldLogger) *Exchange {
-	return &Exchange{book: book, peers: peers, members: members, supply: supply, wait: supplyWait, log: log, asks: map[string]*asker{}, given: map[string]gift{}}
+	return &Exchange{book: book, peers: peers, members: members, supply: supply, wait: supplyWait, log: log, asks: map[channel]*asker{}, given: map[channel]gift{}, states: map[string]away{}}
 }
 
 // RegisterPeer registers the handler of AskMethod for this incarnation.
@@ -148,17 +174,17 @@
 		if req.Holder != incarnation {
 			return nil, failure.New(failure.NotFound, "ask the present incarnation", "incarnation %s has ended", req.Holder)
 		}
-		replaceable := req.Supply && x.stock(ctx, req.Workspace, req.Want)
+		replaceable := req.Supply && x.stock(ctx, from.Incarnation, req)
 		return x.give(from.Incarnation, req, replaceable)
 	})
 }
 
 // stock gets rights from the store for another instance, if the free ones are too
 // few. It reports whether this instance can replace what it gives away.
-func (x *Exchange) stock(ctx context.Context, workspace string, want Tokens) bool {
-	changed := x.book.Changed(workspace)
-	lack := want - x.book.Holding(workspace, time.Now()).Free
-	if !x.supply.Supply(workspace, max(0, lack)) {
+func (x *Exchange) stock(ctx context.Context, asker string, req AskRequest) bool {
+	changed := x.book.Changed(req.Workspace)
+	lack := req.Want - x.book.Holding(req.Workspace, time.Now()).Free
+	if !x.supply.Supply(req.Workspace, asker, max(0, lack)) {
 		return false
 	}
 	if lack <= 0 {
@@ -178,7 +204,8 @@
 func (x *Exchange) give(to string, req AskRequest, replaceable bool) (AskReply, error) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	last := x.given[to]
+	row := channel{to, req.Channel}
+	last := x.given[row]
 	switch {
 	case req.Number == last.number:
 		return last.given, nil
@@ -200,7 +227,7 @@
 	}
 	n := x.book.Remove(req.Workspace, min(req.Want, most))
 	reply := AskReply{Given: n, Reached: req.Supply && !x.supply.Away()}
-	x.given[to] = gift{req.Number, reply}
+	x.given[row] = gift{req.Number, reply}
 	if n > 0 {
 		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": to, "given": n, "free": h.Free - n, "replaceable": replaceable}).Info("rights given")
 	}
@@ -240,7 +267,7 @@
 		if !m.Supplies {
 			return false
 		}
-		if x.isDry(m) {
+		if x.isDry(m) { // it did not reach the store, or did not answer, a moment ago
 			continue
 		}
 		if reached = x.askOne(ctx, m, req).reached; reached || want < 0 {
@@ -250,26 +277,70 @@
 	return false
 }
 
-// isDry reports whether m has just told that it does not reach the store.
-func (x *Exchange) isDry(m Member) bool {
-	a := x.asker(m)
+// Resolve repeats the calls without an answer to instances that are still there: what
+// was moved by them is of use to nobody until then.
+func (x *Exchange) Resolve(ctx context.Context) {
+	for _, m := range x.members("") {
+		for number := range uint8(2 * Shards) {
+			a, known := x.lookup(m, number)
+			if known && !x.isSilent(m) {
+				x.resolve(ctx, m, a)
+			}
+		}
+	}
+}
+
+func (x *Exchange) resolve(ctx context.Context, m Member, a *asker) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return time.Now().Before(a.dry)
+	if a.open != nil {
+		x.call(ctx, m, a, askTimeout)
+	}
 }
 
-// askOne sends req, which the state of the peer completes, unless the peer is left
-// alone. An open request is repeated before.
+// isDry reports whether m did not supply a moment ago.
+func (x *Exchange) isDry(m Member) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Now().Before(x.states[m.Incarnation].dry)
+}
+
+func (x *Exchange) isSilent(m Member) bool {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return time.Now().Before(x.states[m.Incarnation].silent)
+}
+
+// leaveAlone notes that m did not answer, or only that it does not reach the store.
+func (x *Exchange) leaveAlone(m Member, silent bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	until := time.Now().Add(askRest)
+	s := x.states[m.Incarnation]
+	s.dry = until
+	if silent {
+		s.silent = until
+	}
+	x.states[m.Incarnation] = s
+}
+
+// askOne sends req, which the state of the channel completes. An open request is
+// repeated before. A peer that did not answer is left alone, unless no request waits.
 func (x *Exchange) askOne(ctx context.Context, m Member, req AskRequest) received {
-	a := x.asker(m)
+	timeout := refillCallTimeout
+	if !req.Replaceable {
+		timeout = askTimeout
+		if x.isSilent(m) {
+			return received{}
+		}
+	}
+	req.Channel = channelOf(req.Workspace, req.Replaceable)
+	a := x.asker(m, req.Channel)
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	var sum received
-	if time.Now().Before(a.rest) {
-		return sum
-	}
 	if a.open != nil {
-		r, ok := x.call(ctx, m, a)
+		r, ok := x.call(ctx, m, a, timeout)
 		if !ok {
 			return sum
 		}
@@ -281,22 +352,31 @@
 	req.Holder, req.Number = m.Incarnation, a.number
 	req.Spent, req.Returned = x.book.TakeUnreported(req.Workspace), x.book.Remove(req.Workspace, req.Returned)
 	a.open, a.sent = &req, false
-	r, ok := x.call(ctx, m, a)
+	r, ok := x.call(ctx, m, a, timeout)
 	if ok && req.Supply && !r.reached {
-		a.dry = time.Now().Add(askRest)
+		x.leaveAlone(m, false)
 	}
 	sum.tokens += r.tokens
 	sum.reached = r.reached
 	return sum
 }
 
-func (x *Exchange) asker(m Member) *asker {
+// lookup returns the state of a channel that was used before.
+func (x *Exchange) lookup(m Member, number uint8) (*asker, bool) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	a, ok := x.asks[channel{m.Incarnation, number}]
+	return a, ok
+}
+
+func (x *Exchange) asker(m Member, number uint8) *asker {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	a := x.asks[m.Incarnation]
+	row := channel{m.Incarnation, number}
+	a := x.asks[row]
 	if a == nil {
 		a = &asker{}
-		x.asks[m.Incarnation] = a
+		x.asks[row] = a
 	}
 	return a
 }
@@ -308,8 +388,8 @@
 }
 
 // call sends the open request once.
-func (x *Exchange) call(ctx context.Context, m Member, a *asker) (received, bool) {
-	call, cancel := context.WithTimeout(ctx, askTimeout)
+func (x *Exchange) call(ctx context.Context, m Member, a *asker, timeout time.Duration) (received, bool) {
+	call, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	req := *a.open
 	var reply AskReply
@@ -331,6 +411,6 @@
 	default:
 		a.sent = true
 	}
-	a.rest = time.Now().Add(askRest)
+	x.leaveAlone(m, true)
 	return received{}, false
 }
--- a/pkg/rights/fakes_test.go
+++ b/pkg/rights/fakes_test.go
@@ -158,8 +158,8 @@
 
 var _ Supply = noSupply{}
 
-func (noSupply) Away() bool                 { return false }
-func (noSupply) Supply(string, Tokens) bool { return false }
+func (noSupply) Away() bool                         { return false }
+func (noSupply) Supply(string, string, Tokens) bool { return false }
 
 // awaySupply is a store out of reach.
 type awaySupply struct{ noSupply }
@@ -172,7 +172,7 @@
 	book *Book
 }
 
-func (s ampleSupply) Supply(workspace string, lack Tokens) bool {
+func (s ampleSupply) Supply(workspace, _ string, lack Tokens) bool {
 	s.book.Add(workspace, lack)
 	return true
 }
--- a/pkg/rights/machine_test.go
+++ b/pkg/rights/machine_test.go
@@ -46,7 +46,7 @@
 		Takers: func() (int, bool) { return 2, address != "a2" }, Supplies: func(string) bool { return address == supplier }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discard()})
 	h.exchange = NewExchange(h.book, f.peers, func(string) []Member { return f.members(h) }, h.syncer, discard())
 	h.exchange.wait = 0
-	h.syncer.opts.Refill = h.exchange.Refill
+	h.syncer.opts.Resolve, h.syncer.opts.Refill = h.exchange.Resolve, h.exchange.Refill
 	var r registrar
 	h.exchange.RegisterPeer(&r, h.name)
 	f.peers.handlers[address] = r.handler
@@ -149,9 +149,7 @@
 				h := f.any("who")
 				f.peers.from = peer.Identity{Incarnation: h.name}
 				h.exchange.Ask(ctx, ws, Tokens(rapid.IntRange(1, 2000).Draw(t, "want")))
-				for _, a := range h.exchange.asks {
-					a.rest = time.Time{} // peers are asked again at once
-				}
+				clear(h.exchange.states) // peers are asked again at once
 			},
 			"repeat": func(t *rapid.T) {
 				if n := len(f.peers.repeats); n > 0 {
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -211,7 +211,7 @@
 		book := NewBook()
 		x := NewExchange(book, peers, members, noSupply{}, discard())
 		other := NewSyncer(SyncerOptions{Book: book, Ledger: NewLedger(store, "b"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: 100_000} },
-			Takers: func() (int, bool) { return 2, tc.taker }, Supplies: func(string) bool { return false }, Refill: x.Refill, Policy: DefaultPolicy(),
+			Takers: func() (int, bool) { return 2, tc.taker }, Supplies: func(string) bool { return false }, Resolve: x.Resolve, Refill: x.Refill, Policy: DefaultPolicy(),
 			Timing: DefaultTiming(), Log: discard()})
 		before := store.commits
 		const size, used, requests = 20, 15, 50 // a request is small beside the demand of a second
@@ -263,7 +263,8 @@
 		}
 		s, book := newSyncer(store, "b", 100_000, DefaultPolicy())
 		s.opts.Supplies = func(string) bool { return false }
-		s.opts.Refill = NewExchange(book, peers, members, s, discard()).Refill
+		x := NewExchange(book, peers, members, s, discard())
+		s.opts.Resolve, s.opts.Refill = x.Resolve, x.Refill
 		for range 2 {
 			s.round(ctx)
 			s.refill(ctx)
@@ -320,7 +321,7 @@
 		t.Fatalf("got %d without an answer", got)
 	}
 	lost = false
-	x.asks["giver"].rest = time.Time{}
+	clear(x.states)
 	if got, _ := x.Ask(context.Background(), ws, 100); got != 200 {
 		t.Errorf("got %d by the repeated and the new request, want 200", got)
 	}
@@ -374,3 +375,49 @@
 		t.Errorf("got %d, want 100", got)
 	}
 }
+
+// Guards against rights that are out of use because the answer to their move got lost
+// and nothing else is asked of that instance.
+func TestResolve(t *testing.T) {
+	for _, tc := range []struct {
+		desc   string
+		want   Tokens // negative: a return
+		answer bool   // lost is the answer, not the call
+	}{{"move, answer lost", 100, true}, {"move, call lost", 100, false}, {"return, answer lost", -100, true}, {"return, call lost", -100, false}} {
+		giver, taker := NewBook(), NewBook()
+		giver.Add(ws, 1000)
+		taker.Add(ws, 500)
+		lost := true
+		peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "taker"},
+			lose: func() (bool, bool) { return lost && !tc.answer, lost && tc.answer }}
+		members := func(string) []Member { return []Member{{"giver", "a", true}} }
+		var r registrar
+		NewExchange(giver, peers, members, ampleSupply{book: NewBook()}, discard()).RegisterPeer(&r, "giver")
+		peers.handlers["a"] = r.handler
+		x := NewExchange(taker, peers, members, noSupply{}, discard())
+		x.Refill(context.Background(), ws, tc.want)
+		lost = false
+		clear(x.states)
+		x.Resolve(context.Background())
+		now := time.Now()
+		if a, b := giver.Holding(ws, now).Free, taker.Holding(ws, now).Free; a+b != 1500 {
+			t.Errorf("%s: %d and %d are left of 1500", tc.desc, a, b)
+		}
+	}
+}
+
+// Guards against a supplier that takes the same lack again each time it is asked.
+func TestRepeatedLack(t *testing.T) {
+	store := newFakeStore()
+	s, book := newSyncer(store, "i1", 1_000_000, DefaultPolicy())
+	s.round(context.Background())
+	before := book.Holding(ws, time.Now()).Free
+	for range 10 {
+		s.Supply(ws, "a", 20_000)
+	}
+	s.Supply(ws, "b", 10_000)
+	s.round(context.Background())
+	if got := book.Holding(ws, time.Now()).Free - before; got != 30_000 {
+		t.Errorf("took %d, want what two instances lack, 30000", got)
+	}
+}
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -46,6 +46,8 @@
 	// Supplies reports whether this instance changes the record of a workspace for
 	// the others.
 	Supplies func(workspace string) bool
+	// Resolve finds the results of calls of other instances that got no answer.
+	Resolve func(ctx context.Context)
 	// Refill asks the supplier of a workspace for rights, or gives some back if want is
 	// negative, with a report of what was spent. It reports false if that one does not
 	// reach the store.
@@ -65,17 +67,17 @@
 	alone map[string]bool         // workspaces whose supplier was out of reach
 
 	mu      sync.Mutex
-	short   map[string]Tokens // what waiting requests lack
-	supply  map[string]Tokens // what other instances lack
-	granted map[string]Tokens // as of heard
-	heard   time.Time         // latest answer of the store
+	short   map[string]Tokens            // what waiting requests lack
+	supply  map[string]map[string]Tokens // what other instances lack, by workspace and instance
+	granted map[string]Tokens            // as of heard
+	heard   time.Time                    // latest answer of the store
 	synced  bool
 	away    bool
 }
 
 // NewSyncer returns a syncer that does nothing until Run.
 func NewSyncer(opts SyncerOptions) *Syncer {
-	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, supply: map[string]Tokens{}, granted: map[string]Tokens{}, fleet: map[string]*consumption{}}
+	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, supply: map[string]map[string]Tokens{}, granted: map[string]Tokens{}, fleet: map[string]*consumption{}}
 }
 
 var _ Supply = (*Syncer)(nil)
@@ -111,7 +113,7 @@
 }
 
 // Supply implements Supply.
-func (s *Syncer) Supply(workspace string, lack Tokens) bool {
+func (s *Syncer) Supply(workspace, asker string, lack Tokens) bool {
 	paid := s.opts.Prepaid()[workspace]
 	s.mu.Lock()
 	none := s.away || s.granted[workspace] >= paid
@@ -121,7 +123,10 @@
 	}
 	if lack > 0 {
 		s.mu.Lock()
-		s.supply[workspace] += lack
+		if s.supply[workspace] == nil {
+			s.supply[workspace] = map[string]Tokens{}
+		}
+		s.supply[workspace][asker] = max(s.supply[workspace][asker], lack) // it repeats what it did not get
 		s.mu.Unlock()
 		s.Kick()
 	}
@@ -181,10 +186,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	short := s.short
-	for w, n := range s.supply {
-		short[w] += n
+	for w, askers := range s.supply {
+		for _, n := range askers {
+			short[w] += n
+		}
 	}
-	s.short, s.supply = map[string]Tokens{}, map[string]Tokens{}
+	s.short, s.supply = map[string]Tokens{}, map[string]map[string]Tokens{}
 	return short
 }
 
@@ -229,7 +236,7 @@
 
 // reportAbove is the part of its target that an instance may spend before it
 // reports without another reason for a transaction.
-const reportAbove = 0.5
+const reportAbove = 0.1
 
 // plan returns the changes to ask for and takes what is to be given back out of
 // the book. What the suppliers are to be asked for is left in lack; without the store
@@ -273,6 +280,7 @@
 func (s *Syncer) refill(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, refillTimeout)
 	defer cancel()
+	s.opts.Resolve(ctx)
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	alone := map[string]bool{}
