Bound what observed delays count in placement; play loads at emulated engines

Every endpoint is then seconds late, the observed delays outweigh the reading of a long shared prompt, prompts go where they are not cached, and reading them makes all engines later.

--- a/Makefile
+++ b/Makefile
@@ -33,6 +33,8 @@
 	@cat bench/policy.txt
 	$(GO) run ./bench/routing -out bench/routing.json
 	@cat bench/routing.txt
+	$(GO) run ./bench/placement -out bench/placement.json
+	@cat bench/placement.txt
 	$(GO) test -run '^$$' -bench . -benchtime 0.3s ./pkg/ledger ./pkg/shard ./pkg/routing ./pkg/config | tee bench/hotpaths.txt
 	$(BIN)/bench --bin $(BIN) --out bench/cost.json | tee bench/cost.txt
 
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -30,6 +30,9 @@
 	failureCost = 400.0
 	// lagHalfLife is the age at which an observed delay or failure counts half.
 	lagHalfLife = 1500 * time.Millisecond
+	// mostLag in ms bounds what observed delays count. When all endpoints are late, more
+	// would send prompts away from where they are cached, which makes all of them later.
+	mostLag = 400.0
 	// lagWeight is the weight of the newest observation.
 	lagWeight = 0.5
 	// downFirst and downMost bound how long an endpoint that cannot be reached is
@@ -277,7 +280,7 @@
 func (p *Pool) cost(e *endpoint, req *Request, prefixes []uint64, first, second bool, now time.Time) float64 {
 	cost := readBurden*float64(p.unread(e, req, prefixes, first, second, now))/readRate +
 		float64(e.pending)/readRate/2 + float64(e.inFlight)*inFlightCost +
-		e.lag.now(now) + e.failures.now(now)*failureCost
+		min(e.lag.now(now), mostLag) + e.failures.now(now)*failureCost
 	if e.Domain != p.self {
 		cost += remoteCost
 		if d := p.domains[e.Domain]; d != nil && now.Before(d.down) {
--- /dev/null
+++ b/standins/engine/play/play.go
@@ -0,0 +1,232 @@
+package play
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/clementinerack/clementinerack/standins/engine/emulator"
+)
+
+// Class is a kind of request.
+type Class struct {
+	Name      string
+	PerSecond float64
+	Priority  int
+	// Shared and Own are the mean tokens of the shared and the own part of prompts, and
+	// Things the number of different shared parts.
+	Shared, Own float64
+	Things      int
+	// Output is the mean number of generated tokens.
+	Output float64
+	// Aim bounds the time to the first event, Pause that between two events.
+	Aim, Pause time.Duration
+	// Worth weighs the class against others.
+	Worth float64
+}
+
+// Load is what is played.
+type Load struct {
+	Name      string
+	Classes   []Class
+	Engines   []emulator.Options
+	Instances int
+	Duration  time.Duration
+	// Hot is the share of requests that are about the first thing of their class.
+	Hot float64
+	// Burst multiplies the arrivals in the middle third.
+	Burst float64
+	Seed  uint64
+}
+
+// Placement is where a request goes.
+type Placement struct {
+	Engine int
+	// Begun and Done are called at the first event and at the end.
+	Begun, Done func(at time.Duration)
+}
+
+// Policy chooses engines for the requests of one instance.
+type Policy interface {
+	Place(prompt []emulator.Part, at time.Duration) Placement
+}
+
+// Result is what callers got.
+type Result struct {
+	Requests int
+	// InAim is the share of worth whose requests kept their aims.
+	InAim float64
+	// FirstP50 and FirstP95 are times to the first event.
+	FirstP50, FirstP95 time.Duration
+	// ReadAgain is the prompt tokens of shared parts that some engine had read before,
+	// in thousands.
+	ReadAgain float64
+}
+
+const (
+	// drain is how long requests may last after the last arrival.
+	drain = 30 * time.Second
+	// sizeSpread is the deviation of the logarithm of sizes.
+	sizeSpread = 0.8
+	// largest bounds a size as a multiple of its mean.
+	largest = 8
+)
+
+type event struct {
+	at  time.Duration
+	seq int
+	do  func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+// player is one play.
+type player struct {
+	load     Load
+	policies []Policy
+	engines  []*emulator.Engine
+	busy     []bool // a step is scheduled
+	rng      *rand.Rand
+	now      time.Duration
+	seq      int
+	events   events
+	read     map[uint64]bool // shared parts that some engine has read
+	sizes    map[uint64]int64
+	result   Result
+	owed     float64
+	kept     float64
+	firsts   []time.Duration
+	again    int64
+}
+
+// Run plays a load. policy returns the policy of an instance.
+func Run(l Load, policy func(instance int) Policy) Result {
+	p := &player{load: l, rng: rand.New(rand.NewPCG(l.Seed, l.Seed)), read: map[uint64]bool{}, sizes: map[uint64]int64{}, busy: make([]bool, len(l.Engines))}
+	for i := range l.Instances {
+		p.policies = append(p.policies, policy(i))
+	}
+	for _, o := range l.Engines {
+		p.engines = append(p.engines, emulator.New(o))
+	}
+	for i := range l.Classes {
+		p.arrivals(i)
+	}
+	for len(p.events) > 0 && p.events[0].at < l.Duration+drain {
+		e := heap.Pop(&p.events).(event)
+		p.now = e.at
+		e.do()
+	}
+	return p.finish()
+}
+
+func (p *player) after(at time.Duration, do func()) {
+	p.seq++
+	heap.Push(&p.events, event{at, p.seq, do})
+}
+
+// arrivals draws all arrivals of a class ahead, so that they do not depend on the
+// policy.
+func (p *player) arrivals(class int) {
+	c := p.load.Classes[class]
+	third := p.load.Duration / 3
+	for at := time.Duration(0); at < p.load.Duration; {
+		rate := c.PerSecond
+		if p.load.Burst > 0 && at >= third && at < 2*third {
+			rate *= p.load.Burst
+		}
+		at += time.Duration(p.rng.ExpFloat64() / rate * float64(time.Second))
+		p.seq++
+		thing := uint64(class+1)<<32 | uint64(p.rng.IntN(c.Things))
+		if p.rng.Float64() < p.load.Hot {
+			thing = uint64(class+1) << 32
+		}
+		if p.sizes[thing] == 0 {
+			p.sizes[thing] = p.size(c.Shared)
+		}
+		prompt := []emulator.Part{{ID: thing, Tokens: p.sizes[thing]}, {ID: 1<<63 | uint64(p.seq), Tokens: p.size(c.Own)}}
+		output, instance := int(p.size(c.Output)), p.rng.IntN(p.load.Instances)
+		p.after(at, func() { p.arrive(c, instance, prompt, output) })
+	}
+}
+
+// size draws from a log-normal distribution.
+func (p *player) size(mean float64) int64 {
+	return int64(math.Ceil(min(mean*math.Exp(p.rng.NormFloat64()*sizeSpread-sizeSpread*sizeSpread/2), mean*largest)))
+}
+
+func (p *player) arrive(c Class, instance int, prompt []emulator.Part, output int) {
+	to := p.policies[instance].Place(prompt, p.now)
+	start, last := p.now, time.Duration(0)
+	inAim := true
+	p.result.Requests++
+	p.owed += c.Worth
+	p.countAgain(to.Engine, prompt)
+	p.engines[to.Engine].Submit(p.now, emulator.Request{Priority: c.Priority, Prompt: prompt, Output: output,
+		Event: func(at time.Duration) {
+			if last == 0 {
+				to.Begun(at)
+				p.firsts = append(p.firsts, at-start)
+				inAim = at-start <= c.Aim
+			} else if at-last > c.Pause {
+				inAim = false
+			}
+			last = at
+		},
+		End: func(at time.Duration) {
+			to.Done(at)
+			if inAim {
+				p.kept += c.Worth
+			}
+		}})
+	p.schedule(to.Engine)
+}
+
+// countAgain counts a shared part that the chosen engine has not cached although some
+// engine has read it.
+func (p *player) countAgain(engine int, prompt []emulator.Part) {
+	shared := prompt[0]
+	if !p.engines[engine].Cached(shared.ID) && p.read[shared.ID] {
+		p.again += shared.Tokens
+	}
+	p.read[shared.ID] = true
+}
+
+// schedule plans the next step of an engine.
+func (p *player) schedule(engine int) {
+	if p.busy[engine] {
+		return
+	}
+	end, ok := p.engines[engine].Next()
+	if !ok {
+		return
+	}
+	p.busy[engine] = true
+	p.after(end, func() {
+		p.engines[engine].Step()
+		p.busy[engine] = false
+		p.schedule(engine)
+	})
+}
+
+func (p *player) finish() Result {
+	r := p.result
+	r.InAim, r.ReadAgain = p.kept/p.owed, float64(p.again)/1000
+	slices.Sort(p.firsts)
+	at := func(q float64) time.Duration { return p.firsts[int(q*float64(len(p.firsts)-1))] }
+	r.FirstP50, r.FirstP95 = at(0.5), at(0.95)
+	return r
+}
