--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -9,6 +9,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/eventlog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/wait"
@@ -170,34 +171,22 @@
 }
 
 func (r *Replica) followDocument(ctx context.Context) {
-	lost := false
+	store := eventlog.NewDependency(r.opts.Log, "store", "declarations")
 	for ctx.Err() == nil {
 		var after uint64
 		if c := r.Current(); c != nil {
 			after = c.Version
 		}
 		d, err := r.opts.Source.Document(ctx, after)
+		store.Note(err)
 		if err != nil {
-			r.note(&lost, "declarations", err)
 			wait.Sleep(ctx, r.opts.Timing.RetryPause)
 			continue
 		}
-		r.note(&lost, "declarations", nil)
 		r.apply(d, "store")
 	}
 }
 
-// note logs the loss and the return of the source, once each.
-func (r *Replica) note(lost *bool, what string, err error) {
-	switch {
-	case err != nil && !*lost:
-		r.opts.Log.WithError(err).WithField("dependency", "store").WithField("of", what).Warn("dependency lost")
-	case err == nil && *lost:
-		r.opts.Log.WithField("dependency", "store").WithField("of", what).Info("dependency regained")
-	}
-	*lost = err != nil
-}
-
 func (r *Replica) apply(d *Document, from string) {
 	if d == nil {
 		return
@@ -218,12 +207,12 @@
 }
 
 func (r *Replica) followEndpoints(ctx context.Context) {
-	lost := false
+	store := eventlog.NewDependency(r.opts.Log, "store", "endpoints")
 	for r.awaitRelayLoss(ctx) {
 		call, cancel := context.WithTimeout(ctx, r.opts.Timing.CallTimeout)
 		list, err := r.opts.Source.Endpoints(call)
 		cancel()
-		r.note(&lost, "endpoints", err)
+		store.Note(err)
 		r.setAway(err != nil)
 		if err != nil {
 			wait.Sleep(ctx, r.opts.Timing.RetryPause)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -235,7 +235,7 @@
 	if no, moved := q.g.opts.Codec.Rejected(a.Status, a.Header); no {
 		_, _ = a.ReadAll(maxHeldAnswer) // lets the connection be used again
 		if moved {
-			q.g.opts.Pool.MarkGone(c.ID)
+			q.g.opts.Pool.MarkGone(c.ID, time.Now())
 			return rejected, placement.Gone, "moved", nil
 		}
 		return rejected, placement.Full, "rejected " + strconv.Itoa(a.Status), nil
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -9,6 +9,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 const (
@@ -59,9 +60,7 @@
 		case failure.Is(err, failure.Conflict) && len(items) == 1 && items[0].Revision > 0:
 			return items[0].Value, nil
 		}
-		select {
-		case <-time.After(credentialPause):
-		case <-ctx.Done():
+		if wait.Sleep(ctx, credentialPause); ctx.Err() != nil {
 			return nil, ctx.Err()
 		}
 	}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -386,10 +386,10 @@
 }
 
 // MarkGone stops new work to an endpoint until the list shows another start.
-func (p *Pool) MarkGone(id string) {
+func (p *Pool) MarkGone(id string, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if e := p.endpoints[id]; e != nil {
-		e.down = time.Now().Add(downMost)
+		e.down = now.Add(downMost)
 	}
 }
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -215,6 +215,7 @@
 	x.book.Relay(req.Workspace, req.Spent)
 	if req.Returned > 0 {
 		x.book.Add(req.Workspace, req.Returned)
+		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "from": to, "returned": req.Returned}).Info("rights taken back")
 	}
 	h := x.book.Holding(req.Workspace, time.Now())
 	most := h.Free
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -8,6 +8,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/eventlog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/wait"
 )
@@ -72,12 +73,14 @@
 	granted map[string]Tokens            // as of heard
 	heard   time.Time                    // latest answer of the store
 	synced  bool
-	away    bool
+
+	dependency *eventlog.Dependency
 }
 
 // NewSyncer returns a syncer that does nothing until Run.
 func NewSyncer(opts SyncerOptions) *Syncer {
-	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, supply: map[string]map[string]Tokens{}, granted: map[string]Tokens{}, fleet: map[string]*consumption{}}
+	return &Syncer{opts: opts, kick: make(chan struct{}, 1), short: map[string]Tokens{}, supply: map[string]map[string]Tokens{}, granted: map[string]Tokens{}, fleet: map[string]*consumption{},
+		dependency: eventlog.NewDependency(opts.Log, "store", "rights")}
 }
 
 var _ Supply = (*Syncer)(nil)
@@ -106,19 +109,15 @@
 }
 
 // Away implements Supply.
-func (s *Syncer) Away() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.away
-}
+func (s *Syncer) Away() bool { return s.dependency.Lost() }
 
 // Supply implements Supply.
 func (s *Syncer) Supply(workspace, asker string, lack Tokens) bool {
 	paid := s.opts.Prepaid()[workspace]
 	s.mu.Lock()
-	none := s.away || s.granted[workspace] >= paid
+	none := s.granted[workspace] >= paid
 	s.mu.Unlock()
-	if none {
+	if none || s.Away() {
 		return false
 	}
 	if lack > 0 {
@@ -195,23 +194,17 @@
 	return short
 }
 
-// note logs the loss and the return of the store, once each.
+// note records the result of a call of the store.
 func (s *Syncer) note(err error) {
+	s.dependency.Note(err)
+	if err != nil {
+		return
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	switch {
-	case err != nil && !s.away:
-		s.opts.Log.WithError(err).WithField("dependency", "store").WithField("of", "rights").Warn("dependency lost")
-	case err == nil && s.away:
-		s.opts.Log.WithField("dependency", "store").WithField("of", "rights").Info("dependency regained")
-	}
-	s.away = err != nil
-	s.synced = s.synced || err == nil
-	if err == nil {
-		s.heard = time.Now()
-		for w := range s.opts.Prepaid() {
-			s.granted[w] = s.opts.Ledger.Granted(w)
-		}
+	s.synced, s.heard = true, time.Now()
+	for w := range s.opts.Prepaid() {
+		s.granted[w] = s.opts.Ledger.Granted(w)
 	}
 }
 
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -18,6 +18,7 @@
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/rendezvous"
+	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
 // Prefix is where instances register.
@@ -132,14 +133,7 @@
 	r.most = max(r.most, len(members)+1)
 }
 
-// Size returns the number of instances including this one.
-func (r *Roster) Size() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.members) + 1
-}
-
-// MostSeen returns the largest Size so far. Instances that share a limit use it,
+// MostSeen returns the largest number of instances so far, with this one. Instances that share a limit use it,
 // because a short list may come from an outage.
 func (r *Roster) MostSeen() int {
 	r.mu.Lock()
@@ -188,12 +182,7 @@
 		if err := r.round(ctx); err != nil {
 			pause = retryPause
 		}
-		t := time.NewTimer(pause)
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			t.Stop()
-		}
+		wait.Sleep(ctx, pause)
 	}
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -116,7 +116,6 @@
 	net.Conn
 	address string
 	br      *bufio.Reader
-	kept    bool      // used before
 	expires time.Time // not to be used again from then on
 }
 
@@ -343,7 +342,6 @@
 			_ = x.conn.Close()
 			return
 		}
-		x.conn.kept = true
 		x.client.put(x.conn)
 	})
 }
