Count only the latest incarnation at an address as an instance

Cause: after a loss of all instances the list holds the former incarnations until their leases end, 10 s, and half of the suppliers and takers are then instances that have ended.

Ruled out: shorter leases, which would lapse in the outages of the store.

Change: of several entries with one address the one written last counts, and none with the own address (TestListed, red before).

--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
@@ -196,19 +197,33 @@
 	if err != nil {
 		return err
 	}
-	var members []peer.Identity
+	members, err := r.listed(items)
+	if err != nil {
+		r.log.WithError(err).Warn("entries of instances cannot be read")
+	}
+	r.adopt(members, time.Now())
+	return nil
+}
+
+// listed returns the other instances of a list. Of several incarnations at one address
+// only the latest lives; the others stay listed until their leases end. The error is
+// that of the latest entry that cannot be read.
+func (r *Roster) listed(items []kvstore.Item) (members []peer.Identity, err error) {
+	latest := map[string]kvstore.Item{} // by address
 	for _, it := range items {
 		var id peer.Identity
-		if err := peer.Unmarshal(it.Value, &id); err != nil {
-			r.log.WithError(err).WithField("key", it.Key).Warn("entry of an instance cannot be read")
+		if failed := peer.Unmarshal(it.Value, &id); failed != nil {
+			err = errors.Wrapf(failed, "entry %q", it.Key)
 			continue
 		}
-		if id.Incarnation != r.self.Incarnation {
-			members = append(members, id)
+		if id.Address == r.self.Address || it.Revision < latest[id.Address].Revision {
+			continue
 		}
+		latest[id.Address] = it
+		members = slices.DeleteFunc(members, func(m peer.Identity) bool { return m.Address == id.Address })
+		members = append(members, id)
 	}
-	r.adopt(members, time.Now())
-	return nil
+	return members, err
 }
 
 // renew keeps the lease alive, or registers anew.
--- a/pkg/roster/roster_test.go
+++ b/pkg/roster/roster_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 )
 
@@ -97,3 +98,27 @@
 		}
 	}
 }
+
+// Guards against incarnations that have ended and still count as instances until their
+// leases end: after a restart of all instances they would be half of the list.
+func TestListed(t *testing.T) {
+	entry := func(revision uint64, incarnation, address string) kvstore.Item {
+		value, err := peer.Marshal(peer.Identity{Incarnation: incarnation, Address: address})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return kvstore.Item{Key: Prefix + incarnation, Value: value, Revision: revision}
+	}
+	r := New(peer.Identity{Incarnation: "self2", Address: "s"}, nil, nil)
+	got, err := r.listed([]kvstore.Item{
+		entry(1, "self1", "s"), entry(5, "self2", "s"), entry(6, "a2", "a"), entry(2, "a1", "a"), entry(3, "b1", "b"), entry(7, "b2", "b"),
+		{Key: Prefix + "bad", Value: []byte("?"), Revision: 9},
+	})
+	var names []string
+	for _, id := range got {
+		names = append(names, id.Incarnation)
+	}
+	if slices.Sort(names); !slices.Equal(names, []string{"a2", "b2"}) || err == nil {
+		t.Errorf("%v, error %v", names, err)
+	}
+}
