Hoard no rights without the store while neighbours reach it

An instance without the store asked for four times the need of each request (105,415 tokens at once) although its neighbour took them from the store at that moment, and gave nothing back until its own way to the store returned.

Ruled out: moves that got lost (held and consumed add up to what is granted); the estimate of the demand.

Change: four times the need only when none of the asked instances reaches the store; surplus goes back through the supplier as long as that one does.

--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -11,7 +11,8 @@
 
 const (
 	// awayFactor is the multiple of its need that a request asks other instances for
-	// without the store, so that the next requests of its workspace find rights at once.
+	// while none of them reaches the store, so that the next requests of its workspace
+	// find rights at once.
 	awayFactor = 4
 	// searchRest is how long after a search without success in the store and at the
 	// other instances an equal search is left out.
@@ -76,12 +77,12 @@
 	if supplies && p.awaitStore(ctx, workspace, most) {
 		return
 	}
-	want := most
-	if p.syncer.Away() {
-		want *= awayFactor
-	}
-	got, reached := p.exchange.Ask(ctx, workspace, want)
-	if got < most && !reached && !supplies {
+	got, reached := p.exchange.Ask(ctx, workspace, most)
+	switch {
+	case reached:
+	case p.syncer.Away() && got >= most:
+		p.exchange.Ask(ctx, workspace, (awayFactor-1)*most)
+	case got < most && !supplies:
 		p.syncer.Want(workspace, most)
 	}
 }
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -272,7 +272,7 @@
 			continue
 		}
 		if reached = x.askOne(ctx, m, req).reached; reached || want < 0 {
-			return true // what was given back may have arrived; the rest follows in the next round
+			return reached // what was given back may have arrived: the rest follows in the next round
 		}
 	}
 	return false
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -421,3 +421,28 @@
 		t.Errorf("took %d, want what two instances lack, 30000", got)
 	}
 }
+
+// Guards against rights that an instance without the store keeps although the supplier
+// would return them, and against returns while nobody reaches the store.
+func TestReturnWithoutStore(t *testing.T) {
+	for _, reached := range []bool{true, false} {
+		store := newFakeStore()
+		s, book := newSyncer(store, "i1", 100_000, DefaultPolicy())
+		s.opts.Supplies = func(string) bool { return false }
+		s.opts.Resolve = func(context.Context) {}
+		var returned Tokens
+		s.opts.Refill = func(_ context.Context, _ string, want Tokens) bool {
+			returned += max(0, -want)
+			return reached
+		}
+		ctx := context.Background()
+		s.plan(time.Now(), nil, false)
+		s.refill(ctx) // tells whether the supplier reaches the store
+		book.Add(ws, 90_000)
+		s.plan(time.Now(), nil, false)
+		s.refill(ctx)
+		if (returned > 0) != reached {
+			t.Errorf("supplier reaches the store: %t, returned %d", reached, returned)
+		}
+	}
+}
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -66,6 +66,7 @@
 	fleet map[string]*consumption // used by Run only, as are lack and alone
 	lack  map[string]Tokens       // to be asked of, or given to, the suppliers
 	alone map[string]bool         // workspaces whose supplier was out of reach
+	reach bool                    // a supplier reached the store in the latest round
 
 	mu      sync.Mutex
 	short   map[string]Tokens            // what waiting requests lack
@@ -250,7 +251,7 @@
 			s.opts.Book.Freeze(w, granted > paid)
 		}
 		switch {
-		case d == 0 && !report, d < 0 && !reached: // while the store is away the rights stay where they are
+		case d == 0 && !report, d < 0 && !reached && !s.reach: // while the store is away the rights stay where they are
 		case !direct:
 			s.lack[w] = d
 		case d < 0:
@@ -277,17 +278,20 @@
 	var wg sync.WaitGroup
 	var mu sync.Mutex
 	alone := map[string]bool{}
+	reach := s.reach && len(s.lack) == 0
 	for w, n := range s.lack {
 		wg.Go(func() {
-			if !s.opts.Refill(ctx, w, n) {
-				mu.Lock()
-				defer mu.Unlock()
+			reached := s.opts.Refill(ctx, w, n)
+			mu.Lock()
+			defer mu.Unlock()
+			reach = reach || reached
+			if !reached {
 				alone[w] = true
 			}
 		})
 	}
 	wg.Wait()
-	s.lack, s.alone = nil, alone
+	s.lack, s.alone, s.reach = nil, alone, reach
 }
 
 // addReports adds what the store does not know yet of workspaces whose records a
