Play random faults against processes of clementinerack-entry

Cause: faults of the users' path were played by the bench and by package tests; nothing ran the real program as processes of one machine.

Ruled out: the tests of test/processes, which run the product's own daemon.

Change: test/soak builds the program and runs four processes on loopback addresses of their own, with one proxy each to the stand-in of the store (delay, loss one way, silence, reset), signals (KILL, TERM, STOP, HUP), a store that refuses, loses and delays calls, and runners that shed and break off. It checks the budget, single runs, true refusals, whole answers and that no process ends by itself.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BIN := bin
 PACKAGES := ./...
 
-.PHONY: all build test lint demo bench bench-grants faults clean
+.PHONY: all build test lint demo bench bench-grants faults soak clean
 
 all: lint test
 
@@ -43,6 +43,14 @@
 	$(GO) test -tags bench -timeout 5m -parallel 8 ./bench/policy -run 'TestPolicy/A/(end|demand|10_min_cut_of)' -args -variants -rate 4 -out $(CURDIR)/bench/grants.json
 	@cat bench/grants.txt
 
+# soak plays random faults against processes of clementinerack-entry; FIRST, SEEDS and
+# DURATION choose what is played.
+FIRST ?= 1
+SEEDS ?= 50
+DURATION ?= 10s
+soak:
+	$(GO) test -count=1 -timeout 60m -v ./test/soak -args -first $(FIRST) -seeds $(SEEDS) -duration $(DURATION)
+
 # faults runs the fault tests, in memory and over processes, and counts
 # violations by invariant.
 faults: build
--- a/standins/machines/operator.go
+++ b/standins/machines/operator.go
@@ -26,6 +26,11 @@
 // PutConfig writes a configuration with routes below /NAME/: chat is a stream,
 // book may run once, and all others are idempotent.
 func (s *Store) PutConfig(version int, routes ...string) {
+	s.PutPaidConfig(version, Prepaid, routes...)
+}
+
+// PutPaidConfig is PutConfig with the tokens that the workspace has paid.
+func (s *Store) PutPaidConfig(version int, prepaid int64, routes ...string) {
 	texts := make([]string, 0, len(routes))
 	for _, name := range routes {
 		kind := routeKinds[name]
@@ -36,7 +41,7 @@
 			name, Host, name, kind, Service))
 	}
 	s.Put(ConfigKey, fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"inference_engine":{"slots":64,"stride":4}}],"tenants":[{"name":%q,"api_keys":[%q],"prepaid":%d}]}`,
-		version, strings.Join(texts, ","), Service, Workspace, Key, Prepaid))
+		version, strings.Join(texts, ","), Service, Workspace, Key, prepaid))
 }
 
 // PutRunner writes the entry of a runner in a zone.
