Keep rights and reports that an ended supplier never got

Cause: found while reading the change. A call to an instance that has restarted is turned away by its new incarnation, and the caller took what it had sent back, and its report, for lost. The former incarnation never got them if it was the first attempt.

Ruled out: a later effect: the call went to one connection, whose other end refused it.

Change: what was not sent before is put back into the book.

Test, red before: TestReturnToEndedSupplier (160 free and 0 unreported instead of 460 and 40).

--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -121,7 +121,7 @@
 	mu     sync.Mutex
 	asks   map[channel]*asker // by the asked
 	given  map[channel]gift   // latest by the asking
-	states map[string]away    // by incarnation
+	states map[string]state   // by incarnation
 }
 
 // channel is a row of numbered calls between two instances.
@@ -139,8 +139,8 @@
 	return n
 }
 
-// away is what calls have shown of another instance.
-type away struct {
+// state is what calls have shown of another instance.
+type state struct {
 	silent time.Time // no request waits for it until then
 	dry    time.Time // it is not asked to supply until then
 }
@@ -161,7 +161,7 @@
 
 // NewExchange returns an exchange for the rights of book.
 func NewExchange(book *Book, peers peer.Caller, members Members, supply Supply, log logrus.FieldLogger) *Exchange {
-	return &Exchange{book: book, peers: peers, members: members, supply: supply, wait: supplyWait, log: log, asks: map[channel]*asker{}, given: map[channel]gift{}, states: map[string]away{}}
+	return &Exchange{book: book, peers: peers, members: members, supply: supply, wait: supplyWait, log: log, asks: map[channel]*asker{}, given: map[channel]gift{}, states: map[string]state{}}
 }
 
 // RegisterPeer registers the handler of AskMethod for this incarnation.
@@ -235,9 +235,9 @@
 	return reply, nil
 }
 
-// Ask asks other instances until want is reached: the supplier for what the store
-// has, all of them if this instance does not reach it, and the others for a part of
-// what they hold. It returns what the book got of the workspace, and whether an
+// Ask asks other instances until want is reached: suppliers for what the store has until
+// one reaches it (without the store every instance counts as one), and the others for a
+// part of what they hold. It returns what the book got of the workspace, and whether an
 // instance that reaches the store was asked.
 func (x *Exchange) Ask(ctx context.Context, workspace string, want Tokens) (got Tokens, reached bool) {
 	away := x.supply.Away()
@@ -382,6 +382,7 @@
 	return a
 }
 
+// received is what one call brought.
 type received struct {
 	workspace string
 	tokens    Tokens
@@ -403,12 +404,12 @@
 			x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "from": m.Incarnation, "got": reply.Given}).Info("rights received")
 		}
 		return received{req.Workspace, reply.Given, reply.Reached}, true
-	case failure.Is(err, failure.NotFound), failure.Is(err, failure.Fenced):
-		a.open = nil // that incarnation is gone and its rights with it
-	case failure.Is(err, failure.Unavailable) && !a.sent:
-		a.open = nil // it was not sent
+	case !a.sent && (failure.Is(err, failure.Unavailable) || failure.Is(err, failure.NotFound)):
+		a.open = nil // it was not sent, or only to another incarnation
 		x.book.ReturnUnreported(req.Workspace, req.Spent)
 		x.book.Add(req.Workspace, req.Returned)
+	case failure.Is(err, failure.NotFound), failure.Is(err, failure.Fenced):
+		a.open = nil // that incarnation is gone and its rights with it
 	default:
 		a.sent = true
 	}
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -446,3 +446,21 @@
 		}
 	}
 }
+
+// Guards against rights and reports that vanish because the supplier has just restarted:
+// its new incarnation turns the call away.
+func TestReturnToEndedSupplier(t *testing.T) {
+	supplier, book := NewBook(), NewBook()
+	book.Add(ws, 500)
+	book.Reserve(ws, 100)
+	book.Settle(ws, 100, 40)
+	peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "b"}, lose: func() (bool, bool) { return false, false }}
+	var r registrar
+	members := func(string) []Member { return []Member{{"first", "a", true}} }
+	NewExchange(supplier, peers, members, noSupply{}, discard()).RegisterPeer(&r, "second")
+	peers.handlers["a"] = r.handler
+	NewExchange(book, peers, members, noSupply{}, discard()).Refill(context.Background(), ws, -300)
+	if h := book.Holding(ws, time.Now()); h.Free != 460 || h.Unreported != 40 {
+		t.Errorf("%+v, want 460 free and 40 unreported", h)
+	}
+}
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -63,7 +63,7 @@
 type Syncer struct {
 	opts  SyncerOptions
 	kick  chan struct{}
-	fleet map[string]*consumption // used by Run only, as are lack and alone
+	fleet map[string]*consumption // used by Run only, as are lack, alone and reach
 	lack  map[string]Tokens       // to be asked of, or given to, the suppliers
 	alone map[string]bool         // workspaces whose supplier was out of reach
 	reach bool                    // a supplier reached the store in the latest round
