Share the queue of simulated events; one set-up for relay tests

Ruled out: the other pairs found are import blocks and fakes of a few lines.

No program of the product changes.

--- a/bench/routing/main.go
+++ b/bench/routing/main.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"container/heap"
 	"context"
 	"encoding/json"
 	"flag"
@@ -16,6 +15,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/routing"
+	"github.com/clementinerack/clementinerack/standins/eventqueue"
 )
 
 var out = flag.String("out", "bench/routing.json", "file for the results")
@@ -27,35 +27,12 @@
 	prefixes = 400
 )
 
-// event is something that happens at a time of the fake clock.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // run is one policy under one load.
 type run struct {
 	policy  policy
 	rng     *rand.Rand
 	zipf    *rand.Zipf
-	now     time.Duration
-	seq     int
-	events  events
+	queue   eventqueue.Queue
 	engines []*engine
 	pools   []*routing.Pool
 	next    int // of the round robin
@@ -91,12 +68,9 @@
 	}
 }
 
-func (r *run) clock() time.Time { return time.Unix(0, 0).Add(r.now) }
+func (r *run) clock() time.Time { return time.Unix(0, 0).Add(r.queue.Now()) }
 
-func (r *run) after(d time.Duration, do func()) {
-	r.seq++
-	heap.Push(&r.events, event{r.now + d, r.seq, do})
-}
+func (r *run) after(d time.Duration, do func()) { r.queue.At(r.queue.Now()+d, do) }
 
 func newRun(p policy) *run {
 	r := &run{policy: p, rng: rand.New(rand.NewPCG(seed, 1))}
@@ -127,11 +101,7 @@
 	}
 	r.after(0, arrive)
 	r.after(reportEvery, r.report)
-	for r.now < duration {
-		e := heap.Pop(&r.events).(event)
-		r.now = e.at
-		e.do()
-	}
+	r.queue.Run(duration)
 }
 
 // report sends the load of all engines, as it is now, one interval later.
@@ -148,7 +118,7 @@
 }
 
 func (r *run) arrive() {
-	j := job{prefix: r.zipf.Uint64() + 1, arrived: r.now, done: func() {}}
+	j := job{prefix: r.zipf.Uint64() + 1, arrived: r.queue.Now(), done: func() {}}
 	j.length = time.Duration(r.rng.ExpFloat64() * float64(generation))
 	if r.policy.choose != nil {
 		r.enqueue(r.policy.choose(r), j)
@@ -162,8 +132,8 @@
 	if err != nil {
 		return
 	}
-	began := r.now
-	j.done = func() { slot.Release(routing.Result{Duration: r.now - began}) }
+	began := r.queue.Now()
+	j.done = func() { slot.Release(routing.Result{Duration: r.queue.Now() - began}) }
 	r.enqueue(r.engines[slices.IndexFunc(r.engines, func(e *engine) bool { return e.id == slot.Endpoint.ID })], j)
 }
 
@@ -180,12 +150,12 @@
 	first := prefill
 	if hit := e.lookup(j.prefix); hit {
 		first = prefill / 10
-		if r.now > warmUp {
+		if r.queue.Now() > warmUp {
 			r.hits++
 		}
 	}
-	if r.now > warmUp {
-		r.waits = append(r.waits, r.now+first-j.arrived)
+	if r.queue.Now() > warmUp {
+		r.waits = append(r.waits, r.queue.Now()+first-j.arrived)
 	}
 	r.after(first+j.length, func() {
 		e.running--
--- a/pkg/catalog/relay_test.go
+++ b/pkg/catalog/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -44,6 +45,23 @@
 // a deployment sets.
 const propagation = 2 * time.Second
 
+// startBehindRelay runs a replica of relays and one of own that has the first one as its
+// relay. stop ends both.
+func startBehindRelay(t *testing.T, relays, own *source) (link *relayLink, r *Replica, stop func()) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	link = &relayLink{}
+	nobody := func() []string { return nil }
+	relay := NewReplica(ReplicaOptions{Source: relays, Peers: link, Members: nobody, Log: log})
+	relay.RegisterPeer(link)
+	r = NewReplica(ReplicaOptions{Source: own, Peers: link, Members: nobody, Relays: func() []string { return []string{"relay"} }, Log: log})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { relay.Run(ctx) })
+	running.Go(func() { r.Run(ctx) })
+	return link, r, func() { cancel(); running.Wait() }
+}
+
 // Guards against an instance behind a relay that reads the endpoints too, that learns
 // of changes late, or that keeps to a relay which is silent or has lost the source.
 func TestRelay(t *testing.T) {
@@ -65,17 +83,7 @@
 					}
 				}
 				put(5, 10, "e1")
-				log := logrus.New()
-				log.SetOutput(io.Discard)
-				link := &relayLink{}
-				relay := NewReplica(ReplicaOptions{Source: relays, Peers: link, Members: func() []string { return nil }, Log: log})
-				relay.RegisterPeer(link)
-				r := NewReplica(ReplicaOptions{Source: own, Peers: link, Members: func() []string { return nil }, Relays: func() []string { return []string{"relay"} }, Log: log})
-				ctx, cancel := context.WithCancel(t.Context())
-				done := make(chan struct{}, 2)
-				for _, x := range []*Replica{relay, r} {
-					go func() { x.Run(ctx); done <- struct{}{} }()
-				}
+				link, r, stop := startBehindRelay(t, relays, own)
 				time.Sleep(3 * time.Second)
 				tc.fault(link, relays)
 				before := own.lists.Load()
@@ -89,9 +97,7 @@
 				if n := own.lists.Load() - before; n > tc.reads {
 					t.Errorf("%d reads of the endpoints", n)
 				}
-				cancel()
-				<-done
-				<-done
+				stop()
 			})
 		})
 	}
@@ -103,17 +109,7 @@
 func TestRelayReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		relays, own := &source{doc: &Document{Version: 5}, list: endpoints(10, "e1")}, &source{doc: &Document{Version: 5}, list: endpoints(10, "e1")}
-		log := logrus.New()
-		log.SetOutput(io.Discard)
-		link := &relayLink{}
-		relay := NewReplica(ReplicaOptions{Source: relays, Peers: link, Members: func() []string { return nil }, Log: log})
-		relay.RegisterPeer(link)
-		r := NewReplica(ReplicaOptions{Source: own, Peers: link, Members: func() []string { return nil }, Relays: func() []string { return []string{"relay"} }, Log: log})
-		ctx, cancel := context.WithCancel(t.Context())
-		done := make(chan struct{}, 2)
-		for _, x := range []*Replica{relay, r} {
-			go func() { x.Run(ctx); done <- struct{}{} }()
-		}
+		link, _, stop := startBehindRelay(t, relays, own)
 		time.Sleep(2 * time.Second)
 		link.cut = true
 		time.Sleep(5 * time.Second)
@@ -124,8 +120,6 @@
 		if n := own.lists.Load() - before; n > 0 {
 			t.Errorf("%d reads of the endpoints", n)
 		}
-		cancel()
-		<-done
-		<-done
+		stop()
 	})
 }
--- a/standins/engine/play/play.go
+++ b/standins/engine/play/play.go
@@ -1,13 +1,13 @@
 package play
 
 import (
-	"container/heap"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/clementinerack/clementinerack/standins/engine/emulator"
+	"github.com/clementinerack/clementinerack/standins/eventqueue"
 )
 
 // Class is a kind of request.
@@ -74,26 +74,6 @@
 	largest = 8
 )
 
-type event struct {
-	at  time.Duration
-	seq int
-	do  func()
-}
-
-type events []event
-
-func (e events) Len() int { return len(e) }
-func (e events) Less(i, j int) bool {
-	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].seq < e[j].seq
-}
-func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
-func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
-func (e *events) Pop() any {
-	last := (*e)[len(*e)-1]
-	*e = (*e)[:len(*e)-1]
-	return last
-}
-
 // player is one play.
 type player struct {
 	load     Load
@@ -101,9 +81,8 @@
 	engines  []*emulator.Engine
 	busy     []bool // a step is scheduled
 	rng      *rand.Rand
-	now      time.Duration
-	seq      int
-	events   events
+	queue    eventqueue.Queue
+	seq      uint64          // of prompts
 	read     map[uint64]bool // shared parts that some engine has read
 	sizes    map[uint64]int64
 	result   Result
@@ -125,19 +104,10 @@
 	for i := range l.Classes {
 		p.arrivals(i)
 	}
-	for len(p.events) > 0 && p.events[0].at < l.Duration+drain {
-		e := heap.Pop(&p.events).(event)
-		p.now = e.at
-		e.do()
-	}
+	p.queue.Run(l.Duration + drain)
 	return p.finish()
 }
 
-func (p *player) after(at time.Duration, do func()) {
-	p.seq++
-	heap.Push(&p.events, event{at, p.seq, do})
-}
-
 // arrivals draws all arrivals of a class ahead, so that they do not depend on the
 // policy.
 func (p *player) arrivals(class int) {
@@ -157,9 +127,9 @@
 		if p.sizes[thing] == 0 {
 			p.sizes[thing] = p.size(c.Shared)
 		}
-		prompt := []emulator.Part{{ID: thing, Tokens: p.sizes[thing]}, {ID: 1<<63 | uint64(p.seq), Tokens: p.size(c.Own)}}
+		prompt := []emulator.Part{{ID: thing, Tokens: p.sizes[thing]}, {ID: 1<<63 | p.seq, Tokens: p.size(c.Own)}}
 		output, instance := int(p.size(c.Output)), p.rng.IntN(p.load.Instances)
-		p.after(at, func() { p.arrive(c, instance, prompt, output) })
+		p.queue.At(at, func() { p.arrive(c, instance, prompt, output) })
 	}
 }
 
@@ -169,13 +139,13 @@
 }
 
 func (p *player) arrive(c Class, instance int, prompt []emulator.Part, output int) {
-	to := p.policies[instance].Place(prompt, p.now)
-	start, last := p.now, time.Duration(0)
+	to := p.policies[instance].Place(prompt, p.queue.Now())
+	start, last := p.queue.Now(), time.Duration(0)
 	inAim := true
 	p.result.Requests++
 	p.owed += c.Worth
 	p.countAgain(to.Engine, prompt)
-	p.engines[to.Engine].Submit(p.now, emulator.Request{Priority: c.Priority, Prompt: prompt, Output: output,
+	p.engines[to.Engine].Submit(p.queue.Now(), emulator.Request{Priority: c.Priority, Prompt: prompt, Output: output,
 		Event: func(at time.Duration) {
 			if last == 0 {
 				to.Begun(at)
@@ -215,7 +185,7 @@
 		return
 	}
 	p.busy[engine] = true
-	p.after(end, func() {
+	p.queue.At(end, func() {
 		p.engines[engine].Step()
 		p.busy[engine] = false
 		p.schedule(engine)
