Index prepaid totals once; stop at endpoint lists without a change

Cause: found while reading the change. The map of what workspaces have paid was built anew for each question of another instance and several times a round. A list with the same endpoints, up to two a second through a relay, was compared for the log and given to placement again, although OnEndpoints is documented to follow changes only.

Ruled out: results that depend on it: the map is only read, and placement keeps its state for an entry that did not change. A revision still advances.

Change: catalog.Catalog holds the totals, the replica returns at an unchanged digest. Behaviour stays.

--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -110,6 +110,8 @@
 // Catalog is an indexed Document. It is immutable.
 type Catalog struct {
 	*Document
+	// Paid is the prepaid total of each limited workspace, by name. It must not change.
+	Paid       map[string]int64
 	hosts      map[string][]*Route // longest prefix first
 	keys       map[string]*Workspace
 	workspaces map[string]*Workspace
@@ -118,7 +120,7 @@
 
 // Index returns the catalog of a document, which must not change afterwards.
 func Index(d *Document) *Catalog {
-	c := &Catalog{Document: d, hosts: map[string][]*Route{}, keys: map[string]*Workspace{},
+	c := &Catalog{Document: d, Paid: map[string]int64{}, hosts: map[string][]*Route{}, keys: map[string]*Workspace{},
 		workspaces: map[string]*Workspace{}, services: map[string]*Service{}}
 	for i := range d.Routes {
 		r := &d.Routes[i]
@@ -131,6 +133,9 @@
 	for i := range d.Workspaces {
 		w := &d.Workspaces[i]
 		c.workspaces[w.Name] = w
+		if w.Prepaid != nil {
+			c.Paid[w.Name] = *w.Prepaid
+		}
 		for _, k := range w.Keys {
 			c.keys[k] = w
 		}
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -251,12 +251,14 @@
 	if now.Sub(r.returned) < r.opts.Timing.ReturnGrace {
 		list.Endpoints = withMissing(list.Endpoints, r.listed.Endpoints)
 	}
-	r.logList(list)
-	r.listed = list
-	if digest := digestOf(list.Endpoints); digest != r.digest {
-		r.digest = digest
-		r.announce()
+	digest := digestOf(list.Endpoints)
+	if digest == r.digest {
+		r.listed.Revision = list.Revision
+		return
 	}
+	r.logList(list)
+	r.listed, r.digest = list, digest
+	r.announce()
 	if r.opts.OnEndpoints != nil {
 		r.opts.OnEndpoints(list)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -207,19 +207,12 @@
 	return out
 }
 
-// prepaid returns what the limited workspaces have paid.
+// prepaid returns what the limited workspaces have paid. The map is shared.
 func (n *Node) prepaid() map[string]rights.Tokens {
-	c := n.replica.Current()
-	if c == nil {
-		return nil
-	}
-	out := make(map[string]rights.Tokens, len(c.Workspaces))
-	for _, w := range c.Workspaces {
-		if w.Prepaid != nil {
-			out[w.Name] = *w.Prepaid
-		}
+	if c := n.replica.Current(); c != nil {
+		return c.Paid
 	}
-	return out
+	return nil
 }
 
 const (
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -33,7 +33,7 @@
 		ConflictPause: 12 * time.Millisecond, Rounds: 8, UrgentPause: 60 * time.Millisecond}
 }
 
-// Prepaid tells what workspaces have paid, by name.
+// Prepaid tells what workspaces have paid, by name. The map is only read.
 type Prepaid func() map[string]Tokens
 
 // SyncerOptions hold what a Syncer needs.
