--- a/standins/cmd/faultreport/main.go
+++ b/standins/cmd/faultreport/main.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
+
+	"github.com/clementinerack/clementinerack/standins/knownred"
 )
 
 type flags struct {
@@ -40,7 +42,7 @@
 // run runs both kinds of fault tests and prints the report to out. It returns
 // whether there were cases and only known violations.
 func run(f flags, out io.Writer) (bool, error) {
-	known, err := readKnownFailures(f.KnownRed)
+	known, err := knownred.Read(f.KnownRed)
 	if err != nil {
 		return false, err
 	}
