Log how the body of a stream ended

Cause: the log of an attempt said "streamed" alike for a body that ended with its chunks, with its length or with the connection, and for one that ended inside an event. Change: upstream.Response says whether the body ends with the connection; the result of an attempt names that and the bytes of an incomplete event. The label of the metric is the text before the colon as before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -368,11 +368,24 @@
 				q.status = resp.Status
 				q.writeHeader(resp.Status, resp.Header, 0)
 			}
-			return attemptDone, placement.Served, "streamed", nil
+			return attemptDone, placement.Served, "streamed" + streamEnd(resp, events), nil
 		case err != nil && !s.started:
-			return attemptLost, placement.Failed, "broke off: " + err.Error(), nil
+			return attemptLost, placement.Failed, "broke off: " + err.Error() + streamEnd(resp, events), nil
 		case err != nil:
-			return attemptBroken, placement.Failed, "broke off: " + err.Error(), nil
+			return attemptBroken, placement.Failed, "broke off: " + err.Error() + streamEnd(resp, events), nil
 		}
 	}
 }
+
+// streamEnd describes the end of a stream for the log if it was not the end of the
+// framing after a complete event.
+func streamEnd(resp *upstream.Response, events *eventReader) string {
+	text := ""
+	if resp.EndsWithConnection {
+		text = ": body ends with the connection"
+	}
+	if n := events.incompleteBytes(); n > 0 {
+		text += ": " + strconv.Itoa(n) + " bytes of an incomplete event"
+	}
+	return text
+}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -60,6 +60,9 @@
 	}
 }
 
+// incompleteBytes returns the number of bytes after the last complete event.
+func (r *eventReader) incompleteBytes() int { return len(r.buf) - lastEventEnd(r.buf) }
+
 // lastEventEnd returns the offset after the last complete event in b, or 0.
 func lastEventEnd(b []byte) int {
 	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -28,11 +28,19 @@
 	Header http.Header
 	// Length is the length of the body in bytes, or -1 if it is not known.
 	Length int64
+	// EndsWithConnection means that the body has neither a length nor chunks: it ends
+	// when the endpoint closes the connection.
+	EndsWithConnection bool
 
 	resp     *http.Response
 	exchange *exchange
 }
 
+func newResponse(resp *http.Response, x *exchange) *Response {
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x,
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
+}
+
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a
 // complete body. The connection can then be reused.
 func (r *Response) Read(p []byte) (int, error) {
@@ -48,8 +56,7 @@
 // endpoint allows it.
 func (r *Response) releaseConn() {
 	timeout := idleTimeout(r.Header)
-	framed := r.Length >= 0 || len(r.resp.TransferEncoding) > 0
-	reuse := framed && !r.resp.Close && timeout > 0
+	reuse := !r.EndsWithConnection && !r.resp.Close && timeout > 0
 	r.exchange.conn.reusableUntil = time.Now().Add(timeout)
 	r.exchange.finish(reuse)
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -301,7 +301,7 @@
 			continue
 		}
 		if x.req.IsOwnResponse == nil || x.req.IsOwnResponse(resp.Header) {
-			return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x}, nil
+			return newResponse(resp, x), nil
 		}
 		if err := discard(resp.Body); err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
