Add a failing test for streams that are cut inside an event

An endpoint's stream that has neither a length nor chunks and is cut inside an event is forwarded as a complete one. Change: TestStreamCutInsideEventIsNotComplete plays streams with each framing that end inside an event, inside its blank line and inside the first event, on routes that may and may not be resumed.

--- /dev/null
+++ b/pkg/gateway/streamend_test.go
@@ -0,0 +1,71 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/clementinerack/clementinerack/standins/machines"
+)
+
+// framings are the ways in which an endpoint marks the end of a body.
+var framings = map[string]func(body string) (header, framed string){
+	"length": func(body string) (string, string) { return "Content-Length: " + strconv.Itoa(len(body)), body },
+	"chunks": func(body string) (string, string) {
+		return "Transfer-Encoding: chunked", fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(body), body)
+	},
+	"connection": func(body string) (string, string) { return "Connection: close", body },
+}
+
+// framedStream returns a script that sends a stream and closes the connection.
+func framedStream(framing, body string) machines.Script {
+	return func(q *http.Request, _ []byte, c net.Conn) bool {
+		header, framed := framings[framing](body)
+		_, _ = io.WriteString(c, machines.ResponseHead(q, 200, "Content-Type: text/event-stream", header)+framed)
+		return false
+	}
+}
+
+// Guards against a stream that ends inside an event and reaches the caller as a complete one.
+func TestStreamCutInsideEventIsNotComplete(t *testing.T) {
+	partial := "id: 3\ndata: tok"
+	for framing := range framings {
+		for _, tc := range []struct {
+			desc, path, first string
+			complete          bool
+			want              string
+		}{
+			{"complete", "/once/1", eventRange(1, 5), true, eventRange(1, 5)},
+			{"inside an event", "/once/1", eventRange(1, 2) + partial, false, eventRange(1, 2)},
+			{"inside the blank line", "/once/1", eventRange(1, 2) + "id: 3\ndata: token-3\n", false, eventRange(1, 2)},
+			{"inside the first event", "/once/1", partial, false, ""},
+			{"inside an event, resumable", "/chat/1", eventRange(1, 2) + partial, true, eventRange(1, 5)},
+			{"inside the first event, resumable", "/chat/1", "id: 1\nda", true, eventRange(1, 5)},
+		} {
+			t.Run(framing+"/"+tc.desc, func(t *testing.T) {
+				var runs atomic.Int64
+				script := func(q *http.Request, b []byte, c net.Conn) bool {
+					if runs.Add(1) == 1 {
+						return framedStream(framing, tc.first)(q, b, c)
+					}
+					after, _ := strconv.Atoi(q.Header.Get(machines.HeaderLastEventID))
+					return machines.Stream(after+1, 5, true)(q, b, c)
+				}
+				g := newTestGateway(t, script, script)
+				got := g.send(g.newRequest(tc.path, "body", tokensHeader()))
+				complete := got.err == nil && got.status == http.StatusOK
+				if complete != tc.complete || got.status == http.StatusOK && got.body != tc.want {
+					t.Errorf("status %d, body %q, %v", got.status, got.body, got.err)
+				}
+				if runs.Load() > 1 && strings.HasPrefix(tc.path, "/once") {
+					t.Errorf("%d runs of a stream that must not be repeated", runs.Load())
+				}
+			})
+		}
+	}
+}
