Resume streams after a comment

What callers saw: a stream that may be resumed was closed, because its endpoint had sent a comment such as a keep-alive before it broke off. Cause: each block without an id counted as an event that another run would repeat. Change: only a block with a field makes a stream unresumable. Measured: TestCommentsDoNotPreventResumption failed before (the caller got the first two events and a closed connection) and passes.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"iter"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -93,7 +94,7 @@
 		rest = rest[len(event):]
 		id, ok := eventID(event)
 		if !ok {
-			s.forwardedWithoutID = true
+			s.forwardedWithoutID = s.forwardedWithoutID || hasFields(event)
 			out.bytes = append(out.bytes, event...)
 			continue
 		}
@@ -115,10 +116,25 @@
 
 // eventID returns the value of the id field of an event, and whether it has one.
 func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
+	for line := range eventLines(event) {
 		if v, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(v)), true
 		}
 	}
 	return "", false
 }
+
+// hasFields reports whether an event has a line that is neither empty nor a comment.
+func hasFields(event []byte) bool {
+	for line := range eventLines(event) {
+		if line[0] != ':' {
+			return true
+		}
+	}
+	return false
+}
+
+// eventLines returns the lines of an event that are not empty.
+func eventLines(event []byte) iter.Seq[[]byte] {
+	return bytes.FieldsFuncSeq(event, func(r rune) bool { return r == '\r' || r == '\n' })
+}
