End events of a stream at any empty line

What callers saw: an empty line beyond the one that ends an event was dropped if the next bytes had not arrived with it, so that the body was not the endpoint's; events with CR LF reached the caller only at the end of the stream. Cause: the reader looked for the last pair of LF in what had arrived, the forwarder for the first one, and neither knew CR. Change: both use eventEnd, which finds the first empty line after lines that end with LF, CR LF or CR. Measured: TestEventsEndAtAnyEmptyLine/two_empty_lines and TestEventsWithCRLFAreForwardedAsTheyArrive failed before and pass.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -54,7 +54,7 @@
 			return r.buf, io.EOF
 		}
 		if err != nil {
-			end := max(0, lastEventEnd(r.buf))
+			end := lastEventEnd(r.buf)
 			r.returned = end
 			return r.buf[:end], err
 		}
@@ -66,10 +66,34 @@
 
 // lastEventEnd returns the offset after the last complete event in b, or 0.
 func lastEventEnd(b []byte) int {
-	if i := bytes.LastIndex(b, []byte("\n\n")); i >= 0 {
-		return i + 2
+	end := 0
+	for {
+		n := eventEnd(b[end:])
+		if n == 0 {
+			return end
+		}
+		end += n
+	}
+}
+
+// eventEnd returns the offset after the first event in b, which ends with an empty
+// line, or 0 if it is incomplete. A line ends with LF, CR LF or CR (WHATWG HTML,
+// section 9.2.6). A further empty line is an event without fields.
+func eventEnd(b []byte) int {
+	for start := 0; ; {
+		n := bytes.IndexAny(b[start:], "\r\n")
+		if n < 0 {
+			return 0
+		}
+		next := start + n + 1
+		if b[next-1] == '\r' && next < len(b) && b[next] == '\n' {
+			next++
+		}
+		if n == 0 {
+			return next
+		}
+		start = next
 	}
-	return 0
 }
 
 // eventBatch holds events to forward. count does not include events without an ID.
@@ -86,8 +110,8 @@
 	var out eventBatch
 	for rest := batch; len(rest) > 0; {
 		event := rest
-		if i := bytes.Index(rest, []byte("\n\n")); i >= 0 {
-			event = rest[:i+2]
+		if n := eventEnd(rest); n > 0 {
+			event = rest[:n]
 		} else if !atEnd {
 			break
 		}
