Treat a stream that ends inside an event as broken off

Cause: the end of the framing was taken for the end of the stream. A body with neither a length nor chunks ends with its connection, so that a broken connection looks like the end of the body; the event reader forwarded the cut event as the rest of the stream and the gateway ended its own chunks properly. Class of fault: completeness inferred from the transport, not from the content. Change: a stream that ends inside an event is broken off whatever its framing: it is resumed at another endpoint where the route allows that, else the caller's connection is closed before the last chunk. The cut event is neither forwarded nor charged. A body with another content type than text/event-stream is no stream of events and is forwarded as other answers are. Why it works: an event is complete only with its empty line, which the endpoint sends last.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"syscall"
 	"time"
 
@@ -267,7 +268,7 @@
 	if resp.HasContentEncoding() || success && !q.g.opts.Codec.IsGenuine(resp.Header) {
 		return attemptLost, placement.Failed, "spoiled " + strconv.Itoa(resp.Status), nil
 	}
-	if success && q.route.Kind == catalog.Stream {
+	if success && q.route.Kind == catalog.Stream && isEventStream(resp.Header) {
 		return q.forwardStream(c, s, resp)
 	}
 	body, err := resp.ReadAll(maxBufferedResponseBytes)
@@ -291,6 +292,13 @@
 	return attemptDone, placement.Served, result, nil
 }
 
+// isEventStream reports whether a body consists of events, which it does unless it has
+// another content type.
+func isEventStream(header http.Header) bool {
+	contentType, _, _ := strings.Cut(header.Get("Content-Type"), ";")
+	return contentType == "" || strings.EqualFold(strings.TrimSpace(contentType), "text/event-stream")
+}
+
 // writeResponse sends a buffered response of an endpoint to the caller.
 func (q *request) writeResponse(resp *bufferedResponse) {
 	q.status = resp.status
@@ -342,7 +350,7 @@
 		batch, err := events.next()
 		if len(batch) > 0 {
 			c.RecordFirstByte(time.Now())
-			out, gapErr := s.skipDelivered(batch, err == io.EOF)
+			out, gapErr := s.skipDelivered(batch)
 			if gapErr != nil {
 				return attemptBroken, placement.Failed, gapErr.Error(), nil
 			}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -14,6 +14,9 @@
 
 var (
 	errEventTooLarge = errors.New("event of a stream exceeds 1 MiB")
+	// errIncompleteEvent means that a stream was interrupted. Its framing cannot show
+	// that if the body ends with the connection.
+	errIncompleteEvent = errors.New("the stream ended inside an event")
 	// errMissingEvents is also a value of the label result of the attempts metric.
 	errMissingEvents = errors.New("events are missing after the resumption")
 )
@@ -30,9 +33,9 @@
 }
 
 // next blocks until at least one complete event has arrived and returns all
-// complete events so far. With io.EOF it returns the rest of the stream, which may
-// end with an incomplete event; with another error it returns only complete
-// events. The result is valid until the next call.
+// complete events so far. It fails with io.EOF only at the end of a stream that
+// does not end inside an event; comments after the last event are then returned too.
+// The result is valid until the next call.
 func (r *eventReader) next() ([]byte, error) {
 	r.buf = append(r.buf[:0], r.buf[r.returned:]...)
 	r.returned = 0
@@ -49,16 +52,30 @@
 		}
 		n, err := r.src.Read(r.buf[len(r.buf):cap(r.buf)])
 		r.buf = r.buf[:len(r.buf)+n]
-		if err == io.EOF {
-			r.returned = len(r.buf)
-			return r.buf, io.EOF
+		if err == nil {
+			continue
 		}
-		if err != nil {
-			end := lastEventEnd(r.buf)
-			r.returned = end
-			return r.buf[:end], err
+		end := lastEventEnd(r.buf)
+		if err == io.EOF {
+			if isInsideEvent(r.buf[end:]) {
+				err = errIncompleteEvent
+			} else {
+				end = len(r.buf)
+			}
 		}
+		r.returned = end
+		return r.buf[:end], err
+	}
+}
+
+// isInsideEvent reports whether a stream that ends with rest after its last complete
+// event was interrupted. Complete lines with comments belong to no event.
+func isInsideEvent(rest []byte) bool {
+	if len(rest) == 0 {
+		return false
 	}
+	last := rest[len(rest)-1]
+	return last != '\n' && last != '\r' || hasFields(rest)
 }
 
 // incompleteBytes returns the number of bytes after the last complete event.
@@ -104,16 +121,13 @@
 
 // skipDelivered returns the events of a batch that the caller does not have yet, and
 // advances the position in the stream. It fails with errMissingEvents if a resumed
-// run starts later than the next event. The incomplete event at the end of a batch
-// is included only with atEnd.
-func (s *streamState) skipDelivered(batch []byte, atEnd bool) (eventBatch, error) {
+// run starts later than the next event.
+func (s *streamState) skipDelivered(batch []byte) (eventBatch, error) {
 	var out eventBatch
 	for rest := batch; len(rest) > 0; {
 		event := rest
 		if n := eventEnd(rest); n > 0 {
 			event = rest[:n]
-		} else if !atEnd {
-			break
 		}
 		rest = rest[len(event):]
 		id, ok := eventID(event)
--- a/pkg/gateway/events_test.go
+++ b/pkg/gateway/events_test.go
@@ -30,11 +30,11 @@
 	crlf, cr := strings.ReplaceAll(lf, "\n", "\r\n"), strings.ReplaceAll(lf, "\n", "\r")
 	for desc, texts := range map[string][]string{
 		"LF": {lf}, "CR LF": {crlf}, "CR": {cr},
-		"a byte at a time":                      strings.Split(crlf, ""),
-		"two empty lines":                       {"id: 1\ndata: x\n\n\nid: 2\ndata: y\n\n\n"},
-		"two empty lines in two pieces":         {"id: 1\ndata: x\n\n", "\nid: 2\ndata: y\n\n", "\n"},
-		"CR LF in two pieces after an event":    {"id: 1\r\ndata: x\r\n\r", "\nid: 2\r\ndata: y\r\n\r\n"},
-		"a comment at the beginning and at end": {": begin\n\n", lf, ": end\n\n"},
+		"a byte at a time":                   strings.Split(crlf, ""),
+		"two empty lines":                    {"id: 1\ndata: x\n\n\nid: 2\ndata: y\n\n\n"},
+		"two empty lines in two pieces":      {"id: 1\ndata: x\n\n", "\nid: 2\ndata: y\n\n", "\n"},
+		"CR LF in two pieces after an event": {"id: 1\r\ndata: x\r\n\r", "\nid: 2\r\ndata: y\r\n\r\n"},
+		"comments":                           {": begin\n\n", lf, ": end\n\n", ": end\n"},
 	} {
 		t.Run(desc, func(t *testing.T) {
 			g := newTestGateway(t, pieces(texts...))
@@ -92,3 +92,14 @@
 		return false
 	}
 }
+
+// Guards against a body that is no stream of events and is taken for an interrupted one.
+func TestOtherBodiesOnStreamRoutes(t *testing.T) {
+	g := newTestGateway(t, func(q *http.Request, _ []byte, c net.Conn) bool {
+		_, _ = io.WriteString(c, machines.ResponseHead(q, 200, "Content-Type: application/json", "Connection: close")+"{}")
+		return false
+	})
+	if got := g.send(g.newRequest("/once/1", "body")); got.err != nil || got.body != "{}" {
+		t.Errorf("status %d, body %q, %v", got.status, got.body, got.err)
+	}
+}
