Reset connections of aborted responses to HTTP/1.0 callers

What callers saw: a caller with HTTP/1.0 got a response that was given up midway as a complete one. Cause: the abort of net/http closes the connection, and a body without a length ends there for HTTP/1.0. Change: package abort resets the connection in that case; gateway and entry use it.

--- /dev/null
+++ b/pkg/abort/abort.go
@@ -0,0 +1,34 @@
+// Package abort ends responses that were begun and cannot be completed.
+package abort
+
+import (
+	"net"
+	"net/http"
+)
+
+// Response closes the connection of a request such that the caller can tell the
+// response from a complete one. It panics with http.ErrAbortHandler.
+func Response(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		reset(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset resets the connection of an HTTP/1.0 request: a body without a length ends
+// there when the connection is closed.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return // the connection is closed already
+	}
+	defer func() { _ = conn.Close() }()
+	raw := conn
+	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok { // *tls.Conn
+		raw = wrapped.NetConn()
+	}
+	if tcp, ok := raw.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	_ = raw.Close()
+}
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 )
 
@@ -36,9 +37,7 @@
 		s.metrics.truncated.WithLabelValues(j.service.Name).Inc()
 	}
 	if j.responder.writeError(err) {
-		// After the deferred calls, net/http closes the connection without
-		// completing the body.
-		panic(http.ErrAbortHandler)
+		abort.Response(w, r) // after the deferred calls
 	}
 }
 
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
@@ -96,7 +97,7 @@
 		}
 		if status == attemptDone {
 			if q.responseBroken {
-				panic(http.ErrAbortHandler) // closes the connection, so that the caller sees a truncated body
+				abort.Response(q.w, q.r)
 			}
 			return
 		}
@@ -129,8 +130,8 @@
 		q.err = failure.New(failure.Truncated, "repeat the request", "the caller disconnected")
 	case s.started:
 		q.err = failure.New(failure.Truncated, "resume after the last event", "the stream broke off")
-		q.status = 0                // the caller got no complete response
-		panic(http.ErrAbortHandler) // closes the connection, so that the caller sees a truncated stream
+		q.status = 0 // the caller got no complete response
+		abort.Response(q.w, q.r)
 	case ctx.Err() != nil:
 		q.refuse(failure.New(failure.Timeout, "set a longer timeout", "the deadline of the request has passed").WithOutcome(q.outcome()), 0)
 	case lastErrorResponse != nil:
--- a/pkg/gateway/streamend_test.go
+++ b/pkg/gateway/streamend_test.go
@@ -69,3 +69,19 @@
 		}
 	}
 }
+
+// Guards against a stream that is given up and looks complete to a caller with HTTP/1.0.
+func TestStreamGivenUpIsNotCompleteForHTTP10(t *testing.T) {
+	g := newTestGateway(t, framedStream("connection", eventRange(1, 2)+"id: 3\nda"))
+	conn, err := net.Dial("tcp", g.server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprintf(conn, "GET /once/1 HTTP/1.0\r\nHost: h.example\r\nAuthorization: %s%s\r\n%s: id1\r\n\r\n", machines.KeyScheme, key, machines.HeaderRequestID); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(conn); err == nil {
+		t.Errorf("the connection ended properly after %q", answer)
+	}
+}
