Prove that the relay needs the whole terminal marker

Change: two cases of TestModelFaults with bodies that end with the connection, one cut inside the marker and one inside an event.

--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -118,6 +118,23 @@
 	return func(w http.ResponseWriter, _ int) { sendEvents(w, seqs...); sendTerminalMarker(w) }
 }
 
+// endWithConnection sends two events and the text in a body with neither a length nor
+// chunks.
+func endWithConnection(text string) func(http.ResponseWriter, int) {
+	return func(w http.ResponseWriter, _ int) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return // the test sees that the events are missing
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n")
+		for seq := 1; seq <= 2; seq++ {
+			_, _ = fmt.Fprintf(conn, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\"%d\"}}]}\n\n", seq, seq)
+		}
+		_, _ = io.WriteString(conn, text)
+	}
+}
+
 func respondStatus(code int) func(http.ResponseWriter, int) {
 	return func(w http.ResponseWriter, _ int) { http.Error(w, "refused", code) }
 }
@@ -152,6 +169,10 @@
 		{desc: "connection broken before the first event", script: script{breakAfter(), sendRest}, outcome: Complete, totalTokens: 13, events: "1234", reconnects: 1},
 		{desc: "clean end without marker is resumed", script: script{func(w http.ResponseWriter, _ int) { sendEvents(w, 1, 2) }, sendRest},
 			outcome: Complete, totalTokens: 13, events: "1234", reconnects: 1},
+		{desc: "cut marker in a body that ends with the connection is resumed", script: script{endWithConnection("data: [DONE]\n"), sendRest},
+			outcome: Complete, totalTokens: 13, events: "1234", reconnects: 1},
+		{desc: "cut event in a body that ends with the connection is resumed", script: script{endWithConnection("id: 3\ndata: {"), sendRest},
+			outcome: Complete, totalTokens: 13, events: "1234", reconnects: 1},
 		{desc: "marker without usage is not complete", script: script{completeAfter(1, 2, 3, 4)}, cancelReply: cancelReply,
 			outcome: Partial, totalTokens: 11, events: "1234", kind: failure.Truncated, endpointAtFault: true, reconnects: 2, cancels: 1},
 		{desc: "silent connection is resumed", script: script{silentAfter(1, 2), sendRest}, outcome: Complete, totalTokens: 13, events: "1234", reconnects: 1},
