Log dead endpoints and the prompt parts of broken requests

Change: one line for each counted death and for each reported one, and the shared parts of a request whose endpoint broke off. No change of what is decided.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -182,6 +182,7 @@
 	}
 	now := time.Now()
 	if status == attemptLost || status == attemptBroken {
+		q.interrupted = true
 		q.g.opts.CrashGuard.RecordBrokenConnection(q.fingerprint, c.ID, now)
 	} else {
 		q.g.opts.CrashGuard.RecordEnd(q.fingerprint, c.ID)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"time"
 
@@ -45,6 +46,7 @@
 	possibleRuns    int             // attempts in which an endpoint may have run the request
 	mayHaveRun      bool            // possibleRuns is not 0
 	responseBroken  bool            // the response to the caller was started and cannot be completed
+	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
 	err        *failure.Error // why the request was not served
@@ -272,6 +274,9 @@
 	if len(q.attempts) > 0 {
 		f["attempts"] = q.formatAttempts()
 	}
+	if parts := q.formatSharedParts(); q.interrupted && parts != "" {
+		f["parts"] = parts
+	}
 	if q.err != nil {
 		result = string(q.err.Kind)
 		f["error"] = q.err.Message
@@ -295,6 +300,19 @@
 	return q.route.Kind.String()
 }
 
+// formatSharedParts returns the IDs of the parts of the prompt without the last one, which
+// belongs to the request alone.
+func (q *request) formatSharedParts() string {
+	var b strings.Builder
+	for i := range len(q.envelope.PromptParts) - 1 {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(q.envelope.PromptParts[i].ID, 16))
+	}
+	return b.String()
+}
+
 func (q *request) formatAttempts() string {
 	var b strings.Builder
 	for i, a := range q.attempts {
--- a/pkg/node/crashes.go
+++ b/pkg/node/crashes.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 )
@@ -20,6 +22,7 @@
 	*quarantine.Tracker
 	peers     peer.Caller
 	listPeers func() []peer.Identity
+	log       logrus.FieldLogger
 }
 
 // HandleEndpointDeath implements gateway.CrashGuard. It does not wait for the notifications.
@@ -28,6 +31,7 @@
 	if len(notices) == 0 {
 		return
 	}
+	g.log.WithField("endpoint", endpoint).WithField("requests", len(notices)).Info("endpoint died under requests")
 	for _, other := range g.listPeers() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
@@ -39,11 +43,14 @@
 
 // registerPeer registers the handler of noticeMethod.
 func (g *crashGuard) registerPeer(reg peer.Registrar) {
-	reg.Handle(noticeMethod, func(_ context.Context, _ peer.Identity, body []byte) (any, error) {
+	reg.Handle(noticeMethod, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
 		var notices []quarantine.Notice
 		if err := peer.Unmarshal(body, &notices); err != nil {
 			return nil, err
 		}
+		if len(notices) > 0 {
+			g.log.WithField("endpoint", notices[0].Endpoint).WithField("requests", len(notices)).WithField("from", from.Instance).Info("another instance reports a dead endpoint")
+		}
 		for _, notice := range notices {
 			g.ApplyNotice(notice, time.Now())
 		}
