Attribute the deaths of endpoints to traits of requests

Change: package quarantine gets the decision, without a network: Attribution counts on how many occasions endpoints died under each trait, drops traits whose requests end well, lets the best trait explain its deaths away from the others, and names traits that cannot be told apart as one combination. Refusals refuses requests with all traits of a combination; Survivals keeps when a trait last survived. Measured: TestAttribution plays 14 cases, among them innocent parts beside the crashing one, endpoints that die together, identical requests and two crashing parts. Nothing uses it yet.

--- /dev/null
+++ b/pkg/quarantine/attribution_test.go
@@ -0,0 +1,132 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+)
+
+// Traits of the tests. The lowest digit tells parts of one kind apart.
+const (
+	bad, bad2   = Trait(0xbad0), Trait(0xbad1)
+	first       = Trait(0xa0) // a part that all requests of a caller share
+	other1      = Trait(0xb1)
+	other2      = Trait(0xb2)
+	fingerprint = Trait(0xf0)
+)
+
+// Guards against a crashing part that is not found, and against sound parts that are blamed.
+func TestAttribution(t *testing.T) {
+	at := func(ms int) time.Time { return testStart.Add(time.Duration(ms) * time.Millisecond) }
+	type death struct {
+		ms     int
+		traits []Trait
+	}
+	survived := func(ms int, traits ...Trait) func(*Attribution) {
+		return func(a *Attribution) {
+			for _, trait := range traits {
+				a.RecordSurvival(trait, at(ms))
+			}
+		}
+	}
+	for _, tc := range []struct {
+		desc   string
+		deaths []death
+		then   func(*Attribution)
+		want   []Combination
+	}{
+		{desc: "two deaths", deaths: []death{{0, []Trait{bad}}, {500, []Trait{bad}}}},
+		{desc: "three deaths", deaths: []death{{0, []Trait{bad, other1}}, {500, []Trait{bad}}, {900, []Trait{bad, other2}}}, want: []Combination{{bad}}},
+		{desc: "three deaths at once have a common cause", deaths: []death{{0, []Trait{bad}}, {10, []Trait{bad}}, {20, []Trait{bad}}, {30, []Trait{bad}}}},
+		{desc: "always beside a shared part", deaths: []death{{0, []Trait{bad, first}}, {500, []Trait{bad, first}}, {900, []Trait{bad, first}}}, want: []Combination{{first, bad}}},
+		{desc: "the shared part survives elsewhere", deaths: []death{{0, []Trait{bad, first}}, {500, []Trait{bad, first}}, {900, []Trait{bad, first}}},
+			then: survived(1000, first), want: []Combination{{bad}}},
+		{desc: "the shared part survived just before", deaths: []death{{0, []Trait{bad, first}}, {500, []Trait{bad, first}}, {900, []Trait{bad, first}}},
+			then: survived(200, first), want: []Combination{{bad}}},
+		{desc: "survived long before", deaths: []death{{5000, []Trait{bad}}, {5500, []Trait{bad}}, {5900, []Trait{bad}}}, then: survived(0, bad), want: []Combination{{bad}}},
+		{desc: "survived", deaths: []death{{0, []Trait{bad}}, {500, []Trait{bad}}, {900, []Trait{bad}}}, then: survived(2000, bad)},
+		{desc: "an identical request", deaths: []death{{0, []Trait{bad, fingerprint}}, {500, []Trait{bad, fingerprint}}, {900, []Trait{bad, fingerprint}}}, want: []Combination{{fingerprint, bad}}},
+		{desc: "several requests, each repeated", deaths: []death{{0, []Trait{bad, 1}}, {500, []Trait{bad, 1}}, {900, []Trait{bad, 2}}, {1300, []Trait{bad, 2}}}, want: []Combination{{bad}}},
+		{desc: "sound part on some of the endpoints", want: []Combination{{bad}},
+			deaths: []death{{0, []Trait{bad, other1}}, {500, []Trait{bad, other1}}, {900, []Trait{bad, other1}}, {1300, []Trait{bad}}, {1700, []Trait{bad}}}},
+		{desc: "two crashing parts", want: []Combination{{bad}, {bad2}},
+			deaths: []death{{0, []Trait{bad}}, {500, []Trait{bad2}}, {900, []Trait{bad}}, {1300, []Trait{bad2}}, {1700, []Trait{bad}}, {2100, []Trait{bad}}, {2500, []Trait{bad2}}}},
+		{desc: "as many deaths under another part", deaths: []death{{0, []Trait{bad, other1}}, {500, []Trait{bad, other1}}, {900, []Trait{bad}}, {1300, []Trait{other1}}}},
+		{desc: "one death more decides", want: []Combination{{bad}},
+			deaths: []death{{0, []Trait{bad, other1}}, {500, []Trait{bad, other1}}, {900, []Trait{bad}}, {1300, []Trait{other1}}, {1700, []Trait{bad}}}},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			var a Attribution
+			for i, d := range tc.deaths {
+				a.RecordDeath(fmt.Sprint("e", i), d.traits, at(d.ms))
+			}
+			if tc.then != nil {
+				tc.then(&a)
+			}
+			var got []Combination
+			for _, c := range a.Culprits() {
+				got = append(got, c.Traits)
+			}
+			if !slices.EqualFunc(got, tc.want, slices.Equal) {
+				t.Errorf("culprits %v, want %v", got, tc.want)
+			}
+			for _, c := range tc.want {
+				for _, trait := range c {
+					if !slices.Contains(a.Suspects(), trait) {
+						t.Errorf("%x is not among the suspects", trait)
+					}
+				}
+			}
+		})
+	}
+}
+
+// Guards against reports of one death by several instances that count as several deaths.
+func TestReportsOfOneDeathAreMerged(t *testing.T) {
+	var a Attribution
+	for i := range 5 {
+		a.RecordDeath("e", []Trait{bad, Trait(i)}, testStart.Add(time.Duration(i)*200*time.Millisecond))
+	}
+	if got := a.Culprits(); len(got) > 0 {
+		t.Errorf("culprits %v after one death", got)
+	}
+}
+
+// Guards against a refusal that does not end, or that starts again without a new death.
+func TestRefusals(t *testing.T) {
+	r := NewRefusals(nil)
+	c := Combination{first, bad}
+	if !r.Add(c, atSecond(0), atSecond(60)) || r.Add(c, atSecond(1), atSecond(61)) {
+		t.Error("a combination was not added once")
+	}
+	for _, tc := range []struct {
+		second  int
+		traits  []Trait
+		refused bool
+	}{{1, []Trait{first, bad, other1}, true}, {1, []Trait{bad}, false}, {1, []Trait{first}, false}, {1, nil, false}, {60, []Trait{first, bad}, false}} {
+		if err := r.Check(tc.traits, atSecond(tc.second)); (err != nil) != tc.refused {
+			t.Errorf("second %d, %v: %v", tc.second, tc.traits, err)
+		}
+	}
+	if r.Add(c, atSecond(59), atSecond(120)) || !r.Add(c, atSecond(61), atSecond(120)) {
+		t.Error("a refusal starts again only after a later death")
+	}
+	if got := r.Active(atSecond(100)); len(got) != 1 {
+		t.Errorf("%d are active", len(got))
+	}
+}
+
+// Guards against memory that grows with the number of parts.
+func TestSurvivalsAreBounded(t *testing.T) {
+	s := NewSurvivals()
+	for i := range 2 * maxSurvivals {
+		s.Record([]Trait{Trait(i)}, atSecond(i))
+	}
+	if _, ok := s.Latest(0); ok || len(s.latest) != maxSurvivals || len(s.order) != maxSurvivals {
+		t.Errorf("%d traits are kept", len(s.latest))
+	}
+	if at, ok := s.Latest(2*maxSurvivals - 1); !ok || !at.Equal(atSecond(2*maxSurvivals-1)) {
+		t.Errorf("latest survival %v, %v", at, ok)
+	}
+}
