Refuse requests with a part of the prompt that crashes endpoints

Requests with one part in their prompts crashed one endpoint after the other; 58 and 26 of them reached endpoints after the fifth crash and the time allowed, and nobody else was served. Cause: a request was known only by method, path, key and body, so that such requests were never counted together. Besides, an instance counted a death only when a later attempt was refused, so that the instance whose request did it mostly did not. Class of fault: guilt attributed to the identity of a request instead of to what requests have in common. Change: the gateway reports the shared parts of the prompt of an attempt that was interrupted before or just after its first event, and those of answers that end well. An instance checks whether the endpoint refuses connections and reports the death to three collectors (culpritFinder in pkg/node). A collector attributes the deaths, asks all instances which traits survived, has all refuse the combination and stores it for a fleet that restarts; instances that start ask a collector. Attempts check the refusals too, so that a request does not go on to a second endpoint. Why it works: the crashing part is the only trait that is in all deaths and never survives; innocent ones survive elsewhere within the review delay or explain fewer deaths. Requests without the part are not concerned, whoever sends them.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -63,7 +63,8 @@
 	lastEventID   string // ID of the last event that the caller has
 	lastNumber    int64  // lastEventID as a number
 	hasLastNumber bool
-	isResuming    bool // the next event is the first one of a resumed run
+	isResuming    bool      // the next event is the first one of a resumed run
+	firstEvent    time.Time // of the latest attempt, zero if it has none
 	// forwardedWithoutID is true once an event without an ID was forwarded. Such a
 	// stream cannot be resumed, because another run would repeat that event.
 	forwardedWithoutID bool
@@ -78,6 +79,10 @@
 	}
 	var lastErrorResponse *bufferedResponse // latest 5xx of an endpoint
 	for tries := 0; ; tries++ {
+		if err := q.checkTraits(time.Now()); err != nil {
+			q.giveUp(ctx, s, lastErrorResponse, failure.From(err))
+			return
+		}
 		choice, err := q.g.opts.Pool.Choose(q.newPlacementRequest(), time.Now())
 		if err != nil {
 			q.giveUp(ctx, s, lastErrorResponse, failure.From(err))
@@ -142,7 +147,11 @@
 		if cause == nil {
 			cause = failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepted the request", q.service)
 		}
-		q.refuse(cause.WithOutcome(failure.NotRun), jitter(meanRetryDelay))
+		retryAfter := jitter(meanRetryDelay)
+		if cause.Kind == failure.Quarantined {
+			retryAfter = 0 // an early repeat is refused too
+		}
+		q.refuse(cause.WithOutcome(failure.NotRun), retryAfter)
 	}
 }
 
@@ -166,6 +175,7 @@
 // is set only with attemptFailed.
 func (q *request) tryEndpoint(ctx context.Context, c *placement.Choice, s *streamState) (attemptStatus, *bufferedResponse) {
 	start := time.Now()
+	s.firstEvent = time.Time{}
 	ctx, cancel := q.newAttemptContext(ctx)
 	defer cancel()
 	q.g.opts.CrashGuard.RecordStart(q.fingerprint, c.ID, start)
@@ -183,6 +193,9 @@
 	now := time.Now()
 	if status == attemptLost || status == attemptBroken {
 		q.interrupted = true
+		if ctx.Err() == nil {
+			q.recordInterruption(c.ID, c.Address, s.firstEvent, now)
+		}
 		q.g.opts.CrashGuard.RecordBrokenConnection(q.fingerprint, c.ID, now)
 	} else {
 		q.g.opts.CrashGuard.RecordEnd(q.fingerprint, c.ID)
@@ -348,10 +361,19 @@
 	events := newEventReader(resp)
 	s.isResuming = s.hasLastNumber
 	control := http.NewResponseController(q.w)
+	survived := false
 	for {
 		batch, err := events.next()
 		if len(batch) > 0 {
-			c.RecordFirstByte(time.Now())
+			now := time.Now()
+			c.RecordFirstByte(now)
+			if s.firstEvent.IsZero() {
+				s.firstEvent = now
+			}
+			if !survived && now.Sub(s.firstEvent) > crashDelay {
+				survived = true
+				q.recordSurvival(now)
+			}
 			out, gapErr := s.skipDelivered(batch)
 			if gapErr != nil {
 				return attemptBroken, placement.Failed, gapErr.Error(), nil
@@ -378,6 +400,9 @@
 				q.status = resp.Status
 				q.writeHeader(resp.Status, resp.Header, 0)
 			}
+			if !s.firstEvent.IsZero() {
+				q.recordSurvival(time.Now())
+			}
 			return attemptDone, placement.Served, "streamed" + streamEnd(resp, events), nil
 		case err != nil && !s.started:
 			return attemptLost, placement.Failed, "broke off: " + err.Error() + streamEnd(resp, events), nil
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
@@ -19,6 +20,62 @@
 	// RecordBrokenConnection records that the connection failed while the request may
 	// have been running.
 	RecordBrokenConnection(f quarantine.Fingerprint, endpoint string, now time.Time)
+	// CheckTraits returns an error if requests with the given traits are refused because
+	// they have crashed endpoints.
+	CheckTraits(traits []quarantine.Trait, now time.Time) error
+	// RecordInterruption records that the connection to an endpoint failed while it may
+	// have begun to respond to a request with the given traits.
+	RecordInterruption(endpoint, address string, traits []quarantine.Trait)
+	// RecordSurvival records that an endpoint survived a request with the given traits.
+	RecordSurvival(traits []quarantine.Trait, now time.Time)
 	// HandleEndpointDeath counts a crash against the requests that the endpoint ran.
 	HandleEndpointDeath(endpoint string, now time.Time)
 }
+
+// crashDelay is the time from the first event of a response within which a request that
+// crashes its endpoint does so.
+const crashDelay = time.Second
+
+// traits returns the traits of a request that may crash endpoints: the shared parts of its
+// prompt. It is empty without shared parts.
+func (q *request) traits() []quarantine.Trait {
+	parts := q.envelope.PromptParts
+	if len(parts) < 2 {
+		return nil
+	}
+	traits := make([]quarantine.Trait, 0, len(parts))
+	for _, part := range parts[:len(parts)-1] {
+		traits = append(traits, quarantine.Trait(part.ID))
+	}
+	return traits
+}
+
+// identifyingTraits returns the traits and one that only equal requests have, so that a
+// request that crashes endpoints by itself is told from others with the same parts.
+func (q *request) identifyingTraits() []quarantine.Trait {
+	return append(q.traits(), quarantine.Trait(binary.BigEndian.Uint64(q.fingerprint[:])))
+}
+
+// checkTraits returns an error if requests such as this one are refused.
+func (q *request) checkTraits(now time.Time) error {
+	if traits := q.traits(); len(traits) > 0 {
+		return q.g.opts.CrashGuard.CheckTraits(q.identifyingTraits(), now)
+	}
+	return nil
+}
+
+// recordInterruption reports an attempt that ended without a complete response, unless its
+// endpoint had responded for so long that another request must have crashed it.
+func (q *request) recordInterruption(endpoint, address string, firstEvent, now time.Time) {
+	if len(q.traits()) == 0 || !firstEvent.IsZero() && now.Sub(firstEvent) > crashDelay {
+		return
+	}
+	q.g.opts.CrashGuard.RecordInterruption(endpoint, address, q.identifyingTraits())
+}
+
+// recordSurvival reports that an endpoint survived the request.
+func (q *request) recordSurvival(now time.Time) {
+	if traits := q.traits(); len(traits) > 0 {
+		q.g.opts.CrashGuard.RecordSurvival(traits, now)
+	}
+}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -97,6 +97,9 @@
 	if err := g.opts.CrashGuard.Check(q.fingerprint, q.arrived); err != nil {
 		return failure.From(err).WithOutcome(failure.NotRun), 0
 	}
+	if err := q.checkTraits(q.arrived); err != nil {
+		return failure.From(err).WithOutcome(failure.NotRun), 0
+	}
 	q.service = pickService(q.route.Targets)
 	return nil, 0
 }
--- a/pkg/node/crashes.go
+++ b/pkg/node/crashes.go
@@ -16,10 +16,12 @@
 // noticeTimeout bounds the notification of one instance.
 const noticeTimeout = 500 * time.Millisecond
 
-// crashGuard is a quarantine.Tracker that notifies the other instances of the deaths
-// that this instance counts.
+// crashGuard refuses requests that crash endpoints: equal ones by its quarantine.Tracker,
+// of whose deaths it notifies the other instances, and those with a part in common by its
+// culpritFinder.
 type crashGuard struct {
 	*quarantine.Tracker
+	*culpritFinder
 	peers     peer.Caller
 	listPeers func() []peer.Identity
 	log       logrus.FieldLogger
@@ -43,6 +45,7 @@
 
 // registerPeer registers the handler of noticeMethod.
 func (g *crashGuard) registerPeer(reg peer.Registrar) {
+	g.culpritFinder.registerPeer(reg)
 	reg.Handle(noticeMethod, func(_ context.Context, from peer.Identity, body []byte) (any, error) {
 		var notices []quarantine.Notice
 		if err := peer.Unmarshal(body, &notices); err != nil {
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -66,6 +66,7 @@
 	connected     []connection    // seen since the list was read
 	peak          int
 	lists         int             // number of lists read
+	listedAt      time.Time       // when the latest list was read
 	settled       bool            // two reads of the list in a row agreed
 	leaders       map[string]bool // incarnations chosen from members and this instance; nil after a change
 	leadersTarget int             // target for which leaders were chosen
@@ -139,6 +140,7 @@
 	}
 	r.settled = r.settled || r.lists > 0 && sameMembers(members, r.members)
 	r.lists++
+	r.listedAt = now
 	r.members, r.leaders = members, nil
 	r.peak = max(r.peak, len(members)+1)
 }
@@ -160,6 +162,13 @@
 	return r.settled
 }
 
+// ListedAt returns when the list was last read, zero if it was not read yet.
+func (r *Roster) ListedAt() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.listedAt
+}
+
 // PeakInstances returns the largest number of instances so far, including this one.
 // Limits that are divided among the instances use it, because a list may be short only
 // because of an outage.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -242,6 +242,11 @@
 	if cn := c.takeIdle(address, time.Now()); cn != nil {
 		return cn, nil
 	}
+	return c.open(ctx, address)
+}
+
+// open opens a new connection.
+func (c *Client) open(ctx context.Context, address string) (*conn, error) {
 	if c.OnDial != nil {
 		c.OnDial()
 	}
@@ -254,6 +259,18 @@
 	return cn, nil
 }
 
+// TryConnect opens a connection and keeps it for later requests. syscall.ECONNREFUSED
+// means that the process at the address has ended.
+func (c *Client) TryConnect(ctx context.Context, address string) error {
+	cn, err := c.open(ctx, address)
+	if err != nil {
+		return err
+	}
+	cn.reusableUntil = time.Now().Add(defaultIdleTimeout)
+	c.putIdle(cn)
+	return nil
+}
+
 // exchange is a request and its response on a connection.
 type exchange struct {
 	client     *Client
