Refuse chats with a message that crashes endpoints

Cause: as in clementinerack-entry, the quarantine knows a request only by its whole body. Change: the traits of a chat are its messages without the last one. The Tracker, whose notices of deaths reach all instances already, attributes the deaths, and attempts and retries check what it refuses. A notice carries traits, so that TestNoticeEncoding compares with reflect.DeepEqual now; it checks the same. What remains: these refusals are kept in memory only, as the other quarantines of clementinerackd are.

--- a/pkg/entry/chat.go
+++ b/pkg/entry/chat.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"crypto/sha256"
+	"encoding/binary"
 	"encoding/json"
 	"hash/fnv"
 	"net/http"
@@ -9,6 +11,7 @@
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/quarantine"
 )
 
 const (
@@ -65,14 +68,15 @@
 			return err
 		}
 	}
-	messageCount, err := countMessages(fields["messages"])
+	messages, err := parseMessages(fields["messages"])
 	if err != nil {
 		return err
 	}
 	promptBytes := len(fields["messages"]) + len(fields["response_format"])
-	j.amount = ledger.Tokens(promptBytes) + templateOverheadTokens + ledger.Tokens(messageCount)*messageOverheadTokens + ledger.Tokens(j.maxTokens)
+	j.amount = ledger.Tokens(promptBytes) + templateOverheadTokens + ledger.Tokens(len(messages))*messageOverheadTokens + ledger.Tokens(j.maxTokens)
 	j.affinity = hashPrefix(svc.Name, fields["messages"])
 	j.fingerprint = computeFingerprint(j.workspace.Name, svc.Name, r.Method, chatPath, body)
+	j.traits = messageTraits(svc.Name, messages)
 	j.body, err = encodeEngineBody(fields, j.maxTokens)
 	return err
 }
@@ -118,20 +122,34 @@
 	return n, nil
 }
 
-// countMessages returns the number of messages and checks that they hold text
-// only. A text has at most as many tokens as bytes, which is not true of images.
-func countMessages(raw json.RawMessage) (int, error) {
+// parseMessages returns the messages and checks that they hold text only. A text has at
+// most as many tokens as bytes, which is not true of images.
+func parseMessages(raw json.RawMessage) ([]json.RawMessage, error) {
 	var messages []json.RawMessage
 	if json.Unmarshal(raw, &messages) != nil || len(messages) == 0 {
-		return 0, failure.New(failure.Invalid, "send a list of messages with role and content", "member \"messages\" is missing or malformed")
+		return nil, failure.New(failure.Invalid, "send a list of messages with role and content", "member \"messages\" is missing or malformed")
 	}
 	for i, m := range messages {
 		fields, err := decodeObject(m)
 		if err != nil || !isString(fields["role"]) || !isText(fields["content"]) || !hasOnlyMembers(fields, "role", "content", "name") {
-			return 0, failure.New(failure.Invalid, "send only a role, a name and text as content", "message %d is malformed", i)
+			return nil, failure.New(failure.Invalid, "send only a role, a name and text as content", "message %d is malformed", i)
 		}
 	}
-	return len(messages), nil
+	return messages, nil
+}
+
+// messageTraits returns a trait for each message but the last one, which belongs to the
+// request alone. The hash is collision-resistant, because callers choose the messages.
+func messageTraits(service string, messages []json.RawMessage) []quarantine.Trait {
+	var traits []quarantine.Trait
+	for _, m := range messages[:len(messages)-1] {
+		h := sha256.New()
+		_, _ = h.Write([]byte(service)) // a hash never fails
+		_, _ = h.Write([]byte{0})
+		_, _ = h.Write(m)
+		traits = append(traits, quarantine.Trait(binary.BigEndian.Uint64(h.Sum(nil))))
+	}
+	return traits
 }
 
 func hasOnlyMembers(fields map[string]json.RawMessage, names ...string) bool {
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -91,7 +91,7 @@
 	safe := d.job.repeatable || res.Outcome == relay.NotSent
 	return res.Outcome != relay.Complete && safe && !d.job.responder.headerSent && res.EndpointAtFault &&
 		d.attemptCount < maxAttempts && ctx.Err() == nil &&
-		d.server.opts.Quarantine.Check(d.job.fingerprint, d.server.now()) == nil && d.server.retries.AllowRetry(d.server.now())
+		d.server.checkQuarantine(d.job) == nil && d.server.retries.AllowRetry(d.server.now())
 }
 
 func (d *dispatch) runAttempt(ctx context.Context) (relay.Result, error) {
@@ -107,6 +107,7 @@
 	d.attemptCount++
 	d.exclude[endpoint.ID] = true
 	tracker.RecordStart(fingerprint, endpoint.ID, startedAt)
+	tracker.RecordTraits(fingerprint, endpoint.ID, d.job.traits)
 	res := d.send(ctx, endpoint)
 	now := d.server.now()
 	if res.Outcome == relay.Unknown {
@@ -114,6 +115,9 @@
 	} else {
 		tracker.RecordEnd(fingerprint, endpoint.ID) // the endpoint still answered afterwards, or never received the request
 	}
+	if res.Outcome == relay.Complete {
+		tracker.RecordSurvival(d.job.traits, now)
+	}
 	if res.EndpointDied {
 		if notices := tracker.RecordEndpointDeath(endpoint.ID, res.Incarnation, now); len(notices) > 0 {
 			d.server.opts.Notify(notices)
--- a/pkg/entry/interfaces.go
+++ b/pkg/entry/interfaces.go
@@ -52,6 +52,13 @@
 	IsSuspect(fingerprint [16]byte, now time.Time) bool
 	// RecordStart records that an endpoint runs the request.
 	RecordStart(fingerprint [16]byte, endpointID string, now time.Time)
+	// RecordTraits records the traits of a request after RecordStart.
+	RecordTraits(fingerprint [16]byte, endpointID string, traits []quarantine.Trait)
+	// RecordSurvival records that an endpoint survived a request with the given traits.
+	RecordSurvival(traits []quarantine.Trait, now time.Time)
+	// CheckTraits is like Check for requests that share traits with those that crashed
+	// endpoints.
+	CheckTraits(traits []quarantine.Trait, now time.Time) error
 	// RecordEnd records that the endpoint no longer runs the request.
 	RecordEnd(fingerprint [16]byte, endpointID string)
 	// RecordBrokenConnection is called instead of RecordEnd when the connection
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -4,12 +4,14 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
@@ -34,7 +36,8 @@
 	callerKnowsID bool
 	repeatable    bool
 	fingerprint   [16]byte
-	amount        ledger.Tokens // the tokens to reserve
+	traits        []quarantine.Trait // what it has in common with others that may crash endpoints
+	amount        ledger.Tokens      // the tokens to reserve
 	priority      routing.Priority
 	affinity      uint64 // hash of the prompt's prefix; 0 for app requests
 
@@ -57,6 +60,15 @@
 
 func (j *job) isModel() bool { return j.service.Kind == config.ModelService }
 
+// allTraits returns the traits with the one that only equal requests have. It is empty
+// without others.
+func (j *job) allTraits() []quarantine.Trait {
+	if len(j.traits) == 0 {
+		return nil
+	}
+	return append(slices.Clone(j.traits), quarantine.IdentifyingTrait(j.fingerprint))
+}
+
 // computeFingerprint returns the first 128 bits of the SHA-256 of the parts that
 // identify equal requests. Each part is preceded by its length, so that the
 // concatenation is unambiguous.
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -72,8 +72,17 @@
 		return err, release
 	}
 	release = func() { s.limits.release(j.workspace) }
-	if err := s.opts.Quarantine.Check(j.fingerprint, s.now()); err != nil {
+	if err := s.checkQuarantine(j); err != nil {
 		return failure.From(err), release
 	}
 	return nil, release
 }
+
+// checkQuarantine returns an error if the request, or requests with traits in common with
+// it, have crashed endpoints.
+func (s *Server) checkQuarantine(j *job) error {
+	if err := s.opts.Quarantine.Check(j.fingerprint, s.now()); err != nil {
+		return err
+	}
+	return s.opts.Quarantine.CheckTraits(j.allTraits(), s.now())
+}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"encoding/binary"
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
@@ -50,10 +49,9 @@
 	return traits
 }
 
-// identifyingTraits returns the traits and one that only equal requests have, so that a
-// request that crashes endpoints by itself is told from others with the same parts.
+// identifyingTraits returns the traits and the one that only equal requests have.
 func (q *request) identifyingTraits() []quarantine.Trait {
-	return append(q.traits(), quarantine.Trait(binary.BigEndian.Uint64(q.fingerprint[:])))
+	return append(q.traits(), quarantine.IdentifyingTrait(q.fingerprint))
 }
 
 // checkTraits returns an error if requests such as this one are refused.
--- a/pkg/node/crashes.go
+++ b/pkg/node/crashes.go
@@ -27,6 +27,16 @@
 	log       logrus.FieldLogger
 }
 
+// CheckTraits implements gateway.CrashGuard.
+func (g *crashGuard) CheckTraits(traits []quarantine.Trait, now time.Time) error {
+	return g.culpritFinder.CheckTraits(traits, now)
+}
+
+// RecordSurvival implements gateway.CrashGuard.
+func (g *crashGuard) RecordSurvival(traits []quarantine.Trait, now time.Time) {
+	g.culpritFinder.RecordSurvival(traits, now)
+}
+
 // HandleEndpointDeath implements gateway.CrashGuard. It does not wait for the notifications.
 func (g *crashGuard) HandleEndpointDeath(endpoint string, now time.Time) {
 	notices := g.RecordEndpointDeath(endpoint, "", now)
--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -163,12 +163,12 @@
 	return &f
 }
 
-// CheckTraits implements gateway.CrashGuard.
+// CheckTraits returns an error if requests with the given traits are refused.
 func (f *culpritFinder) CheckTraits(traits []quarantine.Trait, now time.Time) error {
 	return f.refusals.Check(traits, now)
 }
 
-// RecordSurvival implements gateway.CrashGuard.
+// RecordSurvival records that an endpoint survived a request with the given traits.
 func (f *culpritFinder) RecordSurvival(traits []quarantine.Trait, now time.Time) {
 	f.survivals.Record(traits, now)
 }
--- a/pkg/quarantine/attribution.go
+++ b/pkg/quarantine/attribution.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"encoding/binary"
 	"maps"
 	"slices"
 	"time"
@@ -10,6 +11,10 @@
 // endpoints that run them, such as a shared part of their prompts.
 type Trait uint64
 
+// IdentifyingTrait returns a trait that only equal requests have. It tells a request that
+// crashes endpoints by itself from others with the same parts.
+func IdentifyingTrait(fp Fingerprint) Trait { return Trait(binary.BigEndian.Uint64(fp[:])) }
+
 // Combination is a set of traits, in ascending order. A request matches it if it has
 // all of them.
 type Combination []Trait
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"slices"
 	"sync"
 	"time"
 
@@ -46,8 +47,11 @@
 	// unidentifiedDeathWindow is the time within which reports without an
 	// incarnation count as the same death.
 	unidentifiedDeathWindow = 10 * time.Second
-	maxDeathsPerSuspect     = 8    // only these are compared with later notices
-	maxLastDeaths           = 4096 // endpoints whose latest death is kept
+	// traitReviewDelay is the time after a death in which most sound requests survive at
+	// other endpoints.
+	traitReviewDelay    = 250 * time.Millisecond
+	maxDeathsPerSuspect = 8    // only these are compared with later notices
+	maxLastDeaths       = 4096 // endpoints whose latest death is kept
 )
 
 func (o Options) withDefaults() Options {
@@ -79,6 +83,8 @@
 	// QuarantineTTL is how long the receiver refuses the fingerprint, at most
 	// UnambiguousTTL; 0 means that it is only suspect.
 	QuarantineTTL time.Duration `cbor:"5,keyasint,omitempty" json:"for,omitempty"`
+	// Traits are those of the requests with the fingerprint.
+	Traits []Trait `cbor:"6,keyasint,omitempty" json:"traits,omitempty"`
 }
 
 // Tracker counts the deaths of endpoints per fingerprint. It is safe for
@@ -93,6 +99,10 @@
 	runs            map[string]map[Fingerprint]*run // by endpoint
 	runsByStart     *list.List                      // of *run, oldest start first
 	lastDeaths      map[string]death                // by endpoint
+	attribution     Attribution
+	reviewAt        time.Time // when the deaths are attributed; zero if that is done
+	survivals       *Survivals
+	refusals        *Refusals
 }
 
 // death is one death of an endpoint. The incarnation is empty if it is unknown.
@@ -121,6 +131,7 @@
 type run struct {
 	fp       Fingerprint
 	endpoint string
+	traits   []Trait
 	active   int       // number of running requests
 	brokenAt time.Time // when a connection last broke; zero if none did recently
 	elem     *list.Element
@@ -132,10 +143,14 @@
 		opts: opts.withDefaults(), metrics: newMetrics(reg),
 		suspects: map[Fingerprint]*suspect{}, suspectsByDeath: list.New(),
 		runs: map[string]map[Fingerprint]*run{}, runsByStart: list.New(),
-		lastDeaths: map[string]death{},
+		lastDeaths: map[string]death{}, survivals: NewSurvivals(), refusals: NewRefusals(reg),
 	}
 }
 
+// Refusals returns what the tracker refuses because of traits. Combinations that other
+// packages add are refused too.
+func (t *Tracker) Refusals() *Refusals { return t.refusals }
+
 // Check returns failure.Quarantined with the outcome failure.NotRun while the
 // fingerprint is refused. The outcome refers to this attempt only: a caller
 // that has already sent the request must replace it.
@@ -184,6 +199,52 @@
 	}
 }
 
+// RecordTraits records the traits of a request after RecordStart.
+func (t *Tracker) RecordTraits(fp Fingerprint, endpoint string, traits []Trait) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r := t.runs[endpoint][fp]; r != nil {
+		r.traits = traits
+	}
+}
+
+// RecordSurvival records that an endpoint survived a request with the given traits.
+func (t *Tracker) RecordSurvival(traits []Trait, now time.Time) { t.survivals.Record(traits, now) }
+
+// CheckTraits is like Check for requests that share traits with those that crashed
+// endpoints.
+func (t *Tracker) CheckTraits(traits []Trait, now time.Time) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.reviewAt.IsZero() && !now.Before(t.reviewAt) {
+		t.attributeDeaths(now)
+	}
+	return t.refusals.Check(traits, now)
+}
+
+// attributeDeaths refuses the traits that crash endpoints.
+func (t *Tracker) attributeDeaths(now time.Time) {
+	t.reviewAt = time.Time{}
+	for _, suspect := range t.attribution.Suspects() {
+		if at, ok := t.survivals.Latest(suspect); ok {
+			t.attribution.RecordSurvival(suspect, at)
+		}
+	}
+	for _, c := range t.attribution.Culprits() {
+		t.refusals.Add(c.Traits, c.LastDeath, now.Add(t.opts.UnambiguousTTL))
+	}
+}
+
+// recordTraitDeath adds a death to those that are attributed once sound requests with the
+// same traits had time to survive elsewhere.
+func (t *Tracker) recordTraitDeath(endpoint string, traits []Trait, now time.Time) {
+	if len(traits) == 0 {
+		return
+	}
+	t.attribution.RecordDeath(endpoint, traits, now)
+	t.reviewAt = now.Add(traitReviewDelay)
+}
+
 // RecordEnd records that the endpoint survived the request: it answered completely,
 // refused it, or confirmed its cancellation. RecordBrokenConnection must be called
 // instead if the connection broke, because a death of the endpoint is detected only
@@ -244,6 +305,10 @@
 		}
 		n := Notice{Fingerprint: r.fp, Endpoint: endpoint, Incarnation: incarnation, Ambiguous: ambiguous}
 		n.QuarantineTTL = t.addDeath(r.fp, d, ambiguous)
+		if len(r.traits) > 0 {
+			n.Traits = append(slices.Clone(r.traits), IdentifyingTrait(r.fp))
+		}
+		t.recordTraitDeath(endpoint, n.Traits, now)
 		notices = append(notices, n)
 	}
 	for _, r := range t.runs[endpoint] {
@@ -259,6 +324,7 @@
 	defer t.mu.Unlock()
 	t.lookupSuspect(n.Fingerprint, now) // removes an expired suspect
 	t.addDeath(n.Fingerprint, death{n.Endpoint, n.Incarnation, now}, n.Ambiguous)
+	t.recordTraitDeath(n.Endpoint, n.Traits, now)
 	if s := t.suspects[n.Fingerprint]; n.QuarantineTTL > 0 {
 		t.extendQuarantine(s, now.Add(min(n.QuarantineTTL, t.opts.UnambiguousTTL)))
 	}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -141,7 +142,7 @@
 		t.Fatal(err)
 	}
 	var got Notice
-	if err := cbor.Unmarshal(data, &got); err != nil || got != n || len(data) > 40 {
+	if err := cbor.Unmarshal(data, &got); err != nil || !reflect.DeepEqual(got, n) || len(data) > 40 {
 		t.Errorf("%d bytes, %+v, %v", len(data), got, err)
 	}
 }
