Treat an empty body that ends with its connection as broken off

What callers saw: an endpoint that broke off between the head and the first byte of an answer with neither a length nor chunks gave the caller a complete, empty answer with status 200. Found by the soak with runners that crash on a prompt. No event was cut, so that the check for a cut event did not see it. Change: a success without a byte of its body is broken off if the body ends with the connection; a sound endpoint says Content-Length: 0. Responses that never have a body (HEAD, 204, 304) are not concerned. Comments are no events for the time of the first event. Measured: TestEmptyBodyThatEndsWithConnectionIsNotComplete failed before on all four routes (status 200, empty body) and passes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -52,6 +52,10 @@
 // complete. Larger ones are forwarded as they arrive and cannot be retried.
 const maxBufferedResponseBytes = 4 << 20
 
+// errEmptyBody means that an endpoint closed its connection after the head of a response
+// whose body ends with the connection, which a sound endpoint has no reason to do.
+var errEmptyBody = errors.New("the body is empty and ends with the connection")
+
 // maxExtraAttempts bounds the attempts beyond Route.MaxAttempts, which counts only
 // those that may have run. It keeps a request from trying every endpoint of a
 // service in a partitioned failure domain.
@@ -291,10 +295,14 @@
 		c.RecordFirstByte(time.Now())
 		return q.forwardLargeResponse(resp, body)
 	}
+	if err == nil && success && len(body) == 0 && resp.EndsWithConnection {
+		err = errEmptyBody
+	}
 	if err != nil {
 		return attemptLost, placement.Failed, "broke off: " + err.Error(), nil
 	}
-	c.RecordFirstByte(time.Now())
+	now := time.Now()
+	c.RecordFirstByte(now)
 	buffered := &bufferedResponse{resp.Status, resp.Header, body}
 	result := "answered " + strconv.Itoa(resp.Status)
 	if resp.Status >= 500 {
@@ -367,10 +375,10 @@
 		if len(batch) > 0 {
 			now := time.Now()
 			c.RecordFirstByte(now)
-			if s.firstEvent.IsZero() {
+			if s.firstEvent.IsZero() && hasFields(batch) {
 				s.firstEvent = now
 			}
-			if !survived && now.Sub(s.firstEvent) > crashDelay {
+			if !survived && !s.firstEvent.IsZero() && now.Sub(s.firstEvent) > crashDelay {
 				survived = true
 				q.recordSurvival(now)
 			}
@@ -393,6 +401,9 @@
 				}
 			}
 		}
+		if err == io.EOF && resp.EndsWithConnection && s.firstEvent.IsZero() {
+			err = errEmptyBody
+		}
 		switch {
 		case err == io.EOF:
 			if !s.started {
--- a/pkg/gateway/streamend_test.go
+++ b/pkg/gateway/streamend_test.go
@@ -85,3 +85,36 @@
 		t.Errorf("the connection ended properly after %q", answer)
 	}
 }
+
+// Guards against an endpoint that ends before the first byte of a body that ends with its
+// connection, and an empty answer that reaches the caller as a complete one.
+func TestEmptyBodyThatEndsWithConnectionIsNotComplete(t *testing.T) {
+	empty := func(q *http.Request, _ []byte, c net.Conn) bool {
+		_, _ = io.WriteString(c, machines.ResponseHead(q, 200, "Connection: close"))
+		return false
+	}
+	for _, tc := range []struct {
+		path   string
+		second machines.Script
+		status int
+	}{
+		{"/once/1", machines.Stream(1, 5, true), 502},
+		{"/book/1", machines.Answer(200, "whole"), 502},
+		{"/chat/1", machines.Stream(1, 5, true), 200},
+		{"/look/1", machines.Answer(200, "whole"), 200},
+	} {
+		t.Run(tc.path, func(t *testing.T) {
+			var runs atomic.Int64
+			script := func(q *http.Request, b []byte, c net.Conn) bool {
+				if runs.Add(1) == 1 {
+					return empty(q, b, c)
+				}
+				return tc.second(q, b, c)
+			}
+			g := newTestGateway(t, script, script)
+			if got := g.send(g.newRequest(tc.path, "body", tokensHeader())); got.status != tc.status || got.err != nil || tc.status == 200 && got.body == "" {
+				t.Errorf("status %d, body %q, %v", got.status, got.body, got.err)
+			}
+		})
+	}
+}
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -38,7 +38,7 @@
 
 func newResponse(resp *http.Response, x *exchange) *Response {
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x,
-		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0}
+		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody}
 }
 
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a
