Clear requests of a crash when equal ones end well

What callers saw: the soak served nothing any more after crashes of runners, and requests with the crashing part went on. Sound chats with equal bodies were refused instead. Cause: what all sound requests had in common, their fingerprint, was in each death as well and was never cleared, because survivals were recorded for parts only. It then explained the deaths in place of the crashing part. The quarantine by fingerprint refuses a frequent equal request after two deaths for the same reason. Class of fault: evidence against a suspect without evidence for it. Change: answers that end well are recorded for the fingerprint too, for every route, and both quarantines use them: a death counts only if no equal request survived after it or in the second before.

--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -116,7 +116,7 @@
 		tracker.RecordEnd(fingerprint, endpoint.ID) // the endpoint still answered afterwards, or never received the request
 	}
 	if res.Outcome == relay.Complete {
-		tracker.RecordSurvival(d.job.traits, now)
+		tracker.RecordSurvival(d.job.allTraits(), now)
 	}
 	if res.EndpointDied {
 		if notices := tracker.RecordEndpointDeath(endpoint.ID, res.Incarnation, now); len(notices) > 0 {
--- a/pkg/entry/job.go
+++ b/pkg/entry/job.go
@@ -60,12 +60,8 @@
 
 func (j *job) isModel() bool { return j.service.Kind == config.ModelService }
 
-// allTraits returns the traits with the one that only equal requests have. It is empty
-// without others.
+// allTraits returns the traits and the one that only equal requests have.
 func (j *job) allTraits() []quarantine.Trait {
-	if len(j.traits) == 0 {
-		return nil
-	}
 	return append(slices.Clone(j.traits), quarantine.IdentifyingTrait(j.fingerprint))
 }
 
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -73,7 +73,5 @@
 
 // recordSurvival reports that an endpoint survived the request.
 func (q *request) recordSurvival(now time.Time) {
-	if traits := q.traits(); len(traits) > 0 {
-		q.g.opts.CrashGuard.RecordSurvival(traits, now)
-	}
+	q.g.opts.CrashGuard.RecordSurvival(q.identifyingTraits(), now)
 }
--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -157,7 +157,6 @@
 }
 
 func newCulpritFinder(f culpritFinder) *culpritFinder {
-	f.survivals = quarantine.NewSurvivals()
 	f.events = make(chan func(context.Context), maxCulpritEvents)
 	f.gathering, f.told, f.telling = map[string]*gathering{}, map[string]int{}, map[string]bool{}
 	return &f
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -147,6 +147,9 @@
 	}
 }
 
+// Survivals returns the latest survivals.
+func (t *Tracker) Survivals() *Survivals { return t.survivals }
+
 // Refusals returns what the tracker refuses because of traits. Combinations that other
 // packages add are refused too.
 func (t *Tracker) Refusals() *Refusals { return t.refusals }
@@ -158,7 +161,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	s := t.lookupSuspect(fp, now)
-	if s == nil || !now.Before(s.refusedUntil) {
+	if s == nil || !now.Before(s.refusedUntil) || t.hasSurvived(s) {
 		return nil
 	}
 	t.metrics.refused.Inc()
@@ -166,12 +169,20 @@
 		"the request ran on %d endpoints that crashed", len(s.deaths)).WithOutcome(failure.NotRun)
 }
 
+// hasSurvived reports whether an endpoint survived an equal request after the last death of
+// a suspect, or so shortly before it that the suspect is not the cause.
+func (t *Tracker) hasSurvived(s *suspect) bool {
+	at, ok := t.survivals.Latest(IdentifyingTrait(s.fp))
+	return ok && s.deaths[len(s.deaths)-1].diedAt.Before(at.Add(survivalLookback))
+}
+
 // IsSuspect reports whether the fingerprint ran on an endpoint that died. Such a
 // request must not share an endpoint with other suspects.
 func (t *Tracker) IsSuspect(fp Fingerprint, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.lookupSuspect(fp, now) != nil
+	s := t.lookupSuspect(fp, now)
+	return s != nil && !t.hasSurvived(s)
 }
 
 // RecordStart records that a request is about to be sent to an endpoint.
@@ -208,7 +219,8 @@
 	}
 }
 
-// RecordSurvival records that an endpoint survived a request with the given traits.
+// RecordSurvival records that an endpoint survived a request with the given traits, among
+// them its IdentifyingTrait.
 func (t *Tracker) RecordSurvival(traits []Trait, now time.Time) { t.survivals.Record(traits, now) }
 
 // CheckTraits is like Check for requests that share traits with those that crashed
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -92,6 +92,21 @@
 			t.RecordBrokenConnection(a, "e1", atSecond(-50))
 			t.RecordEndpointDeath("e1", "x", atSecond(0))
 		}},
+		{desc: "an equal request ended well after the second death", steps: func(t *Tracker) {
+			crash(t, -9, "e1", a)
+			crash(t, -5, "e2", a)
+			t.RecordSurvival([]Trait{IdentifyingTrait(a)}, atSecond(-4))
+		}},
+		{desc: "equal requests ended well until two endpoints died together", steps: func(t *Tracker) {
+			t.RecordSurvival([]Trait{IdentifyingTrait(a)}, atSecond(0).Add(-survivalLookback/2))
+			crash(t, 0, "e1", a)
+			crash(t, 0, "e2", a)
+		}},
+		{desc: "an equal request ended well long before the deaths", suspect: true, refusedUntil: 600, steps: func(t *Tracker) {
+			t.RecordSurvival([]Trait{IdentifyingTrait(a)}, atSecond(-20))
+			crash(t, -9, "e1", a)
+			crash(t, 0, "e2", a)
+		}},
 		{desc: "first death long ago", suspect: true, steps: func(t *Tracker) {
 			crash(t, -3600, "e1", a)
 			t.IsSuspect(a, atSecond(0))
