Decide about crashing parts by a majority, and lift refusals that prove wrong

Cause: behind a cut that resets connections endpoints refuse them as dead ones do. A collector among the two instances of the cut zone saw deaths on several occasions, got no survivals from the others, and its refusal spread when the cut ended. Change: a collector decides only if at least half of the instances answered its question about survivals. An instance at which a request with a refused combination ends well lifts the refusal everywhere: such requests are in flight when the refusal begins. Refusals carry the age of their evidence, so that a lifted one does not come back with a late message.

--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -28,6 +28,8 @@
 	refuseMethod peer.Method = "quarantine.refuse"
 	// refusalsMethod asks an instance which combinations it refuses.
 	refusalsMethod peer.Method = "quarantine.refusals"
+	// liftMethod tells an instance that a request with a refused combination ended well.
+	liftMethod peer.Method = "quarantine.lift"
 )
 
 // culpritPrefix is the key prefix under which collectors store what is refused, so that
@@ -83,7 +85,18 @@
 
 // refusalsMessage is the message of refuseMethod and the reply to refusalsMethod.
 type refusalsMessage struct {
-	Combinations []quarantine.Combination `cbor:"1,keyasint,omitempty"`
+	Refused []refusedCombination `cbor:"1,keyasint,omitempty"`
+}
+
+// refusedCombination is a combination with the time since the latest death under it.
+type refusedCombination struct {
+	Traits quarantine.Combination `cbor:"1,keyasint"`
+	Age    time.Duration          `cbor:"2,keyasint"`
+}
+
+// liftMessage is the message of liftMethod.
+type liftMessage struct {
+	Traits quarantine.Combination `cbor:"1,keyasint"`
 }
 
 // culpritRoster is the part of the roster that a culpritFinder uses.
@@ -151,9 +164,10 @@
 // adoption is a combination that this instance refuses.
 type adoption struct {
 	quarantine.Combination
-	until  time.Time
-	stored bool // by this or another instance
-	saving bool
+	evidence time.Time // of the latest death under it
+	until    time.Time
+	stored   bool // by this or another instance
+	saving   bool
 }
 
 func newCulpritFinder(f culpritFinder) *culpritFinder {
@@ -167,9 +181,13 @@
 	return f.refusals.Check(traits, now)
 }
 
-// RecordSurvival records that an endpoint survived a request with the given traits.
+// RecordSurvival records that an endpoint survived a request with the given traits. If such
+// requests are refused, they are refused no longer.
 func (f *culpritFinder) RecordSurvival(traits []quarantine.Trait, now time.Time) {
 	f.survivals.Record(traits, now)
+	for _, c := range f.refusals.Matching(traits, now) {
+		f.post(func(ctx context.Context) { f.liftEverywhere(ctx, c) })
+	}
 }
 
 // RecordInterruption implements gateway.CrashGuard. It does not block; an interruption is
@@ -323,7 +341,7 @@
 	}
 	suspects := f.attribution.Suspects()
 	others := f.roster.Others()
-	waiting := len(others)
+	waiting, answered := len(others), 1
 	f.applySurvivals(suspects, f.survivalAges(suspects, time.Now()), time.Now())
 	if waiting == 0 {
 		f.adoptCulprits(ctx)
@@ -333,11 +351,19 @@
 		reply := new(survivalsReply)
 		f.call(ctx, other, survivalsMethod, survivalsQuery{suspects}, reply, func(ctx context.Context, err error) {
 			if err == nil {
+				answered++
 				f.applySurvivals(suspects, reply.Ages, time.Now())
 			}
-			if waiting--; waiting == 0 {
-				f.adoptCulprits(ctx)
+			if waiting--; waiting > 0 {
+				return
 			}
+			if 2*answered < len(others)+1 {
+				// In a minority behind a partition endpoints look dead that are not.
+				f.reviewAgain = true
+				f.endReview()
+				return
+			}
+			f.adoptCulprits(ctx)
 		})
 	}
 }
@@ -396,21 +422,46 @@
 	if c.Validate() != nil || !f.refusals.Add(c, evidence, now.Add(refusalTTL)) {
 		return false
 	}
-	f.adopted = append(f.adopted, &adoption{Combination: c, until: now.Add(refusalTTL), stored: stored})
+	f.adopted = append(f.adopted, &adoption{Combination: c, evidence: evidence, until: now.Add(refusalTTL), stored: stored})
 	f.told = map[string]int{}
 	return true
 }
 
 // adoptAll adopts what another instance or the store refuses.
-func (f *culpritFinder) adoptAll(combinations []quarantine.Combination, from string) {
+func (f *culpritFinder) adoptAll(refused []refusedCombination, from string) {
 	now := time.Now()
-	for _, c := range combinations {
-		if f.adopt(c, now, now, true) {
-			f.log.WithField("refused", c.String()).WithField("from", from).Warn("requests that crash endpoints are refused")
+	for _, c := range refused {
+		if f.adopt(c.Traits, now.Add(-max(0, c.Age)), now, true) {
+			f.log.WithField("refused", c.Traits.String()).WithField("from", from).Warn("requests that crash endpoints are refused")
 		}
 	}
 }
 
+// lift ends the refusal of a combination and reports whether there was one.
+func (f *culpritFinder) lift(c quarantine.Combination, now time.Time) bool {
+	for _, t := range c {
+		f.attribution.RecordSurvival(t, now)
+	}
+	f.refusals.Lift(c, now)
+	count := len(f.adopted)
+	f.adopted = slices.DeleteFunc(f.adopted, func(a *adoption) bool { return slices.Equal(a.Combination, c) })
+	f.told = map[string]int{}
+	return len(f.adopted) < count
+}
+
+// liftEverywhere ends a refusal at all instances and in the store after a request with the
+// combination ended well.
+func (f *culpritFinder) liftEverywhere(ctx context.Context, c quarantine.Combination) {
+	if !f.lift(c, time.Now()) {
+		return
+	}
+	f.log.WithField("lifted", c.String()).Warn("a refused request ended well; such requests are no longer refused")
+	for _, other := range f.roster.Others() {
+		f.call(ctx, other, liftMethod, liftMessage{c}, nil, func(context.Context, error) {}) // an instance that misses it sees such requests end well itself or refuses them until refusalTTL
+	}
+	f.commit(ctx, kvstore.Transaction{Remove: []string{culpritKey(c)}}, func(error) {}) // a key that stays is refused again only after the next start of the fleet
+}
+
 // round repeats what has not succeeded yet.
 func (f *culpritFinder) round(ctx context.Context, now time.Time) {
 	f.sendReports(ctx, now)
@@ -428,7 +479,7 @@
 
 // tellOthers tells the instances that do not know it what is refused.
 func (f *culpritFinder) tellOthers(ctx context.Context) {
-	message := refusalsMessage{f.combinations()}
+	message := refusalsMessage{f.refused(time.Now())}
 	for _, other := range f.roster.Others() {
 		if f.told[other.Incarnation] == len(f.adopted) || f.telling[other.Incarnation] {
 			continue
@@ -444,11 +495,11 @@
 	}
 }
 
-// combinations returns what this instance refuses.
-func (f *culpritFinder) combinations() []quarantine.Combination {
-	var all []quarantine.Combination
+// refused returns what this instance refuses.
+func (f *culpritFinder) refused(now time.Time) []refusedCombination {
+	var all []refusedCombination
 	for _, a := range f.adopted {
-		all = append(all, a.Combination)
+		all = append(all, refusedCombination{a.Combination, now.Sub(a.evidence)})
 	}
 	return all
 }
@@ -522,7 +573,7 @@
 	collector := ranked[int(now.UnixNano()/int64(culpritInterval))%len(ranked)]
 	f.call(ctx, collector, refusalsMethod, struct{}{}, reply, func(_ context.Context, err error) {
 		f.syncing, f.synced = false, err == nil
-		f.adoptAll(reply.Combinations, collector.Instance)
+		f.adoptAll(reply.Refused, collector.Instance)
 	})
 }
 
@@ -534,16 +585,16 @@
 		items, _, err := f.store.Range(callCtx, culpritPrefix, false)
 		f.postWait(ctx, func(context.Context) {
 			f.syncing, f.synced = false, err == nil
-			var combinations []quarantine.Combination
+			var stored []refusedCombination
 			for _, item := range items {
 				var c quarantine.Combination
 				if err := peer.Unmarshal(item.Value, &c); err != nil {
 					f.log.WithError(err).WithField("key", item.Key).Warn("cannot decode a refused combination")
 					continue
 				}
-				combinations = append(combinations, c)
+				stored = append(stored, refusedCombination{Traits: c})
 			}
-			f.adoptAll(combinations, "store")
+			f.adoptAll(stored, "store")
 		})
 	}()
 }
@@ -570,7 +621,19 @@
 		if err := peer.Unmarshal(body, &message); err != nil {
 			return nil, err
 		}
-		f.postWait(ctx, func(context.Context) { f.adoptAll(message.Combinations, from.Instance) })
+		f.postWait(ctx, func(context.Context) { f.adoptAll(message.Refused, from.Instance) })
+		return struct{}{}, ctx.Err()
+	})
+	reg.Handle(liftMethod, func(ctx context.Context, from peer.Identity, body []byte) (any, error) {
+		var message liftMessage
+		if err := peer.Unmarshal(body, &message); err != nil {
+			return nil, err
+		}
+		f.postWait(ctx, func(context.Context) {
+			if f.lift(message.Traits, time.Now()) {
+				f.log.WithField("lifted", message.Traits.String()).WithField("from", from.Instance).Warn("a refused request ended well; such requests are no longer refused")
+			}
+		})
 		return struct{}{}, ctx.Err()
 	})
 	reg.Handle(refusalsMethod, func(ctx context.Context, _ peer.Identity, _ []byte) (any, error) {
@@ -580,7 +643,7 @@
 				reply <- failure.New(failure.NotReady, "ask again", "this instance does not know yet what is refused")
 				return
 			}
-			reply <- refusalsMessage{f.combinations()}
+			reply <- refusalsMessage{f.refused(time.Now())}
 		})
 		select {
 		case r := <-reply:
--- a/pkg/node/culprits_test.go
+++ b/pkg/node/culprits_test.go
@@ -47,8 +47,9 @@
 	stopped  chan struct{}
 	handlers map[peer.Method]peer.Handler
 
-	mu       sync.Mutex
-	cutSince time.Time // zero if the instance is not cut off
+	mu        sync.Mutex
+	cutSince  time.Time // zero if the instance is not cut off
+	partition int       // instances reach those of the same one
 }
 
 func newFinderFleet(t *testing.T, instances int) *finderFleet {
@@ -149,7 +150,7 @@
 
 func (x *testFinder) Call(ctx context.Context, address string, method peer.Method, req, resp any) error {
 	for _, to := range x.fleet.running() {
-		if to.self.Address != address || to.isCut() || x.isCut() {
+		if to.self.Address != address || to.isCut() || x.isCut() || to.partition != x.partition {
 			continue
 		}
 		body, err := peer.Marshal(req)
@@ -206,6 +207,9 @@
 	for _, w := range t.Write {
 		s.values[w.Key] = w.Value
 	}
+	for _, key := range t.Remove {
+		delete(s.values, key)
+	}
 	return 1, nil, nil
 }
 
@@ -331,3 +335,34 @@
 		f.checkAllowed(shared)
 	})
 }
+
+// Guards against a minority that takes endpoints behind a partition for dead and has sound
+// requests refused.
+func TestMinorityDoesNotDecide(t *testing.T) {
+	t.Parallel()
+	f := newFinderFleet(t, 7)
+	for _, x := range f.finders[5:] {
+		x.partition = 1
+	}
+	for i := range 5 {
+		f.crash(f.finders[5+i%2], shared)
+	}
+	time.Sleep(contactWindow)
+	f.checkAllowed(shared)
+}
+
+// Guards against sound requests that stay refused although one of them ends well.
+func TestRefusalIsLiftedWhenSuchARequestEndsWell(t *testing.T) {
+	t.Parallel()
+	f := newFinderFleet(t, 6)
+	for i := range 3 {
+		f.crash(f.finders[i], shared)
+	}
+	f.waitUntilRefused(contactWindow, shared)
+	f.finders[5].RecordSurvival([]quarantine.Trait{shared, 100}, time.Now())
+	time.Sleep(2 * culpritInterval) // in which collectors would repeat the refusal
+	f.checkAllowed(shared)
+	if !f.store.isEmpty() {
+		t.Error("the lifted refusal is still stored")
+	}
+}
--- a/pkg/quarantine/attribution_test.go
+++ b/pkg/quarantine/attribution_test.go
@@ -116,6 +116,13 @@
 	if got := r.Active(atSecond(100)); len(got) != 1 {
 		t.Errorf("%d are active", len(got))
 	}
+	if got := r.Matching([]Trait{first, bad, other1}, atSecond(100)); len(got) != 1 || !slices.Equal(got[0], c) {
+		t.Errorf("matching %v", got)
+	}
+	r.Lift(c, atSecond(100))
+	if err := r.Check(c, atSecond(101)); err != nil || r.Add(c, atSecond(99), atSecond(200)) {
+		t.Errorf("a lifted refusal goes on: %v", err)
+	}
 }
 
 // Guards against memory that grows with the number of parts.
--- a/pkg/quarantine/refusals.go
+++ b/pkg/quarantine/refusals.go
@@ -31,6 +31,31 @@
 	until time.Time
 }
 
+// Matching returns the combinations that are refused at time now and that a request with
+// the given traits matches.
+func (r *Refusals) Matching(traits []Trait, now time.Time) []Combination {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var matching []Combination
+	for _, e := range r.entries {
+		if now.Before(e.until) && e.Matches(traits) {
+			matching = append(matching, e.Combination)
+		}
+	}
+	return matching
+}
+
+// Lift ends the refusal of c at time now, if there is one.
+func (r *Refusals) Lift(c Combination, now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i, e := range r.entries {
+		if slices.Equal(e.Combination, c) && now.Before(e.until) {
+			r.entries[i].until = now
+		}
+	}
+}
+
 // NewRefusals returns refusals without combinations.
 func NewRefusals(reg prometheus.Registerer) *Refusals {
 	r := &Refusals{refused: promauto.With(reg).NewCounter(prometheus.CounterOpts{
