Tell the death of an endpoint from a partition of its failure domain

Cause: an endpoint behind a cut with resets refuses connections as a dead one does, and its running streams break one by one, on several occasions. Change: an instance that finds an endpoint refusing tries up to four others of its failure domain. If none accepts, the domain is cut off or down as a whole, and no request is to blame. Measured: the new case of TestSoundPartsAreNotRefused fails without the check.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -198,7 +198,7 @@
 	if status == attemptLost || status == attemptBroken {
 		q.interrupted = true
 		if ctx.Err() == nil {
-			q.recordInterruption(c.ID, c.Address, s.firstEvent, now)
+			q.recordInterruption(c.Endpoint, s.firstEvent, now)
 		}
 		q.g.opts.CrashGuard.RecordBrokenConnection(q.fingerprint, c.ID, now)
 	} else {
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 )
 
@@ -24,7 +25,7 @@
 	CheckTraits(traits []quarantine.Trait, now time.Time) error
 	// RecordInterruption records that the connection to an endpoint failed while it may
 	// have begun to respond to a request with the given traits.
-	RecordInterruption(endpoint, address string, traits []quarantine.Trait)
+	RecordInterruption(endpoint catalog.Endpoint, traits []quarantine.Trait)
 	// RecordSurvival records that an endpoint survived a request with the given traits.
 	RecordSurvival(traits []quarantine.Trait, now time.Time)
 	// HandleEndpointDeath counts a crash against the requests that the endpoint ran.
@@ -64,11 +65,11 @@
 
 // recordInterruption reports an attempt that ended without a complete response, unless its
 // endpoint had responded for so long that another request must have crashed it.
-func (q *request) recordInterruption(endpoint, address string, firstEvent, now time.Time) {
+func (q *request) recordInterruption(endpoint catalog.Endpoint, firstEvent, now time.Time) {
 	if len(q.traits()) == 0 || !firstEvent.IsZero() && now.Sub(firstEvent) > crashDelay {
 		return
 	}
-	q.g.opts.CrashGuard.RecordInterruption(endpoint, address, q.identifyingTraits())
+	q.g.opts.CrashGuard.RecordInterruption(endpoint, q.identifyingTraits())
 }
 
 // recordSurvival reports that an endpoint survived the request.
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -75,7 +75,7 @@
 	return g.traits.check(traits, now)
 }
 
-func (g countingGuard) RecordInterruption(endpoint, _ string, traits []quarantine.Trait) {
+func (g countingGuard) RecordInterruption(_ catalog.Endpoint, traits []quarantine.Trait) {
 	g.traits.record("interrupted", traits)
 }
 
--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"syscall"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
@@ -57,6 +59,9 @@
 	// maxMissedLists is the age of the list of instances from which this instance may have
 	// missed a refusal: more than one round of package roster.
 	maxMissedLists = 4 * time.Second
+	// maxNeighbors bounds the endpoints of a failure domain that are tried to tell the death
+	// of one endpoint from a partition.
+	maxNeighbors = 4
 	// maxCulpritEvents bounds the events that wait for the control goroutine.
 	maxCulpritEvents = 1024
 )
@@ -127,7 +132,9 @@
 	roster culpritRoster
 	store  culpritStore
 	prober endpointProber
-	log    logrus.FieldLogger
+	// endpoints returns the endpoints of all services.
+	endpoints func() []catalog.Endpoint
+	log       logrus.FieldLogger
 
 	refusals  *quarantine.Refusals
 	survivals *quarantine.Survivals
@@ -149,8 +156,8 @@
 
 // gathering collects the traits of requests that an endpoint interrupted.
 type gathering struct {
-	address string
-	traits  map[quarantine.Trait]bool
+	endpoint catalog.Endpoint
+	traits   map[quarantine.Trait]bool
 }
 
 // ownReport is a report of this instance with the collectors that have it.
@@ -192,8 +199,8 @@
 
 // RecordInterruption implements gateway.CrashGuard. It does not block; an interruption is
 // dropped if too many wait.
-func (f *culpritFinder) RecordInterruption(endpoint, address string, traits []quarantine.Trait) {
-	f.post(func(ctx context.Context) { f.gather(ctx, endpoint, address, traits) })
+func (f *culpritFinder) RecordInterruption(endpoint catalog.Endpoint, traits []quarantine.Trait) {
+	f.post(func(context.Context) { f.gather(endpoint, traits) })
 }
 
 // post has the control goroutine run an event, or drops it if too many wait.
@@ -227,38 +234,60 @@
 
 // gather adds an interruption. The first one of an endpoint starts the check whether the
 // endpoint has died.
-func (f *culpritFinder) gather(_ context.Context, endpoint, address string, traits []quarantine.Trait) {
-	g := f.gathering[endpoint]
+func (f *culpritFinder) gather(endpoint catalog.Endpoint, traits []quarantine.Trait) {
+	g := f.gathering[endpoint.ID]
 	if g == nil {
-		g = &gathering{address: address, traits: map[quarantine.Trait]bool{}}
-		f.gathering[endpoint] = g
-		f.postAfter(gatherDelay, func(ctx context.Context) { f.checkEndpoint(ctx, endpoint) })
+		g = &gathering{endpoint: endpoint, traits: map[quarantine.Trait]bool{}}
+		f.gathering[endpoint.ID] = g
+		f.postAfter(gatherDelay, func(ctx context.Context) { f.checkEndpoint(ctx, endpoint.ID) })
 	}
 	for _, t := range traits {
 		g.traits[t] = true
 	}
 }
 
-// checkEndpoint reports the gathered interruptions of an endpoint if it has died. Only a
-// refused connection shows that: a timeout may be due to a network partition.
-func (f *culpritFinder) checkEndpoint(ctx context.Context, endpoint string) {
-	g := f.gathering[endpoint]
-	delete(f.gathering, endpoint)
+// checkEndpoint reports the gathered interruptions of an endpoint if it has died.
+func (f *culpritFinder) checkEndpoint(ctx context.Context, id string) {
+	g := f.gathering[id]
+	delete(f.gathering, id)
 	go func() {
-		callCtx, cancel := context.WithTimeout(ctx, culpritCallTimeout)
-		defer cancel()
-		if err := f.prober.TryConnect(callCtx, g.address); !errors.Is(err, syscall.ECONNREFUSED) {
+		if !f.isDead(ctx, g.endpoint) {
 			return
 		}
 		f.post(func(ctx context.Context) {
-			report := deathReport{Endpoint: endpoint, Traits: slices.Sorted(maps.Keys(g.traits))}
-			f.log.WithField("endpoint", endpoint).WithField("traits", len(report.Traits)).Info("endpoint died under requests with prompts")
+			report := deathReport{Endpoint: id, Traits: slices.Sorted(maps.Keys(g.traits))}
+			f.log.WithField("endpoint", id).WithField("traits", len(report.Traits)).Info("endpoint died under requests with prompts")
 			f.reports = append(f.reports, &ownReport{deathReport: report, at: time.Now(), received: map[string]bool{}, sending: map[string]bool{}})
 			f.sendReports(ctx, time.Now())
 		})
 	}()
 }
 
+// isDead reports whether an endpoint has died by itself: it refuses connections, and another
+// endpoint of its failure domain, if there is one, accepts them. A timeout may be due to a
+// network partition, and so may refusals by all endpoints of a domain.
+func (f *culpritFinder) isDead(ctx context.Context, endpoint catalog.Endpoint) bool {
+	if !errors.Is(f.tryConnect(ctx, endpoint.Address), syscall.ECONNREFUSED) {
+		return false
+	}
+	neighbors := slices.DeleteFunc(f.endpoints(), func(e catalog.Endpoint) bool {
+		return e.ID == endpoint.ID || e.Domain != endpoint.Domain
+	})
+	rand.Shuffle(len(neighbors), func(i, j int) { neighbors[i], neighbors[j] = neighbors[j], neighbors[i] })
+	neighbors = neighbors[:min(maxNeighbors, len(neighbors))]
+	if len(neighbors) == 0 || slices.ContainsFunc(neighbors, func(e catalog.Endpoint) bool { return f.tryConnect(ctx, e.Address) == nil }) {
+		return true
+	}
+	f.log.WithField("endpoint", endpoint.ID).WithField("neighbors", len(neighbors)).Info("endpoint is unreachable with its failure domain")
+	return false
+}
+
+func (f *culpritFinder) tryConnect(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, culpritCallTimeout)
+	defer cancel()
+	return f.prober.TryConnect(ctx, address)
+}
+
 // collectors returns the collectors in order of their rank, and the rank of this instance
 // or -1. Instances that list the same members agree.
 func (f *culpritFinder) collectors() (ranked []peer.Identity, rank int) {
--- a/pkg/node/culprits_test.go
+++ b/pkg/node/culprits_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
@@ -74,7 +75,7 @@
 	log.SetOutput(io.Discard)
 	x := &testFinder{fleet: f, handlers: map[peer.Method]peer.Handler{}, stopped: make(chan struct{})}
 	x.culpritFinder = newCulpritFinder(culpritFinder{self: peer.Identity{Instance: name, Incarnation: name, Address: name},
-		peers: x, roster: x, store: f.store, prober: x, log: log, refusals: quarantine.NewRefusals(nil), survivals: quarantine.NewSurvivals()})
+		peers: x, roster: x, store: f.store, prober: x, endpoints: f.endpoints, log: log, refusals: quarantine.NewRefusals(nil), survivals: quarantine.NewSurvivals()})
 	x.registerPeer(x)
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
@@ -83,6 +84,18 @@
 	return x
 }
 
+// endpoints returns two endpoints of each failure domain, of which one accepts connections in
+// domain d and none in cutDomain.
+func (f *finderFleet) endpoints() []catalog.Endpoint {
+	return []catalog.Endpoint{{ID: "n1", Domain: "d"}, {ID: "n2", Domain: "d", Address: accepting}, {ID: "n3", Domain: cutDomain}, {ID: "n4", Domain: cutDomain}}
+}
+
+// accepting is the address of an endpoint that accepts connections; all others refuse them.
+const (
+	accepting = "accepting"
+	cutDomain = "cut"
+)
+
 func (f *finderFleet) end(x *testFinder) {
 	x.stop()
 	<-x.stopped
@@ -105,7 +118,7 @@
 // long enough to make it an occasion of its own.
 func (f *finderFleet) crash(x *testFinder, traits ...quarantine.Trait) {
 	f.deaths++
-	x.RecordInterruption(fmt.Sprint("e", f.deaths), "address", traits)
+	x.RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", f.deaths), Domain: "d"}, traits)
 	time.Sleep(150 * time.Millisecond)
 }
 
@@ -192,7 +205,12 @@
 	return time.Now()
 }
 
-func (x *testFinder) TryConnect(context.Context, string) error { return syscall.ECONNREFUSED }
+func (x *testFinder) TryConnect(_ context.Context, address string) error {
+	if address == accepting {
+		return nil
+	}
+	return syscall.ECONNREFUSED
+}
 
 // memoryStore implements culpritStore for writes and ranges.
 type memoryStore struct {
@@ -318,12 +336,22 @@
 		f := newFinderFleet(t, 4)
 		for e := range 8 {
 			for _, x := range f.finders {
-				x.RecordInterruption(fmt.Sprint("together", e), "address", []quarantine.Trait{shared})
+				x.RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("together", e), Domain: "d"}, []quarantine.Trait{shared})
 			}
 		}
 		time.Sleep(contactWindow)
 		f.checkAllowed(shared)
 	})
+	t.Run("failure domain that refuses all connections", func(t *testing.T) {
+		t.Parallel()
+		f := newFinderFleet(t, 4)
+		for i := range 5 {
+			f.finders[i%4].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("cut", i), Domain: cutDomain}, []quarantine.Trait{shared})
+			time.Sleep(150 * time.Millisecond)
+		}
+		time.Sleep(contactWindow)
+		f.checkAllowed(shared)
+	})
 	t.Run("survives at an instance without deaths", func(t *testing.T) {
 		t.Parallel()
 		f := newFinderFleet(t, 4)
