Count only successes as survivals of an endpoint

A request with a crashing part that waits at an endpoint until its deadline gets 504 from it, which cleared the part and would have lifted its refusal. Cause: each whole answer counted as a survival, also of a request that never ran. Change: only successes count. Measured: the new case of TestReportedParts failed before and passes.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -303,7 +303,9 @@
 	}
 	now := time.Now()
 	c.RecordFirstByte(now)
-	q.recordSurvival(now)
+	if success {
+		q.recordSurvival(now)
+	}
 	buffered := &bufferedResponse{resp.Status, resp.Header, body}
 	result := "answered " + strconv.Itoa(resp.Status)
 	if resp.Status >= 500 {
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -40,6 +40,7 @@
 			time.Sleep(1100 * time.Millisecond)
 			return false
 		}, whole, promptHeader, nil},
+		{"failure while the request waits", "/once/1", machines.Answer(504, "deadline"), whole, promptHeader, nil},
 		{"rejected", "/chat/1", machines.Shed, whole, promptHeader, []string{"survived a1 b2"}},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
