--- a/pkg/node/crashes.go
+++ b/pkg/node/crashes.go
@@ -4,8 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/sirupsen/logrus"
-
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 )
@@ -22,9 +20,6 @@
 type crashGuard struct {
 	*quarantine.Tracker
 	*culpritFinder
-	peers     peer.Caller
-	listPeers func() []peer.Identity
-	log       logrus.FieldLogger
 }
 
 // CheckTraits implements gateway.CrashGuard.
@@ -44,7 +39,7 @@
 		return
 	}
 	g.log.WithField("endpoint", endpoint).WithField("requests", len(notices)).Info("endpoint died under requests")
-	for _, other := range g.listPeers() {
+	for _, other := range g.roster.Others() {
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), noticeTimeout)
 			defer cancel()
--- a/pkg/node/culprits_test.go
+++ b/pkg/node/culprits_test.go
@@ -74,7 +74,7 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	x := &testFinder{fleet: f, handlers: map[peer.Method]peer.Handler{}, stopped: make(chan struct{})}
-	x.culpritFinder = newCulpritFinder(culpritFinder{self: peer.Identity{Instance: name, Incarnation: name, Address: name},
+	x.culpritFinder = newCulpritFinder(culpritOptions{self: peer.Identity{Instance: name, Incarnation: name, Address: name},
 		peers: x, roster: x, store: f.store, prober: x, endpoints: f.endpoints, log: log, refusals: quarantine.NewRefusals(nil), survivals: quarantine.NewSurvivals()})
 	x.registerPeer(x)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -103,9 +103,11 @@
 	n.buildRights()
 	n.buildCatalog()
 	tracker := quarantine.New(quarantine.Options{}, opts.Registry)
-	n.crashes = &crashGuard{Tracker: tracker, peers: n.peers, listPeers: n.roster.Others, log: n.log,
-		culpritFinder: newCulpritFinder(culpritFinder{self: n.self, peers: n.peers, roster: n.roster, store: opts.Store,
-			prober: n.client, endpoints: func() []catalog.Endpoint { return slices.Clone(n.replica.Endpoints().Endpoints) }, log: n.log, refusals: tracker.Refusals(), survivals: tracker.Survivals()})}
+	n.crashes = &crashGuard{Tracker: tracker, culpritFinder: newCulpritFinder(culpritOptions{
+		self: n.self, peers: n.peers, roster: n.roster, store: opts.Store, prober: n.client,
+		endpoints: func() []catalog.Endpoint { return slices.Clone(n.replica.Endpoints().Endpoints) },
+		refusals:  tracker.Refusals(), survivals: tracker.Survivals(), log: n.log,
+	})}
 	n.gateway = gateway.New(gateway.Options{
 		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
 		Rights: newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier), CrashGuard: n.crashes,
