--- a/pkg/node/crashingpart_test.go
+++ b/pkg/node/crashingpart_test.go
@@ -221,6 +221,7 @@
 	if soundServed < soundSent/2 || soundSent < 20 {
 		t.Errorf("%d of %d sound requests were served", soundServed, soundSent)
 	}
+	t.Logf("%d crashes, %d of %d sound requests served from two windows after", len(runners.crashes), soundServed, soundSent)
 	restarted := f.start("d")
 	time.Sleep(contactWindow)
 	before := time.Now()
