--- a/pkg/gateway/streamend_test.go
+++ b/pkg/gateway/streamend_test.go
@@ -118,3 +118,23 @@
 		})
 	}
 }
+
+// Guards against a request that waits for the end of a rejection that ends with its connection.
+func TestRejectionThatEndsWithConnectionIsNotAwaited(t *testing.T) {
+	left := make(chan struct{})
+	var runs atomic.Int64
+	script := func(q *http.Request, b []byte, c net.Conn) bool {
+		if runs.Add(1) > 1 {
+			return machines.Answer(200, "whole")(q, b, c)
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\n"+machines.HeaderNotExecuted+": 1\r\nConnection: close\r\n\r\nfull")
+		_, _ = c.Read(make([]byte, 1)) // until the gateway closes the connection
+		close(left)
+		return false
+	}
+	g := newTestGateway(t, script, script)
+	if got := g.send(g.newRequest("/book/1", "body")); got.status != 200 || got.body != "whole" {
+		t.Errorf("status %d, body %q, %v", got.status, got.body, got.err)
+	}
+	<-left
+}
