Log the status that a refused caller got

Change: Codec.WriteError returns the status that it sent. Measured: pkg/gateway and platform tests pass; no new test.

--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -67,6 +67,6 @@
 	// endpoint that ran the request.
 	IsGenuine(response http.Header) bool
 	// WriteError answers a request with an error of this instance. A positive
-	// retryAfter tells the caller when to retry.
-	WriteError(w http.ResponseWriter, err *failure.Error, retryAfter time.Duration)
+	// retryAfter tells the caller when to retry. It returns the status.
+	WriteError(w http.ResponseWriter, err *failure.Error, retryAfter time.Duration) (status int)
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -242,7 +242,7 @@
 	if errors.Is(q.r.Context().Err(), context.Canceled) {
 		return
 	}
-	q.g.opts.Codec.WriteError(q.w, err, retryAfter)
+	q.status = q.g.opts.Codec.WriteError(q.w, err, retryAfter)
 }
 
 // jitter returns a random duration between half of d and one and a half of d, so
