Share the runners that crash on a prompt between the tests

Cause: the test of pkg/node and the soak had runners of their own that crash and start again, nearly line for line. Change: standins/machines CrashingRunners serves both; the checks and their bounds are the same.

--- /dev/null
+++ b/standins/machines/crashing.go
@@ -0,0 +1,124 @@
+package machines
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+)
+
+// CrashingPart is the prompt part on which CrashingRunners crash.
+const CrashingPart = "bad0"
+
+const (
+	crashDelay   = 30 * time.Millisecond  // from the beginning of a run to the crash
+	restartDelay = 400 * time.Millisecond // until the runner is back
+)
+
+// CrashingRunners are runners that crash when they begin to answer a request with
+// CrashingPart, and start again with another ID and address. Other requests are handled
+// by a script.
+type CrashingRunners struct {
+	store    *Store
+	script   Script
+	restarts sync.WaitGroup
+
+	mu       sync.Mutex
+	started  int
+	runners  map[string]*Runner // by address
+	crashes  []time.Time
+	arrivals []time.Time
+	closed   bool
+}
+
+// NewCrashingRunners returns an empty set whose runners register in the store.
+func NewCrashingRunners(store *Store, script Script) *CrashingRunners {
+	return &CrashingRunners{store: store, script: script, runners: map[string]*Runner{}}
+}
+
+// Start starts a runner in a zone.
+func (c *CrashingRunners) Start(zone string) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return nil
+	}
+	r, err := StartRunner(fmt.Sprint("r", c.started), func(q *http.Request, body []byte, conn net.Conn) bool {
+		if !IsCrashing(q) {
+			return c.script(q, body, conn)
+		}
+		c.crash(conn.LocalAddr().String(), zone)
+		_, _ = io.WriteString(conn, ResponseHead(q, http.StatusOK, "Content-Type: text/event-stream", "Transfer-Encoding: chunked"))
+		_, _ = conn.Read(make([]byte, 1)) // until the crash closes the connection
+		return false
+	})
+	if err != nil {
+		return err
+	}
+	c.started++
+	c.runners[r.Address()] = r
+	c.store.PutRunner(r, zone)
+	return nil
+}
+
+// crash has the runner at an address crash soon, unless it does already.
+func (c *CrashingRunners) crash(address, zone string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.arrivals = append(c.arrivals, time.Now())
+	runner := c.runners[address]
+	if runner == nil {
+		return
+	}
+	delete(c.runners, address)
+	c.restarts.Go(func() {
+		time.Sleep(crashDelay)
+		c.mu.Lock()
+		c.crashes = append(c.crashes, time.Now())
+		c.mu.Unlock()
+		runner.Close()
+		c.store.Remove(ServersPrefix + runner.ID)
+		time.Sleep(restartDelay)
+		_ = c.Start(zone) // without it one runner less serves
+	})
+}
+
+// Close closes all runners.
+func (c *CrashingRunners) Close() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	c.restarts.Wait()
+	for _, r := range c.runners {
+		r.Close()
+	}
+}
+
+// Crashes returns the times of the crashes.
+func (c *CrashingRunners) Crashes() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.crashes...)
+}
+
+// ArrivalsAfter returns the number of requests with CrashingPart that reached runners after
+// t.
+func (c *CrashingRunners) ArrivalsAfter(t time.Time) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for _, at := range c.arrivals {
+		if at.After(t) {
+			n++
+		}
+	}
+	return n
+}
+
+// IsCrashing reports whether a request has CrashingPart in its prompt.
+func IsCrashing(q *http.Request) bool {
+	return strings.Contains(q.Header.Get(HeaderPrompt), CrashingPart)
+}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -40,6 +40,7 @@
 	store     *machines.Store
 	server    *httptest.Server
 	instances []*testInstance
+	runners   *machines.CrashingRunners
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -49,7 +50,6 @@
 	executions    map[string]int   // number of executions by request id
 	nonRepeatable map[string]bool  // ids of executed requests that must run at most once
 	runnersFaulty bool             // runners refuse, lose and interrupt some answers
-	crashes       crashes
 }
 
 // testInstance is one instance: an address with its current process.
@@ -82,9 +82,12 @@
 	tc := &testCluster{t: t, dir: dir, binary: binary, store: store, server: httptest.NewServer(store), prepaid: 400_000,
 		rng: rand.New(rand.NewPCG(seed, seed)), promptTokens: map[string]int64{}, executions: map[string]int{}, nonRepeatable: map[string]bool{}}
 	t.Cleanup(tc.server.Close)
-	t.Cleanup(tc.closeRunners)
+	tc.runners = machines.NewCrashingRunners(store, tc.serveRunner)
+	t.Cleanup(tc.runners.Close)
 	for i := range numRunners {
-		tc.startRunner(fmt.Sprintf("z%d", i%2))
+		if err := tc.runners.Start(fmt.Sprintf("z%d", i%2)); err != nil {
+			t.Fatal(err)
+		}
 	}
 	tc.topUp(0)
 	for i := range numInstances {
@@ -137,9 +140,6 @@
 	if faulty && draw < 0.1 {
 		return machines.Shed(r, nil, c)
 	}
-	if isCrashing(r) {
-		return tc.crashRunner(r, c)
-	}
 	id := r.Header.Get(machines.HeaderRequestID)
 	prompt, output := parseTokens(r.Header.Get(machines.HeaderTokens))
 	tc.mu.Lock()
