Review traits in time while deaths go on

What callers saw: nothing yet; found at the review. In clementinerackd, endpoints that crash more often than every 250 ms would have postponed the review of the deaths each time, so that the crashing message was refused only after a pause. Cause: each death set the time of the review anew. Change: a review that is due keeps its time. The culprit finder of clementinerack-entry schedules its reviews itself and had no such fault. Measured: TestTraitsAreReviewedWhileDeathsGoOn failed before (not refused after 10 deaths) and passes.

--- a/pkg/quarantine/attribution_test.go
+++ b/pkg/quarantine/attribution_test.go
@@ -138,3 +138,19 @@
 		t.Errorf("latest survival %v, %v", at, ok)
 	}
 }
+
+// Guards against a review that each further death postpones.
+func TestTraitsAreReviewedWhileDeathsGoOn(t *testing.T) {
+	tr := New(Options{}, nil)
+	for i := range 10 {
+		now := testStart.Add(time.Duration(i) * traitReviewDelay * 3 / 4)
+		fp := Fingerprint{byte(i + 1)}
+		tr.RecordStart(fp, fmt.Sprint("e", i), now)
+		tr.RecordTraits(fp, fmt.Sprint("e", i), []Trait{bad})
+		tr.RecordEndpointDeath(fmt.Sprint("e", i), "1", now)
+		if err := tr.CheckTraits([]Trait{bad}, now); err != nil {
+			return
+		}
+	}
+	t.Error("the trait is not refused after 10 deaths")
+}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -254,7 +254,9 @@
 		return
 	}
 	t.attribution.RecordDeath(endpoint, traits, now)
-	t.reviewAt = now.Add(traitReviewDelay)
+	if t.reviewAt.IsZero() {
+		t.reviewAt = now.Add(traitReviewDelay)
+	}
 }
 
 // RecordEnd records that the endpoint survived the request: it answered completely,
