--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -32,6 +33,10 @@
 	startTimeout = 20 * time.Second
 )
 
+// clusters counts the clusters of this process, which run at the same time and need
+// addresses of their own.
+var clusters atomic.Int64
+
 // testCluster is a fleet of processes with the stand-ins of the store and the runners.
 type testCluster struct {
 	t         *testing.T
@@ -90,12 +95,13 @@
 		}
 	}
 	tc.topUp(0)
+	cluster := clusters.Add(1)
 	for i := range numInstances {
 		p, err := newProxy(strings.TrimPrefix(tc.server.URL, "http://"))
 		if err != nil {
 			t.Fatal(err)
 		}
-		n := &testInstance{cluster: tc, name: fmt.Sprintf("n%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 1+seed%250, 1+os.Getpid()%250, 1+i), proxy: p}
+		n := &testInstance{cluster: tc, name: fmt.Sprintf("n%d", i), ip: fmt.Sprintf("127.%d.%d.%d", 1+cluster%250, 1+os.Getpid()%250, 1+i), proxy: p}
 		tc.instances = append(tc.instances, n)
 		t.Cleanup(func() { n.terminate(syscall.SIGKILL); p.close() })
 		n.start()
