--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -14,8 +14,7 @@
 
 const promptHeader = machines.HeaderPrompt + ": a1:10,b2:10,c3:10"
 
-// Guards against parts of prompts that are blamed for an endpoint that survived them, or are
-// not reported when an endpoint broke off.
+// Guards against parts that are blamed although an endpoint survived them, or not reported.
 func TestReportedParts(t *testing.T) {
 	whole := machines.Stream(1, 3, true)
 	headOnly := func(q *http.Request, _ []byte, c net.Conn) bool {
--- a/pkg/gateway/streamend_test.go
+++ b/pkg/gateway/streamend_test.go
@@ -86,8 +86,7 @@
 	}
 }
 
-// Guards against an endpoint that ends before the first byte of a body that ends with its
-// connection, and an empty answer that reaches the caller as a complete one.
+// Guards against an endpoint that breaks off before the first byte of a body without framing.
 func TestEmptyBodyThatEndsWithConnectionIsNotComplete(t *testing.T) {
 	empty := func(q *http.Request, _ []byte, c net.Conn) bool {
 		_, _ = io.WriteString(c, machines.ResponseHead(q, 200, "Connection: close"))
--- a/pkg/node/culprits_test.go
+++ b/pkg/node/culprits_test.go
@@ -364,8 +364,7 @@
 	})
 }
 
-// Guards against a minority that takes endpoints behind a partition for dead and has sound
-// requests refused.
+// Guards against a minority that takes endpoints behind a partition for dead.
 func TestMinorityDoesNotDecide(t *testing.T) {
 	t.Parallel()
 	f := newFinderFleet(t, 7)
