End the time for which lapsed endpoints stay in use by a timer

Cause: after an outage of the store, endpoints that its list lacked stayed in use for 2 s, since their registrations may have expired. That was decided anew with each list. (1) The time ended only with a later list; if a change fell on its last 300 ms, the next one was awaited for 3 s more. (2) Endpoints that were listed after the outage and left then were kept as well. (3) A slow process counted as an outage. Change: the lapsed endpoints are those that the first list after an outage lacks, and nothing else; they are kept beside the list and a timer ends their time. An outage needs a failed probe or read. Instances pass on the list of the store without lapsed endpoints.

--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -59,7 +59,7 @@
 		}
 	}
 	reply.Unchanged = req.Digest != 0 && req.Digest == r.digest
-	if r.endpoints.Revision > req.Revision {
+	if r.listed.Revision > req.Revision {
 		r.addEndpoints(&reply, req)
 	}
 	return reply
@@ -69,7 +69,7 @@
 // unchanged, the changes if the list of the caller is known, or the whole list. r.mu must
 // be held.
 func (r *Replica) addEndpoints(reply *PullReply, req PullRequest) {
-	list := r.endpoints
+	list := r.listed
 	i := slices.IndexFunc(r.lists, func(l formerList) bool { return l.digest == req.Digest })
 	switch {
 	case reply.Unchanged:
@@ -99,7 +99,7 @@
 		r.lists = nil
 		return
 	}
-	r.lists = append(r.lists, formerList{r.endpoints, r.digest})
+	r.lists = append(r.lists, formerList{r.listed, r.digest})
 	r.lists = r.lists[max(0, len(r.lists)-maxFormerLists):]
 }
 
@@ -258,7 +258,7 @@
 // answer in time.
 func (r *Replica) pollRelay(ctx context.Context, address string) (relayState, error) {
 	r.mu.Lock()
-	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.endpoints.Revision, Digest: r.digest, WaitMillis: r.opts.Timing.RelayPollTimeout.Milliseconds()}
+	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.listed.Revision, Digest: r.digest, WaitMillis: r.opts.Timing.RelayPollTimeout.Milliseconds()}
 	r.mu.Unlock()
 	reply, err := r.callPull(ctx, address, req, r.opts.Timing.RelayPollTimeout+r.opts.Timing.RelayReplyTimeout)
 	if err != nil {
@@ -343,13 +343,13 @@
 	defer r.mu.Unlock()
 	switch {
 	case reply.Unchanged && r.digest == req.Digest:
-		list := r.endpoints
+		list := r.listed
 		if reply.Endpoints != nil {
 			list.Revision = max(list.Revision, reply.Endpoints.Revision)
 		}
 		return list, true
 	case reply.Changes != nil && r.digest == req.Digest:
-		return reply.Changes.apply(r.endpoints), true
+		return reply.Changes.apply(r.listed), true
 	case reply.Unchanged || reply.Endpoints == nil:
 		return EndpointList{}, false
 	}
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -115,8 +115,8 @@
 	// itself. Together they last as long as a standby needs to detect the loss.
 	RelaySearchDelay time.Duration
 	RelaySearches    int
-	// RecoveryWindow is how long after an outage of the source endpoints that are missing
-	// from its list stay listed. Running endpoints register again within 2 s.
+	// RecoveryWindow is how long endpoints stay in use that are missing from the first list
+	// after an outage of the source. Running endpoints register again within 2 s.
 	RecoveryWindow time.Duration
 }
 
@@ -154,7 +154,8 @@
 	Timing Timing
 	Log    logrus.FieldLogger
 	// OnDocument and OnEndpoints are called after each change, one at a time and with
-	// the replica's lock held: they must not call Endpoints.
+	// the replica's lock held: they must not call Endpoints. OnEndpoints gets the
+	// endpoints in use.
 	OnDocument  func(*Catalog)
 	OnEndpoints func(EndpointList)
 }
@@ -168,12 +169,14 @@
 	wake    chan struct{} // makes probeSource probe at once
 	fetch   chan string   // address of the relay that announced a version without a delta
 
-	mu           sync.Mutex // serializes changes
-	endpoints    EndpointList
-	digest       uint64                    // of endpoints
-	lastListAt   time.Time                 // when endpoints were last known to be those of the source
+	mu           sync.Mutex                // serializes changes
+	listed       EndpointList              // latest list of the source
+	digest       uint64                    // of listed
+	lapsed       lapsedEndpoints           // in use although listed lacks them
+	inUse        EndpointList              // listed and lapsed
+	lastListAt   time.Time                 // when listed was last known to be that of the source
 	sourceFailed bool                      // the latest probe or read of the source failed
-	recoveredAt  time.Time                 // when the latest gap between lists ended
+	interrupted  bool                      // a probe or read has failed since lastListAt
 	changed      chan struct{}             // closed and replaced at each change of the content, of sourceFailed or of the relay
 	session      *readingSession           // the current session; nil while a relay is followed or the source fails
 	relay        string                    // address of the relay that is followed, or ""
@@ -207,11 +210,12 @@
 // Current returns the latest catalog, or nil if there is none yet.
 func (r *Replica) Current() *Catalog { return r.current.Load() }
 
-// Endpoints returns the latest endpoint list. Its revision is 0 if there is none yet.
+// Endpoints returns the endpoints in use. The revision is that of the latest list of the
+// source, or 0 if there is none yet.
 func (r *Replica) Endpoints() EndpointList {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.endpoints
+	return r.inUse
 }
 
 // RegisterPeer registers the handler of PullMethod.
@@ -303,7 +307,7 @@
 // for a change otherwise.
 func (r *Replica) readEndpoints(s *readingSession) (EndpointList, error) {
 	if r.isListed(s) {
-		return r.opts.Source.Endpoints(s.ctx, r.nextListWait(time.Now()))
+		return r.opts.Source.Endpoints(s.ctx, r.opts.Timing.WatchTimeout)
 	}
 	ctx, cancel := context.WithTimeout(s.ctx, r.opts.Timing.ProbeTimeout)
 	defer cancel()
@@ -314,80 +318,61 @@
 	return list, err
 }
 
-// nextListWait returns how long the next read of the list waits. It is shortened to the
-// end of RecoveryWindow, because endpoints that have left still receive requests until
-// then.
-func (r *Replica) nextListWait(now time.Time) time.Duration {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if remaining := r.recoveredAt.Add(r.opts.Timing.RecoveryWindow).Sub(now); remaining > 0 {
-		return min(remaining, r.opts.Timing.WatchTimeout)
-	}
-	return r.opts.Timing.WatchTimeout
-}
-
 // maxListGap is the longest time between two lists, or probes in their place, without an
 // outage of the source.
 func (t Timing) maxListGap() time.Duration { return t.ProbeInterval + t.ProbeTimeout }
 
 // applyList replaces the endpoint list unless list is older than the current one, and
-// reports whether it differs. After an outage of the source, endpoints that list lacks are
-// kept for RecoveryWindow. fromSource reports that the source, or a relay that reads it,
-// has just returned list.
+// reports whether it differs. fromSource reports that the source, or a relay that reads
+// it, has just returned list.
 func (r *Replica) applyList(list EndpointList, now time.Time, fromSource bool) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if fromSource {
-		r.recordCurrentList(now)
-	}
-	if list.Revision < r.endpoints.Revision {
+	afterOutage := fromSource && r.recordCurrentList(now)
+	if list.Revision < r.listed.Revision {
 		return false
 	}
-	if now.Sub(r.recoveredAt) < r.opts.Timing.RecoveryWindow {
-		list.Endpoints = mergeMissing(list.Endpoints, r.endpoints.Endpoints)
+	if afterOutage {
+		r.keepLapsed(list, now)
 	}
 	digest := digestOf(list.Endpoints)
-	if digest == r.digest {
-		r.endpoints.Revision = list.Revision
-		return false
-	}
-	r.logListChanges(list)
-	r.rememberList(now)
-	r.endpoints, r.digest = list, digest
-	r.notifyWaiters()
-	if r.opts.OnEndpoints != nil {
-		r.opts.OnEndpoints(list)
+	if digest != r.digest {
+		changed = true
+		r.rememberList(now)
+		r.digest = digest
+		r.notifyWaiters()
 	}
-	return true
+	r.listed = list
+	r.updateInUse()
+	return changed
 }
 
-// recordCurrentList records that the list was that of the source at time now. r.mu must be
-// held.
-func (r *Replica) recordCurrentList(now time.Time) {
-	if !r.lastListAt.IsZero() && now.Sub(r.lastListAt) > r.opts.Timing.maxListGap() {
-		r.recoveredAt = now
-	}
-	r.lastListAt = now
+// recordCurrentList records that the list was that of the source at time now. It reports
+// whether that ends an outage of the source. r.mu must be held.
+func (r *Replica) recordCurrentList(now time.Time) (afterOutage bool) {
+	afterOutage = r.interrupted && !r.lastListAt.IsZero() && now.Sub(r.lastListAt) > r.opts.Timing.maxListGap()
+	r.lastListAt, r.interrupted = now, false
+	return afterOutage
 }
 
-// mergeMissing returns listed with the endpoints of previous whose IDs it lacks.
-func mergeMissing(listed, previous []Endpoint) []Endpoint {
-	ids := make(map[string]bool, len(listed))
-	for _, e := range listed {
-		ids[e.ID] = true
+// updateInUse brings the endpoints in use up to date and reports a change. r.mu must be
+// held.
+func (r *Replica) updateInUse() {
+	previous := r.inUse
+	r.inUse = EndpointList{Revision: r.listed.Revision, Endpoints: r.lapsed.addTo(r.listed.Endpoints)}
+	if !r.logListChanges(previous, r.inUse) {
+		return
 	}
-	for _, e := range previous {
-		if !ids[e.ID] {
-			listed = append(listed, e)
-		}
+	if r.opts.OnEndpoints != nil {
+		r.opts.OnEndpoints(r.inUse)
 	}
-	return listed
 }
 
-// logListChanges logs the endpoints that list adds, changes or removes. r.mu must be held.
-func (r *Replica) logListChanges(list EndpointList) {
-	removed := make(map[string]Endpoint, len(r.endpoints.Endpoints))
-	for _, e := range r.endpoints.Endpoints {
+// logListChanges logs the endpoints that list adds to, changes in, or removes from
+// previous, and reports whether there are any.
+func (r *Replica) logListChanges(previous, list EndpointList) (changed bool) {
+	removed := make(map[string]Endpoint, len(previous.Endpoints))
+	for _, e := range previous.Endpoints {
 		removed[e.ID] = e
 	}
 	log := r.opts.Log.WithField("revision", list.Revision)
@@ -395,6 +380,7 @@
 		old, known := removed[e.ID]
 		delete(removed, e.ID)
 		if !known || old != e {
+			changed = true
 			log.WithFields(logrus.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address,
 				"draining": e.Draining}).Info("endpoint listed")
 		}
@@ -402,6 +388,7 @@
 	for id := range removed {
 		log.WithField("endpoint", id).Info("endpoint no longer listed")
 	}
+	return changed || len(removed) > 0
 }
 
 // pullDuringOutage pulls from random peers, one at a time, while the source returns no
--- a/pkg/catalog/session.go
+++ b/pkg/catalog/session.go
@@ -152,6 +152,7 @@
 	r.source.Record(err)
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.interrupted = r.interrupted || err != nil
 	if r.sourceFailed != (err != nil) {
 		r.sourceFailed = err != nil
 		r.notifyWaiters()
