Follow an instance that reads the store while it turns this one away

An instance that the store turns away, while it serves others, learned up to 2 s later than these that an endpoint leaves (DRAIN allows 2 s in all; such an instance counts as undisturbed). Cause: it began to ask others 1.6 s after its last list, then one random instance each 0.5 s, which may be turned away too. Change: as soon as a probe or read fails, it asks three instances at the same time for one that reads the store, and follows that one like a relay until the store answers again. Replies say whether the replying instance has had an outage itself; if not, an endpoint that is missing has left.

--- a/pkg/catalog/outage_test.go
+++ b/pkg/catalog/outage_test.go
@@ -56,8 +56,8 @@
 	log.SetOutput(io.Discard)
 	r := NewReplica(ReplicaOptions{Log: log})
 	start := time.Now()
-	r.applyList(endpointList(10, "e1", "e2"), start, true)
-	r.applyList(endpointList(20, "e2"), start.Add(2*r.opts.Timing.maxListGap()), true)
+	r.applyList(endpointList(10, "e1", "e2"), start, fromSource)
+	r.applyList(endpointList(20, "e2"), start.Add(2*r.opts.Timing.maxListGap()), fromSource)
 	if got := sortedIDs(r.Endpoints()); slices.Contains(got, "e1") {
 		t.Errorf("endpoints: %v", got)
 	}
--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -50,7 +50,8 @@
 	if req.WaitMillis > 0 {
 		r.polledAt = now
 	}
-	reply := PullReply{AgeMillis: now.Sub(r.lastListAt).Milliseconds(), SourceUnavailable: !r.isRelay(), Standby: !r.isRelay() && !r.sourceFailed, Version: r.version(), PassesVersions: true}
+	reply := PullReply{AgeMillis: now.Sub(r.lastListAt).Milliseconds(), SourceUnavailable: !r.isRelay(), Standby: !r.isRelay() && !r.sourceFailed, Version: r.version(), PassesVersions: true,
+		Recovering: now.Sub(r.recoveredAt) < r.opts.Timing.RecoveryWindow}
 	if c := r.Current(); c != nil && c.Version > req.Version {
 		if req.WaitMillis == 0 {
 			reply.Document = c.Document
@@ -208,7 +209,7 @@
 		if time.Now().Before(skipUntil[address]) {
 			continue
 		}
-		state, err := r.pollRelay(ctx, address)
+		state, err := r.pollRelay(ctx, address, r.opts.Timing.RelayPollTimeout)
 		switch {
 		case err != nil:
 			skipUntil[address] = time.Now().Add(r.opts.Timing.RelayRetryDelay)
@@ -254,13 +255,13 @@
 	}
 }
 
-// pollRelay polls a relay once and applies what is new. It fails if the relay does not
-// answer in time.
-func (r *Replica) pollRelay(ctx context.Context, address string) (relayState, error) {
+// pollRelay polls a relay once and applies what is new. The relay waits for a change for at
+// most timeout. pollRelay fails if the relay does not answer in time.
+func (r *Replica) pollRelay(ctx context.Context, address string, timeout time.Duration) (relayState, error) {
 	r.mu.Lock()
-	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.listed.Revision, Digest: r.digest, WaitMillis: r.opts.Timing.RelayPollTimeout.Milliseconds()}
+	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.listed.Revision, Digest: r.digest, WaitMillis: timeout.Milliseconds()}
 	r.mu.Unlock()
-	reply, err := r.callPull(ctx, address, req, r.opts.Timing.RelayPollTimeout+r.opts.Timing.RelayReplyTimeout)
+	reply, err := r.callPull(ctx, address, req, timeout+r.opts.Timing.RelayReplyTimeout)
 	if err != nil {
 		return relayUnavailable, err
 	}
@@ -273,8 +274,15 @@
 	case reply.Standby:
 		state = relayStandby
 	}
+	from := secondHand
+	switch {
+	case state == relayCurrent && reply.Recovering:
+		from = fromSource
+	case state == relayCurrent:
+		from = fromReader
+	}
 	if list, ok := r.listFromReply(reply, req); ok {
-		r.applyList(list, time.Now(), state == relayCurrent)
+		r.applyList(list, time.Now(), from)
 	}
 	r.applyDelta(reply, address)
 	return state, nil
@@ -330,9 +338,7 @@
 
 // isBehind reports whether a relay that this instance follows has a later version.
 func (r *Replica) isBehind() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.relay != "" && r.announced > r.version()
+	return r.followsRelay() && r.missesVersion()
 }
 
 // listFromReply returns the list that a relay's reply describes. It reports false if the
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,7 +9,6 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/eventlog"
-	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/wait"
 )
@@ -72,6 +70,9 @@
 	Changes *EndpointChanges `cbor:"9,keyasint,omitempty"`
 	// Unchanged is set if the endpoints match the digest of the request.
 	Unchanged bool `cbor:"5,keyasint,omitempty"`
+	// Recovering is set if an outage of the source ended less than Timing.RecoveryWindow ago,
+	// so that endpoints may be missing which run.
+	Recovering bool `cbor:"11,keyasint,omitempty"`
 	// Version is the version of the replying instance's document. Delta leads to it from
 	// the caller's version; it is nil if that version is not known any more or the delta
 	// is large.
@@ -98,9 +99,6 @@
 	PullTimeout time.Duration
 	// RetryDelay is the delay after a failed read or probe.
 	RetryDelay time.Duration
-	// PeerPullDelay is how long after the last list from the source the replica starts
-	// to pull from peers.
-	PeerPullDelay time.Duration
 	// RelayPollTimeout is how long a relay may hold a poll open until something changes.
 	// RelayReplyTimeout is the additional time for its reply. A relay that does not answer
 	// is detected after the sum of both.
@@ -129,7 +127,6 @@
 		ProbeTimeout:      500 * time.Millisecond,
 		PullTimeout:       3 * time.Second,
 		RetryDelay:        250 * time.Millisecond,
-		PeerPullDelay:     1600 * time.Millisecond,
 		RelayPollTimeout:  500 * time.Millisecond,
 		RelayReplyTimeout: 300 * time.Millisecond,
 		RelayPollDelay:    50 * time.Millisecond,
@@ -145,7 +142,7 @@
 type ReplicaOptions struct {
 	Source Source
 	// Peers calls other instances. Members returns the addresses of all other instances;
-	// the replica pulls from a random one of them while the source does not answer.
+	// the replica reads from random ones of them while the source does not answer.
 	Peers   peer.Caller
 	Members func() []string
 	// Relays returns the addresses of the instances that can read the source for this
@@ -177,6 +174,7 @@
 	lastListAt   time.Time                 // when listed was last known to be that of the source
 	sourceFailed bool                      // the latest probe or read of the source failed
 	interrupted  bool                      // a probe or read has failed since lastListAt
+	recoveredAt  time.Time                 // when the latest outage of the source ended
 	changed      chan struct{}             // closed and replaced at each change of the content, of sourceFailed or of the relay
 	session      *readingSession           // the current session; nil while a relay is followed or the source fails
 	relay        string                    // address of the relay that is followed, or ""
@@ -233,7 +231,7 @@
 // Run keeps the replica up to date until ctx ends.
 func (r *Replica) Run(ctx context.Context) {
 	var wg sync.WaitGroup
-	for _, loop := range []func(context.Context){r.probeSource, r.watchDocument, r.watchEndpoints, r.pullDuringOutage, r.pollRelays, r.fetchAnnounced} {
+	for _, loop := range []func(context.Context){r.probeSource, r.watchDocument, r.watchEndpoints, r.readThroughPeers, r.pollRelays, r.fetchAnnounced} {
 		wg.Go(func() { loop(ctx) })
 	}
 	wg.Wait()
@@ -296,7 +294,7 @@
 				r.failSession(ctx, s, err)
 				break
 			}
-			if r.applyList(list, time.Now(), true) {
+			if r.applyList(list, time.Now(), fromSource) {
 				wait.Sleep(s.ctx, r.opts.Timing.WatchDelay)
 			}
 		}
@@ -322,13 +320,29 @@
 // outage of the source.
 func (t Timing) maxListGap() time.Duration { return t.ProbeInterval + t.ProbeTimeout }
 
+// origin says how a list was obtained.
+type origin int
+
+const (
+	// secondHand lists come from instances that do not read the source.
+	secondHand origin = iota
+	// fromReader lists come from an instance that reads the source, and without a recent
+	// outage: an endpoint that is missing has left.
+	fromReader
+	// fromSource lists come from the source, or from an instance that reads it since a
+	// recent outage.
+	fromSource
+)
+
 // applyList replaces the endpoint list unless list is older than the current one, and
-// reports whether it differs. fromSource reports that the source, or a relay that reads
-// it, has just returned list.
-func (r *Replica) applyList(list EndpointList, now time.Time, fromSource bool) (changed bool) {
+// reports whether it differs.
+func (r *Replica) applyList(list EndpointList, now time.Time, from origin) (changed bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	afterOutage := fromSource && r.recordCurrentList(now)
+	afterOutage := from != secondHand && r.recordCurrentList(now) && from == fromSource
+	if afterOutage {
+		r.recoveredAt = now
+	}
 	if list.Revision < r.listed.Revision {
 		return false
 	}
@@ -348,7 +362,7 @@
 }
 
 // recordCurrentList records that the list was that of the source at time now. It reports
-// whether that ends an outage of the source. r.mu must be held.
+// whether that ends a time in which this instance did not know it. r.mu must be held.
 func (r *Replica) recordCurrentList(now time.Time) (afterOutage bool) {
 	afterOutage = r.interrupted && !r.lastListAt.IsZero() && now.Sub(r.lastListAt) > r.opts.Timing.maxListGap()
 	r.lastListAt, r.interrupted = now, false
@@ -390,35 +404,3 @@
 	}
 	return changed || len(removed) > 0
 }
-
-// pullDuringOutage pulls from random peers, one at a time, while the source returns no
-// lists.
-func (r *Replica) pullDuringOutage(ctx context.Context) {
-	for ctx.Err() == nil {
-		wait.Sleep(ctx, r.opts.Timing.RetryDelay*2)
-		r.mu.Lock()
-		sinceLastList := time.Since(r.lastListAt)
-		r.mu.Unlock()
-		members := r.opts.Members()
-		if sinceLastList < r.opts.Timing.PeerPullDelay || len(members) == 0 {
-			continue
-		}
-		r.pullFromPeer(ctx, members[rand.IntN(len(members))])
-	}
-}
-
-// pullFromPeer pulls from one peer and applies what is newer.
-func (r *Replica) pullFromPeer(ctx context.Context, address string) {
-	req := PullRequest{Version: r.version(), Revision: r.Endpoints().Revision}
-	reply, err := r.callPull(ctx, address, req, r.opts.Timing.PullTimeout)
-	if err != nil {
-		if !failure.Is(err, failure.Unavailable) {
-			r.opts.Log.WithError(err).WithField("peer", address).Debug("pull from peer failed")
-		}
-		return
-	}
-	r.applyDocument(reply.Document, address)
-	if reply.Endpoints != nil {
-		r.applyList(*reply.Endpoints, time.Now(), false)
-	}
-}
