Send nothing more to an endpoint that has said that it leaves

Requests reached it for as long as its registration read ready, and again if that was taken back. Cause: only the state of the latest list counted; headers of answers were not read. Change: a leave, from the list or from any answer, holds for the process of the endpoint (ID, address and start), also if its registration expires and returns.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -191,7 +191,9 @@
 	if err != nil {
 		status, outcome, result = q.handleSendError(err)
 	} else {
+		notice := q.applyNotice(c, resp)
 		status, outcome, result, errorResponse = q.handleResponse(ctx, c, s, resp)
+		result += notice
 		resp.Close()
 	}
 	now := time.Now()
--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -46,6 +46,12 @@
 	ResumeAfter string
 }
 
+// Notice is what an endpoint says about itself in a response.
+type Notice struct {
+	// IsLeaving means that the endpoint is shutting down and wants no further requests.
+	IsLeaving bool
+}
+
 // Codec translates between header fields and the types of this package.
 type Codec interface {
 	// Decode reads the envelope of a request. It fails with failure.Invalid if a
@@ -63,6 +69,8 @@
 	// IsRejected reports whether the endpoint declares that it did not run the
 	// request, and whether it did so because another process now has the address.
 	IsRejected(status int, response http.Header) (rejected, moved bool)
+	// DecodeNotice returns what the endpoint says about itself in a response.
+	DecodeNotice(response http.Header) Notice
 	// IsGenuine reports whether a successful response carries the marks of the
 	// endpoint that ran the request.
 	IsGenuine(response http.Header) bool
--- /dev/null
+++ b/pkg/gateway/notices_test.go
@@ -0,0 +1,89 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/standins/machines"
+)
+
+// listRunners replaces the list of endpoints by the runners with the given start time.
+func (g *testGateway) listRunners(revision uint64, started int64, runners ...*machines.Runner) {
+	list := catalog.EndpointList{Revision: revision}
+	for _, r := range runners {
+		list.Endpoints = append(list.Endpoints, catalog.Endpoint{ID: r.ID, Service: "s", Address: r.Address(), Domain: "z", Started: started})
+	}
+	g.pool.Update(list, time.Now())
+}
+
+// respond returns a script that sends a response with a body and the given header lines.
+func respond(status int, body string, header ...string) machines.Script {
+	return func(q *http.Request, _ []byte, c net.Conn) bool {
+		_, err := io.WriteString(c, machines.ResponseHead(q, status, append(header, "Content-Length: "+strconv.Itoa(len(body)))...)+body)
+		return err == nil
+	}
+}
+
+// refuse returns a script that rejects requests with the given header lines.
+func refuse(status int, header ...string) machines.Script {
+	return func(_ *http.Request, _ []byte, c net.Conn) bool {
+		text := fmt.Sprintf("HTTP/1.1 %d Refused\r\n%s: 1\r\nContent-Length: 0\r\n", status, machines.HeaderNotExecuted)
+		for _, line := range header {
+			text += line + "\r\n"
+		}
+		_, err := io.WriteString(c, text+"\r\n")
+		return err == nil
+	}
+}
+
+// Guards against further requests to an endpoint that has said in an answer that it leaves.
+func TestEndpointThatSaysItLeavesGetsNoRequests(t *testing.T) {
+	const leaving = machines.HeaderLeaving + ": 1"
+	for desc, answer := range map[string]machines.Script{
+		"success":        respond(200, "whole", leaving),
+		"empty success":  respond(204, "", leaving),
+		"error":          respond(500, "failed", leaving),
+		"client's error": respond(404, "none", leaving),
+		"rejection":      refuse(503, leaving),
+		"broken off": func(q *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, machines.ResponseHead(q, 200, leaving, "Content-Length: 9")+"short")
+			return false
+		},
+		"stream": func(q *http.Request, _ []byte, c net.Conn) bool {
+			_, err := io.WriteString(c, machines.ResponseHead(q, 200, leaving, "Transfer-Encoding: chunked")+"0\r\n\r\n")
+			return err == nil
+		},
+	} {
+		t.Run(desc, func(t *testing.T) {
+			g := newTestGateway(t, answer, machines.Answer(200, "other"))
+			first, other := g.runners[0], g.runners[1]
+			g.listRunners(2, 7, first)
+			g.send(g.newRequest("/chat/1", "body"))
+			before := len(first.Requests())
+			check := func(when string) {
+				for range 5 {
+					g.send(g.newRequest("/book/1", "body"))
+				}
+				if n := len(first.Requests()) - before; n > 0 || before == 0 {
+					t.Errorf("%s: %d of %d requests came after the notice", when, n, before+n)
+				}
+			}
+			g.listRunners(3, 7, first, other)
+			check("listed as before")
+			g.listRunners(4, 7, other)
+			g.listRunners(5, 7, first, other)
+			check("listed again")
+			g.listRunners(6, 8, first)
+			g.send(g.newRequest("/book/1", "body"))
+			if len(first.Requests()) == before {
+				t.Error("a new process of the endpoint gets no requests")
+			}
+		})
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -147,7 +147,7 @@
 		Relays:      n.relays,
 		Timing:      n.catalogTiming(),
 		OnDocument:  func(*catalog.Catalog) { n.syncer.TriggerRound() },
-		OnEndpoints: n.pool.Update,
+		OnEndpoints: func(list catalog.EndpointList) { n.pool.Update(list, time.Now()) },
 	})
 }
 
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -98,6 +98,7 @@
 	catalog.Endpoint
 	hash             uint64
 	listed           bool
+	wish             *wish
 	inFlight         int
 	pendingTokens    int64        // prompt tokens of requests without a first byte
 	lagMs            decayingMean // delay of the first byte beyond the expected prefill time
@@ -142,6 +143,7 @@
 	services  map[string][]*endpointState
 	domains   map[string]*domainState
 	cachedAt  map[cachedPrefix]time.Time // time of the latest first byte
+	wishes    map[incarnation]*wish
 }
 
 // cachedPrefix is a prompt prefix that an endpoint has processed.
@@ -154,12 +156,13 @@
 // seed determines the choice among endpoints of nearly equal cost.
 func New(localDomain string, seed uint64) *Pool {
 	return &Pool{localDomain: localDomain, rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{},
-		services: map[string][]*endpointState{}, domains: map[string]*domainState{}, cachedAt: map[cachedPrefix]time.Time{}}
+		services: map[string][]*endpointState{}, domains: map[string]*domainState{}, cachedAt: map[cachedPrefix]time.Time{},
+		wishes: map[incarnation]*wish{}}
 }
 
-// Update replaces the list of endpoints. An endpoint whose address or start time
-// has changed is a new process and starts without history.
-func (p *Pool) Update(list catalog.EndpointList) {
+// Update replaces the list of endpoints at time now. An endpoint whose address or start
+// time has changed is a new process and starts without history.
+func (p *Pool) Update(list catalog.EndpointList, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, e := range p.endpoints {
@@ -169,10 +172,11 @@
 	for _, entry := range list.Endpoints {
 		e := p.endpoints[entry.ID]
 		if e == nil || e.Address != entry.Address || e.Started != entry.Started {
-			e = &endpointState{hash: hashID(entry.ID)}
+			e = &endpointState{hash: hashID(entry.ID), wish: p.wishOf(entry)}
 			p.endpoints[entry.ID] = e
 		}
 		e.Endpoint, e.listed = entry, true
+		e.wish.isLeaving = e.wish.isLeaving || entry.Draining
 		p.services[entry.Service] = append(p.services[entry.Service], e)
 	}
 	for id, e := range p.endpoints {
@@ -180,6 +184,7 @@
 			delete(p.endpoints, id)
 		}
 	}
+	p.forgetWishes(now)
 }
 
 func hashID(id string) uint64 {
@@ -214,11 +219,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	prefixKeys := req.prefixKeys()
-	first, second := p.topTwo(req, prefixKeys)
+	first, second := p.topTwo(&req, prefixKeys)
 	var best *endpointState
 	bestCost := math.Inf(1)
 	for _, e := range p.services[req.Service] {
-		if e.Draining || req.Exclude[e.ID] {
+		if !e.isAvailable(&req) {
 			continue
 		}
 		// Less than 1 ms of noise spreads requests over endpoints of equal cost.
@@ -246,9 +251,14 @@
 	return c, nil
 }
 
+// isAvailable reports whether the endpoint accepts the request.
+func (e *endpointState) isAvailable(req *Request) bool {
+	return !e.wish.isLeaving && !req.Exclude[e.ID]
+}
+
 // topTwo returns the two endpoints with the highest rendezvous weight for the
 // longest shared prefix.
-func (p *Pool) topTwo(req Request, prefixKeys []uint64) (first, second *endpointState) {
+func (p *Pool) topTwo(req *Request, prefixKeys []uint64) (first, second *endpointState) {
 	if len(prefixKeys) == 0 {
 		return nil, nil
 	}
@@ -256,7 +266,7 @@
 	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
 	for _, e := range p.services[req.Service] {
 		switch {
-		case e.Draining || req.Exclude[e.ID]:
+		case !e.isAvailable(req):
 		case first == nil || weight(e) > weight(first):
 			first, second = e, first
 		case second == nil || weight(e) > weight(second):
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -18,7 +18,7 @@
 		list.Endpoints = append(list.Endpoints, catalog.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Address: fmt.Sprintf("a%d", i), Domain: d})
 	}
 	p := New("z", 1)
-	p.Update(list)
+	p.Update(list, start)
 	return p, list
 }
 
@@ -96,7 +96,7 @@
 	list.Endpoints[0].Draining = true
 	list.Endpoints = list.Endpoints[:2]
 	list.Revision++
-	p.Update(list)
+	p.Update(list, start)
 	for range 20 {
 		if c := choose(t, p, promptRequest(3), start); c.ID != "e1" {
 			t.Fatalf("unusable endpoint %s was chosen", c.ID)
@@ -194,8 +194,37 @@
 	}
 	choose(t, p, promptRequest(1), start).Done(Failed, start)
 	list.Endpoints[0].Started = 5
-	p.Update(list)
+	p.Update(list, start)
 	if e := p.endpoints["e0"]; e.failureRate.valueAt(start) != 0 {
 		t.Error("the new process starts with the failures of the previous one")
 	}
 }
+
+// Guards against an endpoint that is used again after it has said that it leaves.
+func TestLeaveIsNotTakenBack(t *testing.T) {
+	listed := func(draining bool, started int64) catalog.Endpoint {
+		return catalog.Endpoint{ID: "e", Service: "s", Address: "a", Domain: "z", Draining: draining, Started: started}
+	}
+	for _, tc := range []struct {
+		desc    string
+		entries [][]catalog.Endpoint // of the lists after the leave, a second apart
+		used    bool
+	}{
+		{"ready again", [][]catalog.Endpoint{{listed(false, 5)}}, false},
+		{"gone and ready again", [][]catalog.Endpoint{{}, {listed(false, 5)}}, false},
+		{"a new process", [][]catalog.Endpoint{{listed(false, 6)}}, true},
+		{"a new process after the old one was gone", [][]catalog.Endpoint{{}, {listed(false, 6)}}, true},
+		{"ready again, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {listed(false, 0)}}, false},
+		{"gone and ready again, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {}, {listed(false, 0)}}, true},
+	} {
+		p := New("z", 1)
+		now := start
+		for _, entries := range append([][]catalog.Endpoint{{listed(false, 5)}, {listed(true, 5)}}, tc.entries...) {
+			now = now.Add(time.Second)
+			p.Update(catalog.EndpointList{Endpoints: entries}, now)
+		}
+		if _, err := p.Choose(Request{Service: "s"}, now); (err == nil) != tc.used {
+			t.Errorf("%s: %v", tc.desc, err)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/placement/wishes.go
@@ -0,0 +1,58 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/catalog"
+)
+
+// incarnation identifies one process of an endpoint.
+type incarnation struct {
+	id, address string
+	started     int64
+}
+
+// wish is what an endpoint has said about the requests that it wants. It outlives the
+// registration of the endpoint, which may expire and return while the process runs.
+type wish struct {
+	isLeaving    bool // it wants no further requests
+	lastListedAt time.Time
+}
+
+// wishTTL is how long a wish is remembered after its endpoint was last listed. Endpoints
+// stop within a minute after they have left.
+const wishTTL = 10 * time.Minute
+
+// wishOf returns the wish of the process that an entry of the list describes.
+func (p *Pool) wishOf(entry catalog.Endpoint) *wish {
+	key := incarnation{entry.ID, entry.Address, entry.Started}
+	if p.wishes[key] == nil {
+		p.wishes[key] = &wish{}
+	}
+	return p.wishes[key]
+}
+
+// forgetWishes removes the wishes of processes that have ended. Without a start time a new
+// process of the endpoint cannot be told from the one that was listed before, so a leave
+// ends with the registration. p.mu must be held.
+func (p *Pool) forgetWishes(now time.Time) {
+	for key, w := range p.wishes {
+		e := p.endpoints[key.id]
+		switch {
+		case e != nil && e.wish == w:
+			w.lastListedAt = now
+		case now.Sub(w.lastListedAt) > wishTTL:
+			delete(p.wishes, key)
+		case key.started == 0:
+			w.isLeaving = false
+		}
+	}
+}
+
+// MarkLeaving records that the endpoint has said that it leaves. Its process gets no
+// further requests.
+func (c *Choice) MarkLeaving() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.state.wish.isLeaving = true
+}
--- a/standins/engine/play/policies.go
+++ b/standins/engine/play/policies.go
@@ -55,7 +55,7 @@
 		p.engineIndex[id] = i
 		endpoints.Endpoints = append(endpoints.Endpoints, catalog.Endpoint{ID: id, Service: "llm", Address: id, Domain: "z"})
 	}
-	p.pool.Update(endpoints)
+	p.pool.Update(endpoints, toTime(0))
 	return p
 }
 
--- a/standins/machines/runner.go
+++ b/standins/machines/runner.go
@@ -21,6 +21,7 @@
 	HeaderTenant           = "X-Tenant-Name"
 	HeaderExpectedInstance = "X-Expected-Instance"
 	HeaderLastEventID      = "Last-Event-Id"
+	HeaderLeaving          = "Server-Leaving" // "1" in all responses of a runner that leaves
 	// KeyScheme is the authentication scheme before the key in the field
 	// Authorization, with the space that separates them.
 	KeyScheme = "Token "
