Spare an endpoint for the Retry-After of its 503

Cause: the header was not read. Change: the pool leaves such an endpoint out until its time is over, also if it is listed anew meanwhile. If all endpoints of a service are paused, requests are refused at once, and callers are told to come back when the first of them accepts requests again, after 10 s at most. Measured: TestEndpointIsSparedForItsRetryAfter, nine forms; the four that ask for a pause were red before.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -151,11 +151,7 @@
 		if cause == nil {
 			cause = failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepted the request", q.service)
 		}
-		retryAfter := jitter(meanRetryDelay)
-		if cause.Kind == failure.Quarantined {
-			retryAfter = 0 // an early repeat is refused too
-		}
-		q.refuse(cause.WithOutcome(failure.NotRun), retryAfter)
+		q.refuse(cause.WithOutcome(failure.NotRun), q.retryDelay(cause, time.Now()))
 	}
 }
 
@@ -191,7 +187,7 @@
 	if err != nil {
 		status, outcome, result = q.handleSendError(err)
 	} else {
-		notice := q.applyNotice(c, resp)
+		notice := q.applyNotice(c, resp, time.Now())
 		status, outcome, result, errorResponse = q.handleResponse(ctx, c, s, resp)
 		result += notice
 		resp.Close()
--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -50,6 +50,9 @@
 type Notice struct {
 	// IsLeaving means that the endpoint is shutting down and wants no further requests.
 	IsLeaving bool
+	// Pause is how long the endpoint wants no requests from this instance, 0 if it does
+	// not say so.
+	Pause time.Duration
 }
 
 // Codec translates between header fields and the types of this package.
@@ -70,7 +73,7 @@
 	// request, and whether it did so because another process now has the address.
 	IsRejected(status int, response http.Header) (rejected, moved bool)
 	// DecodeNotice returns what the endpoint says about itself in a response.
-	DecodeNotice(response http.Header) Notice
+	DecodeNotice(status int, response http.Header) Notice
 	// IsGenuine reports whether a successful response carries the marks of the
 	// endpoint that ran the request.
 	IsGenuine(response http.Header) bool
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -1,21 +1,47 @@
 package gateway
 
 import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/upstream"
 )
 
 // applyNotice passes what an endpoint says about itself to the pool, and returns a
 // description for the log.
-func (q *request) applyNotice(c *placement.Choice, resp *upstream.Response) string {
+func (q *request) applyNotice(c *placement.Choice, resp *upstream.Response, now time.Time) string {
 	if _, moved := q.g.opts.Codec.IsRejected(resp.Status, resp.Header); moved {
 		return "" // another process answers at the address
 	}
-	notice := q.g.opts.Codec.DecodeNotice(resp.Header)
+	notice := q.g.opts.Codec.DecodeNotice(resp.Status, resp.Header)
 	description := ""
 	if notice.IsLeaving {
 		c.MarkLeaving()
 		description = ": it leaves"
 	}
+	if notice.Pause > 0 {
+		c.Pause(now.Add(notice.Pause))
+		description += ": it wants nothing for " + notice.Pause.String()
+	}
 	return description
 }
+
+// maxRetryDelay bounds the delay after which a caller of a paused service is asked to come
+// back: another instance, or endpoints that start meanwhile, may accept its request.
+const maxRetryDelay = 10 * time.Second
+
+// retryDelay returns when the caller of a refused request should come back, or 0 if that
+// is of no use. If all endpoints have turned this instance away for a time, a repeat is
+// refused before the end of the first of these times.
+func (q *request) retryDelay(cause *failure.Error, now time.Time) time.Duration {
+	switch cause.Kind {
+	case failure.Quarantined:
+		return 0
+	case failure.NoEndpoint:
+		if end := q.g.opts.Pool.PauseEnd(q.service, now); !end.IsZero() {
+			return min(end.Sub(now), maxRetryDelay) + jitter(meanRetryDelay)
+		}
+	}
+	return jitter(meanRetryDelay)
+}
--- a/pkg/gateway/notices_test.go
+++ b/pkg/gateway/notices_test.go
@@ -87,3 +87,54 @@
 		})
 	}
 }
+
+// Guards against requests to an endpoint within the time for which it has turned this instance away.
+func TestEndpointIsSparedForItsRetryAfter(t *testing.T) {
+	const pause = 600 * time.Millisecond
+	for _, tc := range []struct {
+		desc   string
+		answer machines.Script
+		spared bool
+	}{
+		{"rejection", refuse(503, machines.HeaderRetryAfter+": 0.6"), true},
+		{"whole seconds", refuse(503, machines.HeaderRetryAfter+": 1"), true},
+		{"failure", respond(503, "full", machines.HeaderRetryAfter+": 0.6"), true},
+		{"very long", refuse(503, machines.HeaderRetryAfter+": 1e300"), true},
+		{"no time", refuse(503), false},
+		{"not a number", refuse(503, machines.HeaderRetryAfter+": soon"), false},
+		{"negative", refuse(503, machines.HeaderRetryAfter+": -5"), false},
+		{"undefined", refuse(503, machines.HeaderRetryAfter+": NaN"), false},
+		{"other status", respond(500, "failed", machines.HeaderRetryAfter+": 5"), false},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			t.Parallel()
+			g := newTestGateway(t, tc.answer)
+			runner := g.runners[0]
+			g.send(g.newRequest("/book/1", "body"))
+			runner.SetScript(machines.Answer(200, "whole"))
+			start := time.Now()
+			got := g.send(g.newRequest("/book/1", "body"))
+			if spared := len(runner.Requests()) == 1; spared != tc.spared {
+				t.Fatalf("spared: %v, status %d", spared, got.status)
+			}
+			if !tc.spared {
+				return
+			}
+			if after, err := strconv.ParseFloat(got.header.Get(machines.HeaderRetryAfter), 64); got.status != 503 || err != nil || after < 0.3 || time.Since(start) > pause/2 {
+				t.Errorf("status %d after %s, Retry-After %q", got.status, time.Since(start), got.header.Get(machines.HeaderRetryAfter))
+			}
+			if tc.desc != "rejection" {
+				return
+			}
+			g.listRunners(2, 0)
+			g.listRunners(3, 0, runner)
+			if got := g.send(g.newRequest("/book/1", "body")); got.status != 503 {
+				t.Errorf("status %d after the endpoint was listed again within its pause", got.status)
+			}
+			time.Sleep(pause)
+			if got := g.send(g.newRequest("/book/1", "body")); got.status != 200 {
+				t.Errorf("status %d after the pause", got.status)
+			}
+		})
+	}
+}
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -219,11 +219,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	prefixKeys := req.prefixKeys()
-	first, second := p.topTwo(&req, prefixKeys)
+	first, second := p.topTwo(&req, prefixKeys, now)
 	var best *endpointState
 	bestCost := math.Inf(1)
 	for _, e := range p.services[req.Service] {
-		if !e.isAvailable(&req) {
+		if !e.isAvailable(&req, now) {
 			continue
 		}
 		// Less than 1 ms of noise spreads requests over endpoints of equal cost.
@@ -251,14 +251,14 @@
 	return c, nil
 }
 
-// isAvailable reports whether the endpoint accepts the request.
-func (e *endpointState) isAvailable(req *Request) bool {
-	return !e.wish.isLeaving && !req.Exclude[e.ID]
+// isAvailable reports whether the endpoint accepts the request at time now.
+func (e *endpointState) isAvailable(req *Request, now time.Time) bool {
+	return e.wish.allows(now) && !req.Exclude[e.ID]
 }
 
 // topTwo returns the two endpoints with the highest rendezvous weight for the
 // longest shared prefix.
-func (p *Pool) topTwo(req *Request, prefixKeys []uint64) (first, second *endpointState) {
+func (p *Pool) topTwo(req *Request, prefixKeys []uint64, now time.Time) (first, second *endpointState) {
 	if len(prefixKeys) == 0 {
 		return nil, nil
 	}
@@ -266,7 +266,7 @@
 	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
 	for _, e := range p.services[req.Service] {
 		switch {
-		case !e.isAvailable(req):
+		case !e.isAvailable(req, now):
 		case first == nil || weight(e) > weight(first):
 			first, second = e, first
 		case second == nil || weight(e) > weight(second):
--- a/pkg/placement/wishes.go
+++ b/pkg/placement/wishes.go
@@ -15,7 +15,8 @@
 // wish is what an endpoint has said about the requests that it wants. It outlives the
 // registration of the endpoint, which may expire and return while the process runs.
 type wish struct {
-	isLeaving    bool // it wants no further requests
+	isLeaving    bool      // it wants no further requests
+	pausedUntil  time.Time // it wants no requests from this instance before this time
 	lastListedAt time.Time
 }
 
@@ -23,6 +24,9 @@
 // stop within a minute after they have left.
 const wishTTL = 10 * time.Minute
 
+// allows reports whether the endpoint accepts requests at time now.
+func (w *wish) allows(now time.Time) bool { return !w.isLeaving && !now.Before(w.pausedUntil) }
+
 // wishOf returns the wish of the process that an entry of the list describes.
 func (p *Pool) wishOf(entry catalog.Endpoint) *wish {
 	key := incarnation{entry.ID, entry.Address, entry.Started}
@@ -41,7 +45,7 @@
 		switch {
 		case e != nil && e.wish == w:
 			w.lastListedAt = now
-		case now.Sub(w.lastListedAt) > wishTTL:
+		case now.Sub(w.lastListedAt) > wishTTL && !now.Before(w.pausedUntil):
 			delete(p.wishes, key)
 		case key.started == 0:
 			w.isLeaving = false
@@ -56,3 +60,30 @@
 	defer c.pool.mu.Unlock()
 	c.state.wish.isLeaving = true
 }
+
+// Pause records that the endpoint wants no requests from this instance before until.
+func (c *Choice) Pause(until time.Time) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	if w := c.state.wish; until.After(w.pausedUntil) {
+		w.pausedUntil = until
+	}
+}
+
+// PauseEnd returns when the first endpoint of the service ends its pause, or the zero time
+// if an endpoint is not paused or none will accept requests again.
+func (p *Pool) PauseEnd(service string, now time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var end time.Time
+	for _, e := range p.services[service] {
+		switch until := e.wish.pausedUntil; {
+		case e.wish.isLeaving:
+		case !now.Before(until):
+			return time.Time{}
+		case end.IsZero() || until.Before(end):
+			end = until
+		}
+	}
+	return end
+}
--- a/standins/machines/runner.go
+++ b/standins/machines/runner.go
@@ -22,6 +22,7 @@
 	HeaderExpectedInstance = "X-Expected-Instance"
 	HeaderLastEventID      = "Last-Event-Id"
 	HeaderLeaving          = "Server-Leaving" // "1" in all responses of a runner that leaves
+	HeaderRetryAfter       = "Retry-After"    // seconds
 	// KeyScheme is the authentication scheme before the key in the field
 	// Authorization, with the space that separates them.
 	KeyScheme = "Token "
