Take no response without an ID on a reused connection

Report of other operators: an endpoint wrote an earlier refusal once more on a kept connection. Callers were told that a request did not run which its endpoint ran (REFUSED), or it ran at a second one (TWICE). Cause: a response without a seal was taken for the own one if it had no ID, on reused connections too. The head of an earlier refusal that breaks off in the value of a field goes on with the head of the own response, ID and seal included. Change: on a connection that has carried an earlier request, a response must name the request. One whose fields contain a status line, and a foreign one that ends with the connection, fail the exchange.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -245,7 +245,7 @@
 	return &upstream.Request{
 		Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body,
 		Header:        q.g.opts.Codec.EncodeHeader(q.r.Header, meta),
-		IsOwnResponse: func(h http.Header) bool { return q.g.opts.Codec.IsResponseTo(h, id) },
+		IsOwnResponse: func(h http.Header, reused bool) bool { return q.g.opts.Codec.IsResponseTo(h, id, reused) },
 	}
 }
 
--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -67,8 +67,8 @@
 	// concern only the connection to the endpoint.
 	FilterResponseHeader(response http.Header) http.Header
 	// IsResponseTo reports whether a response belongs to the request with the given
-	// ID.
-	IsResponseTo(response http.Header, id string) bool
+	// ID. reused is set if its connection has carried an earlier request.
+	IsResponseTo(response http.Header, id string, reused bool) bool
 	// IsRejected reports whether the endpoint declares that it did not run the
 	// request, and whether it did so because another process now has the address.
 	IsRejected(status int, response http.Header) (rejected, moved bool)
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -54,8 +54,9 @@
 	Header http.Header
 	Body   []byte
 	// IsOwnResponse reports whether a response with the given header belongs to this
-	// request. If it is nil, every response does.
-	IsOwnResponse func(http.Header) bool
+	// request. reused is set if the connection has carried an earlier request, of which
+	// another response may arrive. If IsOwnResponse is nil, every response belongs to it.
+	IsOwnResponse func(header http.Header, reused bool) bool
 }
 
 // Progress says how far a failed request got.
@@ -128,6 +129,7 @@
 	net.Conn
 	address       string
 	reader        *bufio.Reader
+	reused        bool      // an earlier request has used it
 	reusableUntil time.Time // when the endpoint may close it
 	// headBytesLeft is how many more bytes may be received for the head that is being
 	// read, or unlimited.
@@ -317,8 +319,15 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if x.req.IsOwnResponse == nil || x.req.IsOwnResponse(resp.Header) {
-			return newResponse(resp, x), nil
+		if x.conn.reused && containsStatusLine(resp.Header) {
+			return nil, errMergedHeads
+		}
+		own := newResponse(resp, x)
+		if x.req.IsOwnResponse == nil || x.req.IsOwnResponse(resp.Header, x.conn.reused) {
+			return own, nil
+		}
+		if own.EndsWithConnection {
+			return nil, errors.New("the body of a response to another request ends with the connection")
 		}
 		if err := discard(resp.Body); err != nil {
 			return nil, errors.Wrap(err, "skip response to another request")
@@ -327,6 +336,22 @@
 	return nil, errors.New("no response to the request among those received")
 }
 
+// errMergedHeads means that an endpoint broke a response to an earlier request off inside
+// its head, which then goes on with the one to this request.
+var errMergedHeads = errors.New("the head of a response contains another one")
+
+// containsStatusLine reports whether the value of a header field contains a status line.
+func containsStatusLine(header http.Header) bool {
+	for _, values := range header {
+		for _, v := range values {
+			if strings.Contains(v, "HTTP/1.") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // readHead reads the head of a response, of at most
 // limits.ResponseHeadBytes.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
@@ -411,6 +436,7 @@
 			_ = x.conn.Close()
 			return
 		}
+		x.conn.reused = true
 		x.client.putIdle(x.conn)
 	})
 }
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -38,7 +38,7 @@
 
 func newRequest(id, body string) *upstream.Request {
 	return &upstream.Request{Method: http.MethodPost, Target: "/p/%2f?q=1", Host: "h.example", Header: http.Header{machines.HeaderRequestID: {id}},
-		Body: []byte(body), IsOwnResponse: func(h http.Header) bool { return h.Get(machines.HeaderRequestID) == id }}
+		Body: []byte(body), IsOwnResponse: func(h http.Header, _ bool) bool { return h.Get(machines.HeaderRequestID) == id }}
 }
 
 // doAndRead sends a request and returns the body of the response.
