Do not pass on a refusal that its endpoint does not confirm

Callers take 408, 421, 429 and 503 as a promise that a request did not run. An endpoint's answer with such a status that did not say so was passed on, also for requests that must run at most once (REFUSED). Cause: only the declaration of the endpoint was checked where a retry was decided, not where its status was passed on; a declaration on a sealed answer, which is that of a run, counted too. Change: such an answer ends a request that must not be repeated with 502 and the outcome unknown. A seal contradicts a rejection.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -287,6 +287,9 @@
 	if resp.HasContentEncoding() || success && !q.g.opts.Codec.IsGenuine(resp.Header) {
 		return attemptLost, placement.Failed, "spoiled " + strconv.Itoa(resp.Status), nil
 	}
+	if !q.route.IsRepeatable() && q.g.opts.Codec.MeansNotRun(resp.Status) {
+		return attemptLost, placement.Failed, "unclear " + strconv.Itoa(resp.Status), nil // the endpoint may have run it
+	}
 	if success && q.route.Kind == catalog.Stream && isEventStream(resp.Header) {
 		return q.forwardStream(c, s, resp)
 	}
--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -69,3 +69,24 @@
 		}
 	}
 }
+
+// Guards against a status that promises that a request did not run, although its endpoint does not say so.
+func TestRunRequestIsNotAnsweredWithRefusal(t *testing.T) {
+	for _, status := range []int{408, 421, 429, 503} {
+		for desc, script := range map[string]machines.Script{
+			"sealed": machines.Answer(status, "busy"),
+			"without a seal": func(q *http.Request, _ []byte, c net.Conn) bool {
+				_, err := fmt.Fprintf(c, "HTTP/1.1 %d Busy\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", status, machines.HeaderRequestID, q.Header.Get(machines.HeaderRequestID))
+				return err == nil
+			},
+		} {
+			g := newTestGateway(t, script)
+			if desc != "sealed" && status == http.StatusMisdirectedRequest {
+				continue // another process, which did not run it
+			}
+			if got := g.send(g.newRequest("/book/1", "body")); got.status != 502 || !strings.Contains(got.body, `"unknown"`) {
+				t.Errorf("%d %s: status %d, body %q", status, desc, got.status, got.body)
+			}
+		}
+	}
+}
--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -72,6 +72,9 @@
 	// IsRejected reports whether the endpoint declares that it did not run the
 	// request, and whether it did so because another process now has the address.
 	IsRejected(status int, response http.Header) (rejected, moved bool)
+	// MeansNotRun reports whether callers take a status to mean that the request did not
+	// run and will not run.
+	MeansNotRun(status int) bool
 	// DecodeNotice returns what the endpoint says about itself in a response.
 	DecodeNotice(status int, response http.Header) Notice
 	// IsGenuine reports whether a successful response carries the marks of the
