Break off a numbered stream at bytes that are no numbered event

Report of other operators: a stream broke off and the next endpoint answered with an error. Cause: answers with an error status could not get into a stream here, but any bytes of a success could: an event without an ID, or lines of text up to an empty one, were passed on as part of the stream, also in a resumed run and in a body without framing that goes on with another head. Change: once a stream has numbered events, an event with fields and without a number breaks it off; it is resumed elsewhere, or its connection is closed without the last chunk. Comments stay allowed.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -388,10 +388,7 @@
 				survived = true
 				q.recordSurvival(now)
 			}
-			out, gapErr := s.skipDelivered(batch)
-			if gapErr != nil {
-				return attemptBroken, placement.Failed, gapErr.Error(), nil
-			}
+			out, sequenceErr := s.skipDelivered(batch)
 			if len(out.bytes) > 0 {
 				if !s.started {
 					s.started = true
@@ -406,6 +403,9 @@
 					return attemptBroken, placement.Inconclusive, "caller left", nil
 				}
 			}
+			if sequenceErr != nil {
+				return attemptBroken, placement.Failed, sequenceErr.Error(), nil
+			}
 		}
 		if err == io.EOF && resp.EndsWithConnection && s.firstEvent.IsZero() {
 			err = errEmptyBody
--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -90,3 +90,101 @@
 		}
 	}
 }
+
+// Guards against the text of an error in the middle of a stream, and against a stream that ends like a complete one.
+func TestStreamThatBreaksOffGetsNoForeignBytes(t *testing.T) {
+	const errorText = `{"error":"the model is gone"}`
+	const head = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\nfull"
+	for framing := range framings {
+		answers := map[string]machines.Script{}
+		for desc, body := range map[string]string{
+			"error text":                    errorText,
+			"a whole head":                  head,
+			"an event with an error":        "event: error\ndata: " + errorText + "\n\n",
+			"an event without an ID":        "data: " + errorText + "\n\n",
+			"an event with a word as ID":    "id: error\ndata: " + errorText + "\n\n",
+			"a comment":                     ": " + errorText + "\n\n",
+			"lines of text":                 "the model\nis gone\n\n",
+			"the next event, then a head":   machines.Event(3) + head + "\n\n",
+			"the next event, then an error": machines.Event(3) + "data: " + errorText + "\n\n",
+			"nothing":                       "",
+		} {
+			for _, status := range []int{200, 302, 400, 404, 422, 500, 502, 504} {
+				for _, contentType := range []string{"text/event-stream", "application/json", ""} {
+					noEvents := body == "" || strings.HasPrefix(body, ":")
+					if noEvents && status == 200 && contentType != "application/json" && framing != "connection" {
+						continue // a whole answer without further events
+					}
+					answers[fmt.Sprintf("%d/%s/%s", status, contentType, desc)] = func(q *http.Request, _ []byte, c net.Conn) bool {
+						header, framed := framings[framing](body)
+						lines := []string{header}
+						if contentType != "" {
+							lines = append(lines, "Content-Type: "+contentType)
+						}
+						_, _ = io.WriteString(c, machines.ResponseHead(q, status, lines...)+framed)
+						return false
+					}
+				}
+			}
+		}
+		answers["rejection"] = machines.Shed
+		answers["no seal"] = func(_ *http.Request, _ []byte, c net.Conn) bool { _, _ = io.WriteString(c, head); return false }
+		answers["no answer"] = machines.Cut
+		for desc, second := range answers {
+			for _, path := range []string{"/chat/1", "/once/1"} {
+				t.Run(framing+"/"+desc+path, func(t *testing.T) {
+					t.Parallel()
+					var runs atomic.Int64
+					script := func(q *http.Request, b []byte, c net.Conn) bool {
+						if runs.Add(1) == 1 {
+							return machines.Stream(1, 2, false)(q, b, c)
+						}
+						return second(q, b, c)
+					}
+					checkPrefix(t, newTestGateway(t, script, script), path)
+				})
+			}
+		}
+	}
+}
+
+// Guards against the head of another answer in a stream without framing whose endpoint fails.
+func TestStreamWithForeignTailIsNotComplete(t *testing.T) {
+	for _, tail := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 Oops\r\n\r\n<html>\n</html>\n\n",
+		"data: x\n\n", "event: error\ndata: x\n\n", "id: error\ndata: x\n\n", "502 Bad Gateway\n\n",
+	} {
+		for framing := range framings {
+			g := newTestGateway(t, framedStream(framing, eventRange(1, 2)+tail))
+			checkPrefix(t, g, "/once/1")
+		}
+	}
+}
+
+// checkPrefix sends a request for a stream of which no run is complete and verifies that the
+// caller gets whole events in order, and no proper end.
+func checkPrefix(t *testing.T, g *testGateway, path string) {
+	t.Helper()
+	got := g.send(g.newRequest(path, "body", tokensHeader(), machines.HeaderDeadline+": 500"))
+	sound := false
+	for last := range 4 {
+		sound = sound || withoutComments(got.body) == eventRange(1, last)
+	}
+	if got.status != 200 || !sound {
+		t.Errorf("status %d, body %q", got.status, got.body)
+	}
+	if got.err == nil {
+		t.Errorf("the stream ended like a complete one: %q", got.body)
+	}
+}
+
+// withoutComments removes comments, which belong to no event.
+func withoutComments(stream string) string {
+	var out strings.Builder
+	for _, block := range strings.SplitAfter(stream, "\n\n") {
+		if !strings.HasPrefix(block, ":") {
+			out.WriteString(block)
+		}
+	}
+	return out.String()
+}
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -19,6 +19,9 @@
 	errIncompleteEvent = errors.New("the stream ended inside an event")
 	// errMissingEvents is also a value of the label result of the attempts metric.
 	errMissingEvents = errors.New("events are missing after the resumption")
+	// errForeignEvent means that a stream of numbered events goes on with bytes that are
+	// none of them, such as an error.
+	errForeignEvent = errors.New("the stream goes on with something else than a numbered event")
 )
 
 // eventReader splits a stream of server-sent events at event boundaries.
@@ -121,7 +124,8 @@
 
 // skipDelivered returns the events of a batch that the caller does not have yet, and
 // advances the position in the stream. It fails with errMissingEvents if a resumed
-// run starts later than the next event.
+// run starts later than the next event, and with errForeignEvent at an event without a
+// number in a stream of numbered ones; the events before it are returned too.
 func (s *streamState) skipDelivered(batch []byte) (eventBatch, error) {
 	var out eventBatch
 	for rest := batch; len(rest) > 0; {
@@ -131,13 +135,16 @@
 		}
 		rest = rest[len(event):]
 		id, ok := eventID(event)
+		n, err := strconv.ParseInt(id, 10, 64)
+		numbered := ok && err == nil
+		if !numbered && s.hasLastNumber && hasFields(event) {
+			return out, errForeignEvent
+		}
 		if !ok {
 			s.forwardedWithoutID = s.forwardedWithoutID || hasFields(event)
 			out.bytes = append(out.bytes, event...)
 			continue
 		}
-		n, err := strconv.ParseInt(id, 10, 64)
-		numbered := err == nil
 		if numbered && s.hasLastNumber && n <= s.lastNumber {
 			continue
 		}
