Test answers that end in the middle of their head

Report of other operators: an endpoint stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole (MIXED, ORDER). Cause: none here, a head without its empty line fails the exchange. Change: a table that cuts the head after each byte, for each framing, line end and kind of route.

--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -188,3 +188,39 @@
 	}
 	return out.String()
 }
+
+// Guards against an answer that its endpoint breaks off in the middle of the head and that callers get as a success.
+func TestAnswerCutInHeadIsNotSuccess(t *testing.T) {
+	heads := map[string]func(q *http.Request) string{}
+	for framing, frame := range framings {
+		for _, end := range []string{"\r\n", "\n"} {
+			heads[fmt.Sprintf("%s %q", framing, end)] = func(q *http.Request) string {
+				header, _ := frame("whole")
+				return strings.ReplaceAll(machines.ResponseHead(q, 200, "Content-Type: text/event-stream", header, "X-Last: 0 "), "\r\n", end)
+			}
+		}
+	}
+	for desc, head := range heads {
+		for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
+			t.Run(desc+path, func(t *testing.T) {
+				t.Parallel()
+				var cut atomic.Int64
+				done := false
+				script := func(q *http.Request, _ []byte, c net.Conn) bool {
+					text := head(q)
+					n := min(int(cut.Load()), len(text)-1)
+					done = n == len(text)-1
+					_, _ = io.WriteString(c, text[:n])
+					return false
+				}
+				g := newTestGateway(t, script)
+				for ; !done; cut.Add(1) {
+					req := g.newRequest(path, "body", machines.HeaderDeadline+": 1000")
+					if got := g.send(req); got.status != 502 && got.status != 503 && got.status != 504 || (path == "/book/1" && got.status == 503 && len(g.runners[0].Requests()) > int(cut.Load())) {
+						t.Fatalf("cut after %d bytes: status %d, body %q, %v", cut.Load(), got.status, got.body, got.err)
+					}
+				}
+			})
+		}
+	}
+}
