Keep connections only to endpoints that name the request in their answers

The report of repeated refusals, on the path of clementinerackd: a late copy of an earlier answer on a kept connection was taken for the answer to the next request. Cause: net/http closes a connection on which something arrives while it is idle, but cannot tell a copy that arrives after the next request was sent. Calls that must run once use new connections and were safe. Change: answers should repeat X-Request-Id (docs/protocols.md; the stand-ins do). Connections are kept only to endpoints whose latest answer did; on them, an answer that does not name the request, or whose head contains another one, fails the connection, and the attempt goes on with a new one where it may.

--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -118,10 +118,7 @@
 	if req.Header.Get("User-Agent") == "" {
 		req.Header.Set("User-Agent", "") // keeps net/http from adding its own
 	}
-	if newConn {
-		return a.client.unpooled.RoundTrip(req)
-	}
-	return a.client.pooled.RoundTrip(req)
+	return a.client.roundTrip(a.call.Endpoint.ID, req, newConn)
 }
 
 // receive passes the answer to the sink. It first holds back up to maxHeldBytes.
@@ -172,6 +169,7 @@
 		header := endToEndHeaders(resp.Header)
 		deleteOwnHeaders(header)
 		header.Del(drainingHeader)
+		header.Del(requestIDHeader)
 		length := -1
 		if end {
 			length = len(part)
--- /dev/null
+++ b/pkg/relay/brokenanswers_test.go
@@ -0,0 +1,155 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/config"
+)
+
+// rawScript answers a request on a connection and reports whether that stays open.
+type rawScript func(q *http.Request, c net.Conn) (keepOpen bool)
+
+// startRawEndpoint starts an endpoint whose answers are written by serve. It returns its
+// address.
+func startRawEndpoint(t *testing.T, serve rawScript) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var connections sync.WaitGroup
+	var open sync.Map
+	connections.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			open.Store(c, nil)
+			connections.Go(func() {
+				defer func() { _ = c.Close() }()
+				for reader := bufio.NewReader(c); ; {
+					q, err := http.ReadRequest(reader)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, q.Body)
+					if !serve(q, c) {
+						return
+					}
+				}
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		open.Range(func(c, _ any) bool { _ = c.(net.Conn).Close(); return true })
+		connections.Wait()
+	})
+	return l.Addr().String()
+}
+
+// rawAnswer returns an answer with a length. It repeats the ID of the request unless id is "".
+func rawAnswer(status int, id, body string) string {
+	head := fmt.Sprintf("HTTP/1.1 %d Status\r\nContent-Length: %d\r\n", status, len(body))
+	if id != "" {
+		head += requestIDHeader + ": " + id + "\r\n"
+	}
+	return head + "\r\n" + body
+}
+
+const wholeStream = "id: 1\ndata: {\"choices\":[{\"delta\":{\"content\":\"1\"}}]}\n\nid: 2\ndata: {\"usage\":{\"prompt_tokens\":9,\"completion_tokens\":1}}\n\ndata: [DONE]\n\n"
+
+// Guards against an answer to an earlier request that is taken for that of a request which runs.
+func TestRepeatedAnswerOnKeptConnection(t *testing.T) {
+	for _, echo := range []bool{true, false} {
+		for _, status := range []int{200, 400, 404, 429, 503} {
+			for _, model := range []bool{false, true} {
+				t.Run(fmt.Sprintf("echo %v, status %d, model %v", echo, status, model), func(t *testing.T) {
+					t.Parallel()
+					answer := func(id, body string, status int) string {
+						if !echo {
+							id = ""
+						}
+						return rawAnswer(status, id, body)
+					}
+					var served atomic.Int64
+					var used sync.Map // connections that have carried a request
+					address := startRawEndpoint(t, func(q *http.Request, c net.Conn) bool {
+						id := q.Header.Get(requestIDHeader)
+						if q.Method == http.MethodDelete || strings.HasPrefix(q.URL.Path, "/v1/load") || q.URL.Path == "/healthz" {
+							_, err := io.WriteString(c, rawAnswer(http.StatusNotFound, "", ""))
+							return err == nil
+						}
+						own := "own"
+						if model {
+							own = wholeStream
+						}
+						if _, reused := used.LoadOrStore(c, nil); served.Add(1) == 3 && reused {
+							_, _ = io.WriteString(c, answer("r0", strings.ReplaceAll(own, "own", "other"), status))
+							time.Sleep(5 * time.Millisecond)
+						}
+						_, err := io.WriteString(c, answer(id, own, http.StatusOK))
+						return err == nil
+					})
+					client := New(Options{Instance: "test"})
+					defer client.Close()
+					for i := range 3 {
+						id := fmt.Sprintf("r%d", i)
+						endpoint := config.Endpoint{ID: "e", Address: address}
+						service := config.Service{FirstByteTimeout: testTimeout, IdleTimeout: testTimeout}
+						if model {
+							events := 0
+							res := client.SendModel(context.Background(), ModelCall{Service: service, Endpoint: endpoint, StreamID: id, RequestID: id, Body: []byte(`{}`), MaxTokens: 9,
+								OnEvent: func(uint64, []byte) error { events++; return nil }})
+							if res.Outcome != Complete || events != 2 {
+								t.Errorf("request %d: %+v after %d events", i, res, events)
+							}
+							continue
+						}
+						sink := &recordingSink{}
+						res := client.SendApp(context.Background(), AppCall{Service: service, Endpoint: endpoint, Method: http.MethodGet, Path: "/x", RequestID: id,
+							Repeatable: true, AllowReconnect: func() bool { return true }, Sink: sink})
+						if res.Outcome != Complete || sink.code != http.StatusOK || sink.body.String() != "own" {
+							t.Errorf("request %d: %+v, status %d, body %q", i, res, sink.code, sink.body.String())
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
+// Guards against a new connection for each request to an endpoint that names the request in its answers.
+func TestConnectionIsKeptForAnswersWithID(t *testing.T) {
+	var connections atomic.Int64
+	address := startRawEndpoint(t, func(q *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, rawAnswer(http.StatusOK, q.Header.Get(requestIDHeader), "own"))
+		return err == nil
+	})
+	client := New(Options{Instance: "test", Dial: func(ctx context.Context, network, address string) (net.Conn, error) {
+		connections.Add(1)
+		return (&net.Dialer{}).DialContext(ctx, network, address)
+	}})
+	defer client.Close()
+	for i := range 10 {
+		res := client.SendApp(context.Background(), AppCall{Endpoint: config.Endpoint{ID: "e", Address: address}, Method: http.MethodGet, Path: "/x",
+			RequestID: fmt.Sprint(i), Repeatable: true, Sink: &recordingSink{}})
+		if res.Outcome != Complete {
+			t.Fatalf("%+v", res)
+		}
+	}
+	if n := connections.Load(); n > 2 {
+		t.Errorf("%d connections for 10 requests", n)
+	}
+}
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -52,6 +52,7 @@
 
 	mu           sync.Mutex
 	incarnations map[string]string // by endpoint id
+	naming       map[string]bool   // ids of the endpoints that repeat request IDs in their answers
 }
 
 // New returns a client.
@@ -68,7 +69,7 @@
 	pooled := newTransport(opts)
 	unpooled := newTransport(opts)
 	unpooled.DisableKeepAlives = true
-	return &Client{opts: opts, pooled: pooled, unpooled: unpooled, incarnations: map[string]string{}}
+	return &Client{opts: opts, pooled: pooled, unpooled: unpooled, incarnations: map[string]string{}, naming: map[string]bool{}}
 }
 
 func newTransport(opts Options) *http.Transport {
--- /dev/null
+++ b/pkg/relay/identity.go
@@ -0,0 +1,64 @@
+package relay
+
+import (
+	"errors"
+	"net/http"
+	"strings"
+)
+
+// errForeignAnswer means that an answer belongs to another request, or may do so.
+var errForeignAnswer = errors.New("the answer does not name the request")
+
+// roundTrip sends a request to an endpoint and returns the answer to it. It uses a kept
+// connection only if newConn is false and the endpoint repeats request IDs in its answers:
+// otherwise the late copy of an earlier answer could not be told from the one to this request.
+func (c *Client) roundTrip(endpointID string, req *http.Request, newConn bool) (*http.Response, error) {
+	transport := c.unpooled
+	if !newConn && c.namesRequests(endpointID) {
+		transport = c.pooled
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return nil, err
+	}
+	names, foreign := identify(resp.Header, req.Header.Get(requestIDHeader))
+	c.recordNamesRequests(endpointID, names)
+	if foreign || transport == c.pooled && !names {
+		_ = resp.Body.Close() // closes the connection
+		return nil, errForeignAnswer
+	}
+	return resp, nil
+}
+
+// identify reports whether the header of an answer names the request with the given ID,
+// and whether it names another one. A field that contains a status line shows that the head
+// of an earlier answer broke off and goes on with another one.
+func identify(header http.Header, requestID string) (names, foreign bool) {
+	for _, values := range header {
+		for _, v := range values {
+			if strings.Contains(v, "HTTP/1.") {
+				return false, true
+			}
+		}
+	}
+	ids := header.Values(requestIDHeader)
+	names = len(ids) == 1 && ids[0] == requestID
+	return names, len(ids) > 0 && !names
+}
+
+// namesRequests reports whether the latest answer of an endpoint repeated the request ID.
+func (c *Client) namesRequests(endpointID string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.naming[endpointID]
+}
+
+func (c *Client) recordNamesRequests(endpointID string, names bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if names {
+		c.naming[endpointID] = true
+	} else {
+		delete(c.naming, endpointID)
+	}
+}
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -194,9 +194,5 @@
 	if a.buffer.lastSeq > 0 {
 		req.Header.Set(resumeHeader, strconv.FormatUint(a.buffer.lastSeq, 10))
 	}
-	transport := a.client.pooled
-	if a.result.Reconnects > 0 {
-		transport = a.client.unpooled
-	}
-	return transport.RoundTrip(req)
+	return a.client.roundTrip(a.call.Endpoint.ID, req, a.result.Reconnects > 0)
 }
--- a/standins/endpoint/server.go
+++ b/standins/endpoint/server.go
@@ -58,6 +58,9 @@
 	s.App.Configure(iris.WithoutPathCorrection, iris.WithoutAutoFireStatusCode)
 	s.App.Logger().SetLevel("disable")
 	s.App.UseRouter(func(ctx iris.Context) {
+		if id := ctx.GetHeader("X-Request-Id"); id != "" {
+			ctx.Header("X-Request-Id", id)
+		}
 		if s.Faults().Draining {
 			ctx.Header("X-Draining", "true")
 		}
