--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -153,3 +153,38 @@
 		t.Errorf("%d connections for 10 requests", n)
 	}
 }
+
+// Guards against an answer that its endpoint breaks off in the middle of the head and that counts as complete.
+func TestAnswerCutInHeadIsNotComplete(t *testing.T) {
+	for _, end := range []string{"\r\n", "\n"} {
+		for _, framing := range []string{"Content-Length: 0", "Content-Length: 5", "Transfer-Encoding: chunked", "Connection: close"} {
+			head := strings.Join([]string{"HTTP/1.1 200 OK", framing, "Content-Type: text/event-stream", "X-Last: 0 ", "", ""}, end)
+			for cut := range len(head) {
+				address := startRawEndpoint(t, func(_ *http.Request, c net.Conn) bool { _, _ = io.WriteString(c, head[:cut]); return false })
+				if res, got := runApp(address, false); res.Outcome == Complete || got.code != 0 {
+					t.Errorf("%q: %+v, status %d", head[:cut], res, got.code)
+				}
+			}
+		}
+	}
+}
+
+// Guards against the text of an error in the middle of a stream, and against a stream that ends like a complete one.
+func TestStreamThatBreaksOffGetsNoForeignBytes(t *testing.T) {
+	const errorText = `{"error":"the model is gone"}`
+	for _, status := range []int{200, 206, 302, 400, 404, 429, 500, 502, 503} {
+		for _, body := range []string{"", errorText, "HTTP/1.1 503 Service Unavailable\r\n\r\nfull\n\n", "data: " + errorText + "\n\n", "event: error\ndata: " + errorText + "\n\n",
+			"id: 3\ndata: " + errorText + "\n\n", "id: error\ndata: x\n\n", "id: 3\ndata: gone\n\n", "data: [DONE]\n\n", ": comment\n\ndata: [DONE]\n\n", "502 Bad Gateway\n\ndata: [DONE]\n\n"} {
+			t.Run(fmt.Sprintf("%d %q", status, body), func(t *testing.T) {
+				t.Parallel()
+				engine := &fakeEngine{cancelReply: cancelReply, script: []func(http.ResponseWriter, int){breakAfter(1, 2), func(w http.ResponseWriter, _ int) {
+					w.WriteHeader(status)
+					_, _ = io.WriteString(w, body)
+				}}}
+				if res, events := runModel(t, engine, 100, nil); res.Outcome == Complete || events != "12" {
+					t.Errorf("%+v, events %q", res, events)
+				}
+			})
+		}
+	}
+}
