Do not count rights that were lost with instances as left

Cause: holdings are a share of the unspent tokens, prepaid less spent. Tokens that were granted to instances which have ended count as unspent although nobody can spend them, so each loss stranded as much as the one before. Change: what is granted, not spent and not held by the running instances (which are taken to hold as much as this one) is lost; the estimate is the least of 12 s, as other differences last only until the next report. It does not count as left, and buffers shrink by the same amount again. Measured: TestRepeatedLossesLeaveTokens and a case of TestPolicy, red without the estimate (no share of 42 served at the end).

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -123,7 +123,7 @@
 	n.book = rights.NewBook()
 	n.syncer = rights.NewSyncer(rights.SyncerOptions{
 		Book: n.book, Ledger: rights.NewLedger(n.opts.Store, n.self.Incarnation), Prepaid: n.prepaidTotals,
-		BufferHolders: n.leaderCount, SupplierRank: n.supplierRank, ResolvePending: n.resolveCalls, Refill: n.refill, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
+		BufferHolders: n.leaderCount, Instances: n.instanceCount, SupplierRank: n.supplierRank, ResolvePending: n.resolveCalls, Refill: n.refill, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
 	})
 	n.exchange = rights.NewExchange(n.book, n.peers, n.rightsPeers, n.syncer, n.log)
 }
@@ -203,6 +203,9 @@
 	return len(leaders), self && n.roster.IsSettled()
 }
 
+// instanceCount returns the number of known instances, this one included.
+func (n *Node) instanceCount() int { return len(n.roster.Others()) + 1 }
+
 // supplierRank returns the rank of this instance among the suppliers of a workspace, or
 // rights.NoSupplier.
 func (n *Node) supplierRank(workspace string) int {
--- a/pkg/node/rights_test.go
+++ b/pkg/node/rights_test.go
@@ -67,7 +67,7 @@
 		log.SetOutput(io.Discard)
 		book := rights.NewBook()
 		syncer := rights.NewSyncer(rights.SyncerOptions{Book: book, Ledger: rights.NewLedger(unavailableStore{}, "a"), Prepaid: func() map[string]rights.Tokens { return nil },
-			BufferHolders: func() (int, bool) { return 2, true }, SupplierRank: func(string) int { return rights.NoSupplier }, ResolvePending: func(context.Context) {},
+			BufferHolders: func() (int, bool) { return 2, true }, Instances: func() int { return 2 }, SupplierRank: func(string) int { return rights.NoSupplier }, ResolvePending: func(context.Context) {},
 			Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: log})
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
--- a/pkg/rights/machine_test.go
+++ b/pkg/rights/machine_test.go
@@ -58,7 +58,7 @@
 	inst := &modelInstance{name: fmt.Sprintf("i%d", f.started), address: address, book: NewBook()}
 	inst.ledger = NewLedger(f.store, inst.name)
 	inst.syncer = NewSyncer(SyncerOptions{Book: inst.book, Ledger: inst.ledger, Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: f.prepaid} },
-		BufferHolders: func() (int, bool) { return 2, address != "a2" }, SupplierRank: func(string) int { return modelRank(address) }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discardLogger()})
+		BufferHolders: func() (int, bool) { return 2, address != "a2" }, Instances: func() int { return 2 }, SupplierRank: func(string) int { return modelRank(address) }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discardLogger()})
 	inst.exchange = NewExchange(inst.book, f.peers, func(string) []Member { return f.members(inst) }, inst.syncer, discardLogger())
 	inst.exchange.grantTimeout = 0
 	// The steps resolve pending calls themselves, because beside refills the order of the
--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -4,7 +4,8 @@
 
 // Policy determines how many rights an instance holds. Large holdings let it serve
 // requests while the store is unreachable; small holdings strand fewer rights when
-// instances die. Shares are fractions between 0 and 1.
+// instances die. Shares are fractions between 0 and 1. The tokens left to a workspace are
+// those that are prepaid, neither spent nor lost with instances that have ended.
 type Policy struct {
 	// Horizon is how long the rights that all instances together hold should cover the
 	// consumption of a workspace. They are transferred between instances while the
@@ -13,20 +14,20 @@
 	// OwnHorizon is how long the rights of one instance should cover the demand that
 	// arrives at it, so that requests find rights between two rounds.
 	OwnHorizon time.Duration
-	// MaxOwnShare bounds the share of the unspent tokens that all instances together
+	// MaxOwnShare bounds the share of the tokens left that all instances together
 	// hold because of OwnHorizon. Near the end of a workspace's tokens, requests take
 	// what they need instead.
 	MaxOwnShare float64
-	// StandingShare is the share of the unspent tokens that all instances together
-	// hold regardless of recent demand, because demand may rise while the store is
+	// StandingShare is the share of the tokens left, less those lost, that all instances
+	// together hold regardless of recent demand, because demand may rise while the store is
 	// unreachable.
 	StandingShare float64
-	// MaxStandingShare bounds the share of the unspent tokens that one buffer holder
-	// holds because of StandingShare. At least that much is stranded when it dies.
+	// MaxStandingShare bounds the share of the same tokens that one buffer holder holds
+	// because of StandingShare. At least that much is stranded when it dies.
 	MaxStandingShare float64
 	// DepletionWindow reduces the rights held because of Horizon for workspaces whose
-	// tokens will soon run out: the share of the unspent tokens that is held is at most
-	// the time for which they last, divided by DepletionWindow. The loss of all
+	// tokens will soon run out: the share of the same tokens that is held is at most the
+	// time for which they last, divided by DepletionWindow. The loss of all
 	// instances then leaves the rest to the workspace.
 	DepletionWindow time.Duration
 	// RefillBelow is the fraction of the target below which an instance takes more
@@ -54,6 +55,9 @@
 	// Prepaid, Granted and Spent are the workspace's totals over all instances. Granted
 	// may be stale, and Spent lags behind the real consumption.
 	Prepaid, Granted, Spent Tokens
+	// Lost estimates the tokens that were granted to instances which have ended, and that
+	// nobody can spend any more.
+	Lost Tokens
 	// FleetRate is the consumption of the workspace at all instances, in tokens
 	// per second.
 	FleetRate float64
@@ -70,13 +74,16 @@
 // Target returns the number of free rights that the instance should hold.
 func (p Policy) Target(in PolicyInput) Tokens {
 	holders := float64(max(1, in.BufferHolders))
-	unspent := float64(max(0, in.Prepaid-in.Spent))
-	standing := unspent * min(p.StandingShare/holders, p.MaxStandingShare)
-	shared := max(standing, p.demandBuffer(in.FleetRate, unspent)/holders)
+	left := float64(max(0, in.Prepaid-in.Spent-in.Lost))
+	// Buffers shrink with what has been lost, so that repeated losses of all instances
+	// leave tokens to the workspace.
+	base := max(0, left-float64(in.Lost))
+	standing := base * min(p.StandingShare/holders, p.MaxStandingShare)
+	shared := max(standing, p.demandBuffer(in.FleetRate, base)/holders)
 	if in.NoBuffer {
 		shared = 0
 	}
-	own := in.Holding.Rate * min(p.OwnHorizon.Seconds(), p.MaxOwnShare*unspent/max(in.FleetRate, in.Holding.Rate, 1))
+	own := in.Holding.Rate * min(p.OwnHorizon.Seconds(), p.MaxOwnShare*left/max(in.FleetRate, in.Holding.Rate, 1))
 	if own < float64(in.Holding.RequestCost) {
 		// Less than one request needs would only be taken and returned: in a large fleet
 		// each instance gets few requests of a workspace, and asks for the rights of each.
@@ -86,13 +93,13 @@
 }
 
 // demandBuffer returns the tokens that all instances together should hold for a
-// consumption of rate tokens per second.
-func (p Policy) demandBuffer(rate, unspent float64) float64 {
+// consumption of rate tokens per second, out of left tokens.
+func (p Policy) demandBuffer(rate, left float64) float64 {
 	if rate <= 0 {
 		return 0
 	}
-	secondsLeft := unspent / rate
-	return min(rate*p.Horizon.Seconds(), unspent*secondsLeft/p.DepletionWindow.Seconds())
+	secondsLeft := left / rate
+	return min(rate*p.Horizon.Seconds(), left*secondsLeft/p.DepletionWindow.Seconds())
 }
 
 // Change returns the number of rights to take, or to return if it is negative.
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -17,7 +17,7 @@
 func newSyncer(store Store, name string, prepaid Tokens, policy Policy) (*Syncer, *Book) {
 	b := NewBook()
 	return NewSyncer(SyncerOptions{Book: b, Ledger: NewLedger(store, name), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: prepaid} },
-		BufferHolders: func() (int, bool) { return 2, true }, SupplierRank: func(string) int { return 0 }, Policy: policy, Timing: DefaultTiming(), Log: discardLogger()}), b
+		BufferHolders: func() (int, bool) { return 2, true }, Instances: func() int { return 2 }, SupplierRank: func(string) int { return 0 }, Policy: policy, Timing: DefaultTiming(), Log: discardLogger()}), b
 }
 
 // Guards against rights that are lost or counted twice after a transaction without an
@@ -135,7 +135,7 @@
 	prepaid := Tokens(10_000)
 	b := NewBook()
 	s := NewSyncer(SyncerOptions{Book: b, Ledger: NewLedger(store, "i1"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: prepaid} },
-		BufferHolders: func() (int, bool) { return 1, true }, SupplierRank: func(string) int { return 0 }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discardLogger()})
+		BufferHolders: func() (int, bool) { return 1, true }, Instances: func() int { return 1 }, SupplierRank: func(string) int { return 0 }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discardLogger()})
 	for range 2 {
 		if _, _, err := s.attempt(context.Background(), nil, allShards()[0]); err != nil {
 			t.Fatal(err)
@@ -182,6 +182,7 @@
 		{"more granted than prepaid", PolicyInput{Prepaid: 1000, Granted: 1020, BufferHolders: 4, Holding: Holding{Free: 100}}, -20},
 		{"last tokens are spread over the instances", PolicyInput{Prepaid: 1000, Granted: 960, BufferHolders: 4}, 10},
 		{"ungranted tokens below the minimum change", PolicyInput{Prepaid: 1000, Granted: 984, BufferHolders: 4}, 0},
+		{"tokens lost with instances", PolicyInput{Prepaid: 1000, Granted: 500, Spent: 300, Lost: 200, BufferHolders: 4}, 15},
 		{"shortfall of a waiting request", PolicyInput{Prepaid: 1000, Granted: 900, BufferHolders: 4, Shortfall: 60}, 60},
 		{"nothing left", PolicyInput{Prepaid: 1000, Granted: 1000, BufferHolders: 4, Shortfall: 60}, 0},
 	} {
@@ -191,6 +192,46 @@
 	}
 }
 
+// Guards against buffers that strand what a workspace needs after repeated losses of all instances.
+func TestRepeatedLossesLeaveTokens(t *testing.T) {
+	const (
+		instances = 7
+		day       = 60 // seconds, for which 1.3 times the need is prepaid
+		prepaid   = Tokens(13_000_000)
+		perSecond = prepaid * 10 / 13 / day
+	)
+	powerLost := map[int]bool{8: true, 20: true, 27: true, 40: true}
+	p := DefaultPolicy()
+	var granted, spent Tokens
+	var free [instances]Tokens
+	var lost losses
+	start := time.Now()
+	servedLate := 0
+	for second := range day {
+		for i := range free {
+			if powerLost[second] {
+				free[i], lost = 0, losses{}
+			}
+		}
+		for i := range free {
+			lost.add(unaccounted(granted, spent, Holding{Free: free[i]}, instances, instances, true), start.Add(time.Duration(second)*time.Second))
+			change := p.Change(PolicyInput{Prepaid: prepaid, Granted: granted, Spent: spent, FleetRate: float64(perSecond), BufferHolders: instances, Lost: lost.tokens(),
+				Holding: Holding{Free: free[i], Rate: float64(perSecond / instances), RequestCost: 10_000}})
+			granted, free[i] = granted+change, free[i]+change
+		}
+		for i := range free {
+			used := min(free[i], perSecond/instances)
+			spent, free[i] = spent+used, free[i]-used
+			if second >= 40+2+12 && used > 0 {
+				servedLate++
+			}
+		}
+	}
+	if servedLate < instances*(day-54)/4 {
+		t.Errorf("%d of %d shares served at the end, %d%% of the tokens spent", servedLate, instances*(day-54), 100*spent/prepaid)
+	}
+}
+
 // Guards against instances whose transactions conflict with the supplier's, and against
 // consumption that is never reported to the store. Instances that are not the supplier
 // must be refilled by it and must report through it.
@@ -215,7 +256,7 @@
 		book := NewBook()
 		x := NewExchange(book, peers, members, emptySource{}, discardLogger())
 		other := NewSyncer(SyncerOptions{Book: book, Ledger: NewLedger(store, "b"), Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: 100_000} },
-			BufferHolders: func() (int, bool) { return 2, tc.holdsBuffer }, SupplierRank: func(string) int { return NoSupplier }, ResolvePending: x.ResolvePending, Refill: x.Refill, Policy: DefaultPolicy(),
+			BufferHolders: func() (int, bool) { return 2, tc.holdsBuffer }, Instances: func() int { return 2 }, SupplierRank: func(string) int { return NoSupplier }, ResolvePending: x.ResolvePending, Refill: x.Refill, Policy: DefaultPolicy(),
 			Timing: DefaultTiming(), Log: discardLogger()})
 		before := store.commits
 		const size, used, requests = 20, 15, 50 // a request is small relative to the demand of one second
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -52,6 +52,8 @@
 	// of them. Buffer holders hold rights beyond their own demand, so that requests can
 	// be served while the store is unreachable.
 	BufferHolders func() (n int, self bool)
+	// Instances returns the number of all instances, this one included.
+	Instances func() int
 	// SupplierRank returns the rank of this instance among the Suppliers of a workspace,
 	// or NoSupplier. The one of rank 0 changes the record on behalf of the others; the
 	// next one takes its place while it does not reach the store.
@@ -75,6 +77,7 @@
 
 	// The following fields are used by Run only. The maps are keyed by workspace.
 	fleetConsumption     map[string]*consumption // as reported to the store by all instances
+	lost                 map[string]*losses      // estimated
 	supplierRequests     map[string]Tokens       // rights to ask of a supplier, or to return to it if negative
 	unsupplied           map[string]bool         // no supplier reached the store in the latest round
 	supplierReachedStore bool                    // a supplier reached the store in the latest round
@@ -91,7 +94,7 @@
 
 // NewSyncer returns a syncer. It makes no call before Run.
 func NewSyncer(opts SyncerOptions) *Syncer {
-	return &Syncer{opts: opts, trigger: make(chan struct{}, 1), shortfalls: map[string]Tokens{}, peerShortfalls: map[string]map[string]Tokens{}, granted: map[string]Tokens{}, fleetConsumption: map[string]*consumption{},
+	return &Syncer{opts: opts, trigger: make(chan struct{}, 1), shortfalls: map[string]Tokens{}, peerShortfalls: map[string]map[string]Tokens{}, granted: map[string]Tokens{}, fleetConsumption: map[string]*consumption{}, lost: map[string]*losses{},
 		dependency: eventlog.NewDependency(opts.Log, "store", "rights")}
 }
 
@@ -354,9 +357,16 @@
 	changes := map[string]Change{}
 	s.supplierRequests = map[string]Tokens{}
 	bufferHolders, holdsBuffer := s.opts.BufferHolders()
+	instances := s.opts.Instances()
 	for w, paid := range prepaid {
-		granted := s.opts.Ledger.Granted(w)
-		in := PolicyInput{Holding: s.opts.Book.Holding(w, now), Prepaid: paid, Granted: granted, Spent: s.opts.Ledger.Spent(w),
+		granted, spent, holding := s.opts.Ledger.Granted(w), s.opts.Ledger.Spent(w), s.opts.Book.Holding(w, now)
+		if s.lost[w] == nil {
+			s.lost[w] = &losses{}
+		}
+		if storeReached {
+			s.lost[w].add(unaccounted(granted, spent, holding, bufferHolders, instances, holdsBuffer), now)
+		}
+		in := PolicyInput{Holding: holding, Prepaid: paid, Granted: granted, Spent: spent, Lost: s.lost[w].tokens(),
 			FleetRate: s.fleetRate(w, now, storeReached), BufferHolders: bufferHolders, NoBuffer: !holdsBuffer, Shortfall: shortfalls[w]}
 		change := s.opts.Policy.Change(in)
 		shouldReport := float64(in.Holding.Unreported) > reportAbove*float64(s.opts.Policy.Target(in))
@@ -472,10 +482,10 @@
 // consumption is the rate at which the spent sum of a workspace grows.
 type consumption struct{ samples []sample }
 
-// sample is a spent sum at a time.
+// sample is an amount at a time.
 type sample struct {
-	at    time.Time
-	spent Tokens
+	at     time.Time
+	tokens Tokens
 }
 
 // add records a sample. It drops samples older than the window, except for the latest
@@ -493,7 +503,7 @@
 		return 0
 	}
 	first, last := c.samples[0], c.samples[len(c.samples)-1]
-	return float64(last.spent-first.spent) / max(minConsumptionWindow, last.at.Sub(first.at)).Seconds()
+	return float64(last.tokens-first.tokens) / max(minConsumptionWindow, last.at.Sub(first.at)).Seconds()
 }
 
 // fleetRate returns the recent consumption of a workspace at all instances, in tokens
