Break off a stream at an event that was joined with other bytes

Report of other operators: after a cut, the text of an error, at times its whole head, stood in the middle of streams. Cause: a block was taken for an event of the stream as soon as one of its lines was a numeric ID. A head without its empty line, or a line of text, before an event, and a head after half an event, passed with it. Change: a numbered event must have one ID, only fields of the format or of the codec, and one kind of line end. Open: half an event that goes on with text in its own data line cannot be told from data.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -72,12 +72,13 @@
 	// forwardedWithoutID is true once an event without an ID was forwarded. Such a
 	// stream cannot be resumed, because another run would repeat that event.
 	forwardedWithoutID bool
+	isEventField       func(name string) bool // Codec.IsEventField
 }
 
 // runAttempts makes attempts until the caller has a response or no further attempt
 // is allowed.
 func (q *request) runAttempts(ctx context.Context) {
-	s := &streamState{lastEventID: q.envelope.ResumeAfter}
+	s := &streamState{lastEventID: q.envelope.ResumeAfter, isEventField: q.g.opts.Codec.IsEventField}
 	if n, err := strconv.ParseInt(s.lastEventID, 10, 64); err == nil {
 		s.lastNumber, s.hasLastNumber = n, true
 	}
--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -161,6 +161,49 @@
 	}
 }
 
+// Guards against an event of a stream that has been joined with other bytes of its endpoint, and is passed on.
+func TestEventJoinedWithForeignBytesIsNotPassedOn(t *testing.T) {
+	const line, field = "HTTP/1.1 503 Service Unavailable", "Content-Length: 4"
+	const cut = "id: 3\ndata: tok"
+	tails := map[string]string{
+		"a cut head, then the event":           line + "\r\n" + field + "\r\n" + machines.Event(3),
+		"a cut head with LF, then the event":   line + "\n" + field + "\n" + machines.Event(3),
+		"a status line, then the event":        line + "\n" + machines.Event(3),
+		"a field of a head, then the event":    field + "\n" + machines.Event(3),
+		"a field in lower case":                "content-length: 4\n" + machines.Event(3),
+		"a JSON error, then the event":         `{"error":"the model is gone"}` + "\n" + machines.Event(3),
+		"a line of text, then the event":       "the model is gone\n" + machines.Event(3),
+		"text with a colon, then the event":    "error: the model is gone\n" + machines.Event(3),
+		"a word, then the event":               "gone\n" + machines.Event(3),
+		"the event with text at its end":       "id: 3\ndata: token-3\nthe model is gone\n\n",
+		"the event with a head at its end":     "id: 3\ndata: token-3\n" + line + "\r\n" + field + "\r\n\r\n",
+		"a cut event, then a head":             cut + line + "\r\n" + field + "\r\n\r\n",
+		"a cut event, then a status line":      cut + line + "\r\n\r\n",
+		"an event cut in its ID":               "id: 3" + line + "\r\n\r\n",
+		"an event cut in the name of a field":  "id: 3\nda" + line + "\r\n\r\n",
+		"an event cut after the name":          "id: 3\ndata" + line + "\r\n\r\n",
+		"a cut event, then JSON and its event": "id: 3\nda" + `{"error":"the model is gone"}` + "\n" + "data: x\n\n",
+		"the event with two IDs":               "id: 3\ndata: tok\nid: 4\ndata: token-4\n\n",
+	}
+	for desc, tail := range tails {
+		for framing := range framings {
+			t.Run(framing+"/"+desc, func(t *testing.T) {
+				t.Parallel()
+				whole := eventRange(1, 2) + tail + machines.Event(4)
+				checkPrefix(t, newTestGateway(t, framedStream(framing, whole)), "/once/1")
+				var runs atomic.Int64
+				script := func(q *http.Request, b []byte, c net.Conn) bool {
+					if runs.Add(1) == 1 {
+						return machines.Stream(1, 2, false)(q, b, c)
+					}
+					return framedStream(framing, tail+machines.Event(4))(q, b, c)
+				}
+				checkPrefix(t, newTestGateway(t, script, script), "/chat/1")
+			})
+		}
+	}
+}
+
 // checkPrefix sends a request for a stream of which no run is complete and verifies that the
 // caller gets whole events in order, and no proper end.
 func checkPrefix(t *testing.T, g *testGateway, path string) {
--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -75,6 +75,9 @@
 	// MeansNotRun reports whether callers take a status to mean that the request did not
 	// run and will not run.
 	MeansNotRun(status int) bool
+	// IsEventField reports whether events of a stream may have a field with the given name
+	// besides those of the event stream format.
+	IsEventField(name string) bool
 	// DecodeNotice returns what the endpoint says about itself in a response.
 	DecodeNotice(status int, response http.Header) Notice
 	// IsGenuine reports whether a successful response carries the marks of the
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -125,7 +125,8 @@
 // skipDelivered returns the events of a batch that the caller does not have yet, and
 // advances the position in the stream. It fails with errMissingEvents if a resumed
 // run starts later than the next event, and with errForeignEvent at an event without a
-// number in a stream of numbered ones; the events before it are returned too.
+// number in a stream of numbered ones, or at a numbered one that was joined with other
+// bytes; the events before it are returned too.
 func (s *streamState) skipDelivered(batch []byte) (eventBatch, error) {
 	var out eventBatch
 	for rest := batch; len(rest) > 0; {
@@ -137,7 +138,7 @@
 		id, ok := eventID(event)
 		n, err := strconv.ParseInt(id, 10, 64)
 		numbered := ok && err == nil
-		if !numbered && s.hasLastNumber && hasFields(event) {
+		if !numbered && s.hasLastNumber && hasFields(event) || numbered && !isSoundEvent(event, s.isEventField) {
 			return out, errForeignEvent
 		}
 		if !ok {
--- a/pkg/gateway/events_test.go
+++ b/pkg/gateway/events_test.go
@@ -34,6 +34,7 @@
 		"two empty lines":                    {"id: 1\ndata: x\n\n\nid: 2\ndata: y\n\n\n"},
 		"two empty lines in two pieces":      {"id: 1\ndata: x\n\n", "\nid: 2\ndata: y\n\n", "\n"},
 		"CR LF in two pieces after an event": {"id: 1\r\ndata: x\r\n\r", "\nid: 2\r\ndata: y\r\n\r\n"},
+		"a new version of the weights":       {"x-weight-versions: 3\nid: 1\ndata: x\n\nid: 2\ndata\n\nid: 3\nretry: 1\nevent: e\ndata: y\ndata: z\n\n"},
 		"comments":                           {": begin\n\n", lf, ": end\n\n", ": end\n"},
 	} {
 		t.Run(desc, func(t *testing.T) {
