Test events that are joined with foreign bytes on the path of clementinerackd

Change: a table of joined heads, texts and halves of events, as the second run of a stream that broke off. Measured: 15 cases pass without a change: lines that are no field are dropped, the data of an event must be one JSON value, and a stream needs its numbers, usage and terminal marker.

--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -188,3 +189,40 @@
 		}
 	}
 }
+
+// Guards against an event of a stream that has been joined with other bytes of its endpoint, and is passed on.
+func TestEventJoinedWithForeignBytesIsNotPassedOn(t *testing.T) {
+	const line, field, data = "HTTP/1.1 503 Service Unavailable", "Content-Length: 4", `{"choices":[{"delta":{"content":"3"}}]}`
+	const third = "id: 3\ndata: " + data + "\n\n"
+	for _, tail := range []string{
+		line + "\r\n" + field + "\r\n" + third, line + "\n" + third, field + "\n" + third, `{"error":"gone"}` + "\n" + third, "gone\n" + third,
+		"error: gone\n" + third, "id: 3\ndata: " + data[:9] + line + "\r\n" + field + "\r\n\r\n", "id: 3\ndata: " + data[:9] + line + "\n\n", "id: 3\nda" + line + "\n\n",
+		"id: 3" + line + "\n\n", "id: 3\ndata: " + data[:9] + `{"error":"gone"}` + "\n\n", "id: 3\ndata: " + data + `{"error":"gone"}` + "\n\n",
+		"id: 3\ndata: " + data + "\ndata: gone\n\n", "id: 3\ndata: " + data + "\ngone\n\n", "id: 3\ndata: " + data[:9] + "\nid: 4\n" + third[6:],
+	} {
+		t.Run(tail, func(t *testing.T) {
+			t.Parallel()
+			engine := &fakeEngine{cancelReply: cancelReply, script: []func(http.ResponseWriter, int){breakAfter(1, 2), func(w http.ResponseWriter, _ int) {
+				_, _ = io.WriteString(w, tail)
+			}}}
+			server := httptest.NewServer(engine)
+			defer server.Close()
+			client := New(Options{Instance: "test"})
+			defer client.Close()
+			client.RecordIncarnation("e", "i0")
+			res := client.SendModel(context.Background(), ModelCall{
+				Service:  config.Service{FirstByteTimeout: testTimeout, IdleTimeout: testTimeout},
+				Endpoint: config.Endpoint{ID: "e", Address: server.Listener.Addr().String()}, StreamID: "s", RequestID: "r", Body: []byte(`{}`), MaxTokens: 100,
+				OnEvent: func(seq uint64, got []byte) error {
+					if seq > 3 || seq == 3 && string(got) != data {
+						t.Errorf("event %d: %q", seq, got)
+					}
+					return nil
+				},
+			})
+			if res.Outcome == Complete {
+				t.Errorf("%+v", res)
+			}
+		})
+	}
+}
