Keep a leave without a start time while the registration is gone

Requests could reach an endpoint again that had said that it leaves (DRAIN): where registrations carry no start time, which is so on the users' deployments, a leave was forgotten as soon as the registration was gone. Cause: without a start time a new process cannot be told from the old one whose registration returns, by a write that was delayed or after a cut of the endpoint; each return was taken for a new process. Change: such a leave ends only after the registration has been gone for 30 s. The case of TestLeaveIsNotTakenBack that expected the opposite is replaced: the users' rule allows no request after the notice. Measured: TestLeaveIsNotTakenBack, three cases red before.

--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -172,7 +172,7 @@
 	for _, entry := range list.Endpoints {
 		e := p.endpoints[entry.ID]
 		if e == nil || e.Address != entry.Address || e.Started != entry.Started {
-			e = &endpointState{hash: hashID(entry.ID), wish: p.wishOf(entry)}
+			e = &endpointState{hash: hashID(entry.ID), wish: p.wishOf(entry, now)}
 			p.endpoints[entry.ID] = e
 		}
 		e.Endpoint, e.listed = entry, true
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -207,7 +207,7 @@
 	}
 	for _, tc := range []struct {
 		desc    string
-		entries [][]catalog.Endpoint // of the lists after the leave, a second apart
+		entries [][]catalog.Endpoint // of the lists after the leave, 5 s apart
 		used    bool
 	}{
 		{"ready again", [][]catalog.Endpoint{{listed(false, 5)}}, false},
@@ -215,13 +215,19 @@
 		{"a new process", [][]catalog.Endpoint{{listed(false, 6)}}, true},
 		{"a new process after the old one was gone", [][]catalog.Endpoint{{}, {listed(false, 6)}}, true},
 		{"ready again, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {listed(false, 0)}}, false},
-		{"gone and ready again, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {}, {listed(false, 0)}}, true},
+		{"gone and ready again, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {}, {listed(false, 0)}}, false},
+		{"gone for 15 s and ready again, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {}, {}, {}, {listed(false, 0)}}, false},
+		{"gone twice, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {}, {listed(false, 0)}, {}, {listed(false, 0)}}, false},
+		{"a new process long after the old one, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {}, {}, {}, {}, {}, {}, {}, {}, {listed(false, 0)}}, true},
+		{"ready again long after the list changed last, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {listed(true, 0)}, nil, nil, nil, nil, nil, nil, nil, {listed(false, 0)}}, false},
 	} {
 		p := New("z", 1)
 		now := start
 		for _, entries := range append([][]catalog.Endpoint{{listed(false, 5)}, {listed(true, 5)}}, tc.entries...) {
-			now = now.Add(time.Second)
-			p.Update(catalog.EndpointList{Endpoints: entries}, now)
+			now = now.Add(5 * time.Second)
+			if entries != nil {
+				p.Update(catalog.EndpointList{Endpoints: entries}, now)
+			}
 		}
 		if _, err := p.Choose(Request{Service: "s"}, now); (err == nil) != tc.used {
 			t.Errorf("%s: %v", tc.desc, err)
--- a/pkg/placement/wishes.go
+++ b/pkg/placement/wishes.go
@@ -15,40 +15,49 @@
 // wish is what an endpoint has said about the requests that it wants. It outlives the
 // registration of the endpoint, which may expire and return while the process runs.
 type wish struct {
-	isLeaving    bool      // it wants no further requests
-	pausedUntil  time.Time // it wants no requests from this instance before this time
-	lastListedAt time.Time
+	isLeaving   bool      // it wants no further requests
+	pausedUntil time.Time // it wants no requests from this instance before this time
+	unlistedAt  time.Time // when its registration was found to be gone, or zero
 }
 
-// wishTTL is how long a wish is remembered after its endpoint was last listed. Endpoints
-// stop within a minute after they have left.
-const wishTTL = 10 * time.Minute
+const (
+	// wishTTL is how long a wish is remembered after its registration has gone. Endpoints
+	// stop within a minute after they have left.
+	wishTTL = 10 * time.Minute
+	// unknownStartTTL replaces wishTTL for a leave if the registration has no start time,
+	// so that a new process cannot be told from one whose registration returns, by a write
+	// that was delayed or after a cut.
+	unknownStartTTL = 30 * time.Second
+)
 
 // allows reports whether the endpoint accepts requests at time now.
 func (w *wish) allows(now time.Time) bool { return !w.isLeaving && !now.Before(w.pausedUntil) }
 
 // wishOf returns the wish of the process that an entry of the list describes.
-func (p *Pool) wishOf(entry catalog.Endpoint) *wish {
+func (p *Pool) wishOf(entry catalog.Endpoint, now time.Time) *wish {
 	key := incarnation{entry.ID, entry.Address, entry.Started}
-	if p.wishes[key] == nil {
-		p.wishes[key] = &wish{}
+	w := p.wishes[key]
+	switch {
+	case w == nil:
+		w = &wish{}
+		p.wishes[key] = w
+	case key.started == 0 && !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unknownStartTTL:
+		w.isLeaving = false
 	}
-	return p.wishes[key]
+	return w
 }
 
-// forgetWishes removes the wishes of processes that have ended. Without a start time a new
-// process of the endpoint cannot be told from the one that was listed before, so a leave
-// ends with the registration. p.mu must be held.
+// forgetWishes removes the wishes of processes that have ended. p.mu must be held.
 func (p *Pool) forgetWishes(now time.Time) {
 	for key, w := range p.wishes {
 		e := p.endpoints[key.id]
 		switch {
 		case e != nil && e.wish == w:
-			w.lastListedAt = now
-		case now.Sub(w.lastListedAt) > wishTTL && !now.Before(w.pausedUntil):
+			w.unlistedAt = time.Time{}
+		case w.unlistedAt.IsZero():
+			w.unlistedAt = now
+		case now.Sub(w.unlistedAt) > wishTTL && !now.Before(w.pausedUntil):
 			delete(p.wishes, key)
-		case key.started == 0:
-			w.isLeaving = false
 		}
 	}
 }
