Heed what an endpoint says of itself in answers that name no request

Requests went on reaching an endpoint that had said in its refusal that it leaves (DRAIN) or that it wants nothing for a time (BUDGET), if the refusal came on a connection in use again and did not name the request. Cause: such an answer may belong to another request, so it is skipped or fails the exchange, and its header was not read. Whatever the request, the notice is the endpoint's. Change: the notice is read from each response head on the connection.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -180,7 +180,10 @@
 	ctx, cancel := q.newAttemptContext(ctx)
 	defer cancel()
 	q.g.opts.CrashGuard.RecordStart(q.fingerprint, c.ID, start)
-	resp, err := q.g.opts.Client.Do(ctx, c.Address, q.newUpstreamRequest(c, s, start))
+	notice := ""
+	upstreamRequest := q.newUpstreamRequest(c, s, start)
+	upstreamRequest.OnHead = func(status int, header http.Header) { notice += q.applyNotice(c, status, header, time.Now()) }
+	resp, err := q.g.opts.Client.Do(ctx, c.Address, upstreamRequest)
 	var status attemptStatus
 	var errorResponse *bufferedResponse
 	outcome := placement.Failed
@@ -188,9 +191,7 @@
 	if err != nil {
 		status, outcome, result = q.handleSendError(err)
 	} else {
-		notice := q.applyNotice(c, resp, time.Now())
 		status, outcome, result, errorResponse = q.handleResponse(ctx, c, s, resp)
-		result += notice
 		resp.Close()
 	}
 	now := time.Now()
@@ -215,7 +216,7 @@
 		q.g.opts.CrashGuard.HandleEndpointDeath(c.ID, now)
 	}
 	c.Done(outcome, now)
-	q.attempts = append(q.attempts, attempt{c.ID, c.Rank, c.Cost, result, now.Sub(start)})
+	q.attempts = append(q.attempts, attempt{c.ID, c.Rank, c.Cost, result + notice, now.Sub(start)})
 	q.g.metrics.observeAttempt(result)
 	return status, errorResponse
 }
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -1,20 +1,20 @@
 package gateway
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
-	"github.com/clementinerack/clementinerack/pkg/upstream"
 )
 
-// applyNotice passes what an endpoint says about itself to the pool, and returns a
-// description for the log.
-func (q *request) applyNotice(c *placement.Choice, resp *upstream.Response, now time.Time) string {
-	if _, moved := q.g.opts.Codec.IsRejected(resp.Status, resp.Header); moved {
+// applyNotice passes what an endpoint says about itself in the head of a response to the
+// pool, and returns a description for the log.
+func (q *request) applyNotice(c *placement.Choice, status int, header http.Header, now time.Time) string {
+	if _, moved := q.g.opts.Codec.IsRejected(status, header); moved {
 		return "" // another process answers at the address
 	}
-	notice := q.g.opts.Codec.DecodeNotice(resp.Status, resp.Header)
+	notice := q.g.opts.Codec.DecodeNotice(status, header)
 	description := ""
 	if notice.IsLeaving {
 		c.MarkLeaving()
--- a/pkg/gateway/notices_test.go
+++ b/pkg/gateway/notices_test.go
@@ -138,3 +138,29 @@
 		})
 	}
 }
+
+// Guards against requests to an endpoint whose notice stood in an answer that does not name its request.
+func TestNoticeInForeignAnswerCounts(t *testing.T) {
+	for desc, line := range map[string]string{"leaves": machines.HeaderLeaving + ": 1", "pauses": machines.HeaderRetryAfter + ": 5"} {
+		for answer, script := range map[string]machines.Script{
+			"alone":           refuse(503, line),
+			"with another ID": refuse(503, line, machines.HeaderRequestID+": former"),
+			"with its own after": func(q *http.Request, b []byte, c net.Conn) bool {
+				return refuse(503, line)(q, b, c) && machines.Answer(200, "whole")(q, b, c)
+			},
+			"cut": func(q *http.Request, b []byte, c net.Conn) bool { _ = refuse(503, line)(q, b, c); return false },
+		} {
+			t.Run(desc+"/"+answer, func(t *testing.T) {
+				t.Parallel()
+				g := newTestGateway(t, machines.Answer(200, "earlier"))
+				g.send(g.newRequest("/book/0", "body")) // leaves a connection to be reused
+				g.runners[0].SetScript(script)
+				g.send(g.newRequest("/book/1", "body", machines.HeaderDeadline+": 300"))
+				before := len(g.runners[0].Requests())
+				if got := g.send(g.newRequest("/book/2", "body")); got.status != 503 || len(g.runners[0].Requests()) > before {
+					t.Errorf("status %d, %d requests after the notice", got.status, len(g.runners[0].Requests())-before)
+				}
+			})
+		}
+	}
+}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -57,6 +57,9 @@
 	// request. reused is set if the connection has carried an earlier request, of which
 	// another response may arrive. If IsOwnResponse is nil, every response belongs to it.
 	IsOwnResponse func(header http.Header, reused bool) bool
+	// OnHead is called for the head of each final response that arrives in search of the
+	// own one, also if it belongs to another request. It may be nil.
+	OnHead func(status int, header http.Header)
 }
 
 // Progress says how far a failed request got.
@@ -322,6 +325,9 @@
 		if x.conn.reused && containsStatusLine(resp.Header) {
 			return nil, errMergedHeads
 		}
+		if x.req.OnHead != nil {
+			x.req.OnHead(resp.StatusCode, resp.Header)
+		}
 		own := newResponse(resp, x)
 		if x.req.IsOwnResponse == nil || x.req.IsOwnResponse(resp.Header, x.conn.reused) {
 			return own, nil
