Let runners of the soak leave and turn instances away

Cause: the users' new rules (Server-Leaving, Retry-After) had tests in one process only. Change: two further faults. A runner says in its answers that it leaves while its registration reads ready, or turns requests away with a time to wait; the soak counts requests that reach it later than the users' bounds allow. Restarts and pauses of an instance excuse it.

--- a/standins/machines/crashing.go
+++ b/standins/machines/crashing.go
@@ -3,8 +3,10 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -86,6 +88,28 @@
 	})
 }
 
+// Addresses returns the addresses of the running runners in order.
+func (c *CrashingRunners) Addresses() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Sorted(maps.Keys(c.runners))
+}
+
+// Replace ends the runner at an address and starts another one in a zone, unless the runner
+// has crashed.
+func (c *CrashingRunners) Replace(address, zone string) error {
+	c.mu.Lock()
+	runner := c.runners[address]
+	delete(c.runners, address)
+	c.mu.Unlock()
+	if runner == nil {
+		return nil
+	}
+	c.store.Remove(ServersPrefix + runner.ID)
+	runner.Close()
+	return c.Start(zone)
+}
+
 // Close closes all runners.
 func (c *CrashingRunners) Close() {
 	c.mu.Lock()
--- a/test/soak/callers_test.go
+++ b/test/soak/callers_test.go
@@ -42,7 +42,8 @@
 		if tc.randInt(2) == 0 {
 			route = "chat"
 		}
-		tc.sendRequest(ctx, client, s, tc.instances[tc.randInt(len(tc.instances))], route, fmt.Sprintf("%d-%d", caller, i))
+		n := tc.instances[tc.randInt(len(tc.instances))]
+		tc.sendRequest(ctx, client, s, n, route, fmt.Sprintf("%d-%d-%s", caller, i, n.name))
 		time.Sleep(tc.randDuration(10 * time.Millisecond))
 	}
 }
@@ -66,10 +67,12 @@
 		req.Header.Set(machines.HeaderTokens, fmt.Sprintf("%d,%d", 20+tc.randInt(1500), events*tokensPerEvent))
 		req.Header.Set(machines.HeaderPrompt, fmt.Sprintf("%s:10,b%d:10,c%d:10", sharedPart, tc.randInt(8), tc.randInt(1<<30)))
 	}
+	tc.notices.set(func(v *notices) { v.sentAt[id] = time.Now() })
 	resp, err := client.Do(req)
 	if err != nil {
 		return // without an answer, the request may or may not have run
 	}
+	tc.notices.recordAnswer(n.name, resp.Header)
 	defer func() { _ = resp.Body.Close() }()
 	body, err := io.ReadAll(resp.Body)
 	complete := err == nil
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,7 +34,7 @@
 // injectFault starts one random fault.
 func (tc *testCluster) injectFault(ctx context.Context) {
 	n := tc.instances[tc.randInt(len(tc.instances))]
-	switch tc.randInt(10) {
+	switch tc.randInt(12) {
 	case 0:
 		n.restart(func() { n.terminate(syscall.SIGKILL) })
 	case 1:
@@ -60,6 +60,10 @@
 			n.signal(syscall.SIGTERM)
 			n.signalUntilExit(syscall.SIGHUP, syscall.SIGTERM)
 		})
+	case 10:
+		tc.leave(ctx)
+	case 11:
+		tc.turnAway(ctx, tc.randDuration(meanFaultWindow))
 	}
 }
 
@@ -85,6 +89,7 @@
 	go func() {
 		wait.Sleep(ctx, d)
 		n.signal(syscall.SIGCONT)
+		n.cluster.notices.forget(n.name)
 		n.mu.Lock()
 		n.paused = false
 		n.mu.Unlock()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -46,6 +46,7 @@
 	server    *httptest.Server
 	instances []*testInstance
 	runners   *machines.CrashingRunners
+	notices   *notices
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -84,7 +85,7 @@
 			t.Fatal(err)
 		}
 	}
-	tc := &testCluster{t: t, dir: dir, binary: binary, store: store, server: httptest.NewServer(store), prepaid: 400_000,
+	tc := &testCluster{t: t, dir: dir, binary: binary, store: store, server: httptest.NewServer(store), prepaid: 400_000, notices: newNotices(),
 		rng: rand.New(rand.NewPCG(seed, seed)), promptTokens: map[string]int64{}, executions: map[string]int{}, nonRepeatable: map[string]bool{}}
 	t.Cleanup(tc.server.Close)
 	tc.runners = machines.NewCrashingRunners(store, tc.serveRunner)
@@ -139,6 +140,13 @@
 // that a request names. While runnersFaulty is set, 10 % of the requests are refused,
 // 10 % lose their answers and 20 % of the streams are interrupted.
 func (tc *testCluster) serveRunner(r *http.Request, _ []byte, c net.Conn) bool {
+	id := r.Header.Get(machines.HeaderRequestID)
+	if violation := tc.notices.checkArrival(id, c.LocalAddr().String()); violation != "" {
+		tc.t.Error(violation)
+	}
+	if c = tc.notices.answer(id, c); c == nil {
+		return true
+	}
 	draw := tc.randFloat()
 	tc.mu.Lock()
 	faulty := tc.runnersFaulty
@@ -146,7 +154,6 @@
 	if faulty && draw < 0.1 {
 		return machines.Shed(r, nil, c)
 	}
-	id := r.Header.Get(machines.HeaderRequestID)
 	prompt, output := parseTokens(r.Header.Get(machines.HeaderTokens))
 	tc.mu.Lock()
 	tc.executions[id]++
@@ -220,6 +227,7 @@
 	}
 	exited := make(chan struct{})
 	n.process, n.exited, n.endRequested, n.paused = cmd, exited, false, false
+	n.cluster.notices.forget(n.name)
 	go func() {
 		err := cmd.Wait()
 		_ = log.Close()
