Heed the drain of an endpoint in answers that name no request on the path of clementinerackd

Change: the drain is reported from each answer before it is known to whom it belongs. Measured: TestDrainInForeignAnswerCounts, red before.

--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -127,7 +127,6 @@
 	if a.result.FirstByte == 0 {
 		a.result.FirstByte = time.Since(a.startedAt)
 	}
-	a.client.reportDraining(a.call.Endpoint.ID, resp.Header)
 	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatusCode {
 		return &endpointError{err: failure.New(failure.EndpointFailed, "correct the app",
 			"endpoint %q answered with the invalid status code %d", a.call.Endpoint.ID, resp.StatusCode)}
--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -226,3 +226,28 @@
 		})
 	}
 }
+
+// Guards against new work for an endpoint whose drain stood in an answer that does not name its request.
+func TestDrainInForeignAnswerCounts(t *testing.T) {
+	for _, id := range []string{"", "former"} {
+		var served atomic.Int64
+		address := startRawEndpoint(t, func(q *http.Request, c net.Conn) bool {
+			answer := rawAnswer(http.StatusOK, q.Header.Get(requestIDHeader), "own")
+			if served.Add(1) == 2 {
+				answer = strings.Replace(rawAnswer(http.StatusServiceUnavailable, id, ""), "\r\n", "\r\n"+drainingHeader+": true\r\n", 1)
+			}
+			_, err := io.WriteString(c, answer)
+			return err == nil
+		})
+		drains := map[string]bool{}
+		client := New(Options{Instance: "test", OnDraining: func(endpoint string) { drains[endpoint] = true }})
+		for i := range 2 {
+			client.SendApp(context.Background(), AppCall{Endpoint: config.Endpoint{ID: "e", Address: address}, Method: http.MethodGet, Path: "/x",
+				RequestID: fmt.Sprint(i), Sink: &recordingSink{}, Service: config.Service{FirstByteTimeout: testTimeout}, Repeatable: true})
+		}
+		client.Close()
+		if !drains["e"] {
+			t.Errorf("answer with the ID %q: the drain was not reported", id)
+		}
+	}
+}
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -21,6 +21,7 @@
 	if err != nil {
 		return nil, err
 	}
+	c.reportDraining(endpointID, resp.Header) // whatever request the answer belongs to
 	names, foreign := identify(resp.Header, req.Header.Get(requestIDHeader))
 	c.recordNamesRequests(endpointID, names)
 	if foreign || transport == c.pooled && !names {
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -152,7 +152,6 @@
 		return err
 	}
 	defer resp.Body.Close()
-	a.client.reportDraining(a.call.Endpoint.ID, resp.Header)
 	if resp.StatusCode != http.StatusOK {
 		return a.responseError(resp)
 	}
