--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/clementinerack/clementinerack/standins/machines"
 )
@@ -267,3 +268,16 @@
 		}
 	}
 }
+
+// Guards against a request without an ID that waits for its deadline because no answer can name it.
+func TestRequestWithoutIDGetsItsRefusalOnKeptConnection(t *testing.T) {
+	g := newTestGateway(t, machines.Answer(200, "earlier"))
+	g.send(g.newRequest("/look/0", "body")) // leaves a connection to be reused
+	g.runners[0].SetScript(refuse(400))
+	req := g.newRequest("/look/1", "body", machines.HeaderDeadline+": 2000")
+	req.Header.Del(machines.HeaderRequestID)
+	start := time.Now()
+	if got := g.send(req); got.status != 400 && got.status != 503 || time.Since(start) > time.Second {
+		t.Errorf("status %d after %s", got.status, time.Since(start))
+	}
+}
