Accept answers that name a protocol in a field

Callers got 502, or an error that the endpoint broke the connection, for each request to an endpoint whose answers carry a field such as Via: HTTP/1.1 edge: on kept connections at clementinerack-entry, on all of clementinerackd. Both paths share the check. A field that holds a whole status line is still refused on a kept connection. Measured: TestAnswerWithProtocolInFieldIsPassedOn in both packages, red before.

--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -71,6 +71,16 @@
 	}
 }
 
+// Guards against an answer that counts as joined with another one because a proxy names its protocol in a field.
+func TestAnswerWithProtocolInFieldIsPassedOn(t *testing.T) {
+	g := newTestGateway(t, respond(200, "whole", "Via: HTTP/1.1 edge", "Server: cache (HTTP/1.1 only)"))
+	for i := range 3 { // the second one reuses the connection
+		if got := g.send(g.newRequest("/book/1", "body")); got.status != 200 || got.body != "whole" {
+			t.Errorf("request %d: status %d, body %q", i, got.status, got.body)
+		}
+	}
+}
+
 // Guards against a status that promises that a request did not run, although its endpoint does not say so.
 func TestRunRequestIsNotAnsweredWithRefusal(t *testing.T) {
 	for _, status := range []int{408, 421, 429, 503} {
--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -131,6 +131,19 @@
 	}
 }
 
+// Guards against an answer that counts as joined with another one because a proxy names its protocol in a field.
+func TestAnswerWithProtocolInFieldIsPassedOn(t *testing.T) {
+	for field, repeatable := range map[string]bool{"Via: HTTP/1.1 edge": true, "X-Upstream: HTTP/1.1 200 OK": false} {
+		address := startRawEndpoint(t, func(q *http.Request, c net.Conn) bool {
+			_, err := io.WriteString(c, strings.Replace(rawAnswer(http.StatusOK, q.Header.Get(requestIDHeader), "own"), "\r\n", "\r\n"+field+"\r\n", 1))
+			return err == nil
+		})
+		if res, got := runApp(address, repeatable); res.Outcome != Complete || got.body.String() != "own" {
+			t.Errorf("%s: %+v, body %q", field, res, got.body.String())
+		}
+	}
+}
+
 // Guards against a new connection for each request to an endpoint that names the request in its answers.
 func TestConnectionIsKeptForAnswersWithID(t *testing.T) {
 	var connections atomic.Int64
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -3,7 +3,8 @@
 import (
 	"errors"
 	"net/http"
-	"strings"
+
+	"github.com/clementinerack/clementinerack/pkg/responsehead"
 )
 
 // errForeignAnswer means that an answer belongs to another request, or may do so.
@@ -24,7 +25,7 @@
 	c.reportDraining(endpointID, resp.Header) // whatever request the answer belongs to
 	names, foreign := identify(resp.Header, req.Header.Get(requestIDHeader))
 	c.recordNamesRequests(endpointID, names)
-	if foreign || transport == c.pooled && !names {
+	if foreign || transport == c.pooled && (!names || responsehead.IsMerged(resp)) {
 		_ = resp.Body.Close() // closes the connection
 		return nil, errForeignAnswer
 	}
@@ -32,16 +33,8 @@
 }
 
 // identify reports whether the header of an answer names the request with the given ID,
-// and whether it names another one. A field that contains a status line shows that the head
-// of an earlier answer broke off and goes on with another one.
+// and whether it names another one.
 func identify(header http.Header, requestID string) (names, foreign bool) {
-	for _, values := range header {
-		for _, v := range values {
-			if strings.Contains(v, "HTTP/1.") {
-				return false, true
-			}
-		}
-	}
 	ids := header.Values(requestIDHeader)
 	names = len(ids) == 1 && ids[0] == requestID
 	return names, len(ids) > 0 && !names
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
+	"github.com/clementinerack/clementinerack/pkg/responsehead"
 )
 
 const (
@@ -322,7 +323,7 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if x.conn.reused && containsStatusLine(resp.Header) {
+		if x.conn.reused && responsehead.IsMerged(resp) {
 			return nil, errMergedHeads
 		}
 		if x.req.OnHead != nil {
@@ -346,18 +347,6 @@
 // its head, which then goes on with the one to this request.
 var errMergedHeads = errors.New("the head of a response contains another one")
 
-// containsStatusLine reports whether the value of a header field contains a status line.
-func containsStatusLine(header http.Header) bool {
-	for _, values := range header {
-		for _, v := range values {
-			if strings.Contains(v, "HTTP/1.") {
-				return true
-			}
-		}
-	}
-	return false
-}
-
 // readHead reads the head of a response, of at most
 // limits.ResponseHeadBytes.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
