--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -36,6 +36,9 @@
 			"cut before the value of a field":    line + notRun + "X-Field: ",
 			"cut in the value of a field":        line + notRun + "X-Field: val",
 			"cut after the sign":                 line + machines.HeaderNotExecuted + ": ",
+			"cut in the status":                  line[:len("HTTP/1.1 4")],
+			"cut before the reason":              line[:len("HTTP/1.1 400 ")],
+			"cut in the reason":                  line[:len("HTTP/1.1 400 Ref")],
 		} {
 			t.Run(fmt.Sprintf("%d %s", status, desc), func(t *testing.T) {
 				t.Parallel()
@@ -71,6 +74,21 @@
 	}
 }
 
+// Guards against a failure that gets the status of an earlier answer which broke off in its first line.
+func TestFailureAfterCutStatusLineIsNotSuccess(t *testing.T) {
+	for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
+		g := newTestGateway(t, machines.Answer(200, "earlier"))
+		g.send(g.newRequest("/book/0", "body")) // leaves a connection to be reused
+		g.runners[0].SetScript(func(q *http.Request, b []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 O")
+			return machines.Answer(500, "failed")(q, b, c)
+		})
+		if got := g.send(g.newRequest(path, "body", machines.HeaderDeadline+": 300")); got.status < 500 {
+			t.Errorf("%s: status %d, body %q", path, got.status, got.body)
+		}
+	}
+}
+
 // Guards against an answer that counts as joined with another one because a proxy names its protocol in a field.
 func TestAnswerWithProtocolInFieldIsPassedOn(t *testing.T) {
 	g := newTestGateway(t, respond(200, "whole", "Via: HTTP/1.1 edge", "Server: cache (HTTP/1.1 only)"))
--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -131,6 +131,32 @@
 	}
 }
 
+// Guards against an answer that gets the status of an earlier one which broke off in its first line.
+func TestAnswerAfterCutStatusLine(t *testing.T) {
+	for _, cut := range []string{"HTTP/1.1 503 ", "HTTP/1.1 503 Serv", "HTTP/1.1 200 O", "HTTP/1.1 404 Not", "HTTP/1.0 429 Too", "HTTP/1.1 503 Busy\r\nX-Field: val"} {
+		for _, status := range []int{200, 500} {
+			var served atomic.Int64
+			address := startRawEndpoint(t, func(q *http.Request, c net.Conn) bool {
+				if served.Add(1) == 2 {
+					_, _ = io.WriteString(c, cut)
+				}
+				_, err := io.WriteString(c, rawAnswer(status, q.Header.Get(requestIDHeader), "own"))
+				return err == nil
+			})
+			client := New(Options{Instance: "test"})
+			for i := range 2 {
+				sink := &recordingSink{}
+				res := client.SendApp(context.Background(), AppCall{Endpoint: config.Endpoint{ID: "e", Address: address}, Method: http.MethodGet, Path: "/x",
+					RequestID: fmt.Sprint(i), Repeatable: true, AllowReconnect: func() bool { return true }, Sink: sink})
+				if res.Outcome != Complete || sink.code != status || sink.body.String() != "own" {
+					t.Errorf("%q, status %d: request %d: %+v, status %d, body %q", cut, status, i, res, sink.code, sink.body.String())
+				}
+			}
+			client.Close()
+		}
+	}
+}
+
 // Guards against an answer that counts as joined with another one because a proxy names its protocol in a field.
 func TestAnswerWithProtocolInFieldIsPassedOn(t *testing.T) {
 	for field, repeatable := range map[string]bool{"Via: HTTP/1.1 edge": true, "X-Upstream: HTTP/1.1 200 OK": false} {
