Do not end a resumed stream with an answer of another status

Cause: any success with the type of an event stream, or with none, went on with the stream. Change: a resumed run must have the status that the caller got; otherwise another endpoint is tried, or the connection is closed without the last chunk.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -292,7 +292,8 @@
 	if !q.route.IsRepeatable() && q.g.opts.Codec.MeansNotRun(resp.Status) {
 		return attemptLost, placement.Failed, "unclear " + strconv.Itoa(resp.Status), nil // the endpoint may have run it
 	}
-	if success && q.route.Kind == catalog.Stream && isEventStream(resp.Header) {
+	canContinue := !s.started || resp.Status == q.status
+	if success && canContinue && q.route.Kind == catalog.Stream && isEventStream(resp.Header) {
 		return q.forwardStream(c, s, resp)
 	}
 	body, err := resp.ReadAll(maxBufferedResponseBytes)
@@ -317,7 +318,7 @@
 		return attemptFailed, placement.Failed, result, buffered
 	}
 	if s.started {
-		return attemptBroken, placement.Served, result, nil // an error response cannot continue a stream
+		return attemptBroken, placement.Served, result, nil // a response of another kind cannot continue a stream
 	}
 	q.writeResponse(buffered)
 	return attemptDone, placement.Served, result, nil
--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -138,7 +138,7 @@
 			"the next event, then an error": machines.Event(3) + "data: " + errorText + "\n\n",
 			"nothing":                       "",
 		} {
-			for _, status := range []int{200, 302, 400, 404, 422, 500, 502, 504} {
+			for _, status := range []int{200, 202, 204, 206, 302, 304, 400, 404, 422, 500, 502, 504} {
 				for _, contentType := range []string{"text/event-stream", "application/json", ""} {
 					noEvents := body == "" || strings.HasPrefix(body, ":")
 					if noEvents && status == 200 && contentType != "application/json" && framing != "connection" {
