Take no answer whose head goes on with another one

Callers got a 200 with an empty or short body, framed as whole (MIXED, ORDER), or were told that a request did not run whose endpoint had begun to answer it (REFUSED). Cause: an endpoint that breaks off the head of its answer and goes on with the head of an error, also on a new connection, joins both; the first one's status, ID and seal then stand beside the second one's framing. Heads were searched on kept connections only, and after net/http had deleted the fields Connection and Transfer-Encoding. Change: the bytes of each head are searched for a second status line, on both paths. clementinerackd records them beside net/http.

--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -297,6 +297,35 @@
 	}
 }
 
+// Guards against an answer that its endpoint breaks off in the middle of the head, and goes on with an error's.
+func TestAnswerThatGoesOnWithErrorHeadIsNotSuccess(t *testing.T) {
+	for framing, frame := range framings {
+		for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
+			for _, failed := range []string{
+				"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\n\r\n<html>\n\n",
+				"HTTP/1.0 503 Service Unavailable\r\n" + machines.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
+			} {
+				t.Run(framing+path+"/"+failed[9:12], func(t *testing.T) {
+					t.Parallel()
+					header, _ := frame("whole")
+					var text, cut atomic.Int64
+					g := newTestGateway(t, func(q *http.Request, _ []byte, c net.Conn) bool {
+						head := machines.ResponseHead(q, 200, "Content-Type: text/event-stream", header, "X-Last: 0 ")
+						text.Store(int64(len(head)))
+						_, _ = io.WriteString(c, head[:min(int(cut.Add(1)), len(head)-1)]+failed)
+						return false
+					})
+					for n := int64(0); n == 0 || n < text.Load(); n++ {
+						if got := g.send(g.newRequest(path, "body", machines.HeaderDeadline+": 1000")); got.err == nil && got.status < 500 || got.status == 503 && path == "/book/1" && len(g.runners[0].Requests()) > int(n) {
+							t.Errorf("cut after %d bytes: status %d, body %q", cut.Load(), got.status, got.body)
+						}
+					}
+				})
+			}
+		}
+	}
+}
+
 // Guards against a request without an ID that waits for its deadline because no answer can name it.
 func TestRequestWithoutIDGetsItsRefusalOnKeptConnection(t *testing.T) {
 	g := newTestGateway(t, machines.Answer(200, "earlier"))
--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -216,6 +216,9 @@
 	if errors.Is(cause, errIdleTimeout) {
 		problem = "was silent for too long"
 	}
+	if errors.Is(cause, errMergedHeads) {
+		problem = "sent the head of an answer with a second status line in it"
+	}
 	if isConnectionRefused(cause) {
 		problem = "refused the connection"
 	}
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -3,12 +3,15 @@
 import (
 	"errors"
 	"net/http"
-
-	"github.com/clementinerack/clementinerack/pkg/responsehead"
 )
 
-// errForeignAnswer means that an answer belongs to another request, or may do so.
-var errForeignAnswer = errors.New("the answer does not name the request")
+var (
+	// errForeignAnswer means that an answer belongs to another request, or may do so.
+	errForeignAnswer = errors.New("the answer does not name the request")
+	// errMergedHeads means that an endpoint broke off the head of an answer, to this request
+	// or an earlier one, and went on with another one.
+	errMergedHeads = errors.New("the head of an answer contains another one")
+)
 
 // roundTrip sends a request to an endpoint and returns the answer to it. It uses a kept
 // connection only if newConn is false and the endpoint repeats request IDs in its answers:
@@ -18,18 +21,24 @@
 	if !newConn && c.namesRequests(endpointID) {
 		transport = c.pooled
 	}
-	resp, err := transport.RoundTrip(req)
+	ctx, recorder := withHeadTrace(req.Context())
+	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
 	}
 	c.reportDraining(endpointID, resp.Header) // whatever request the answer belongs to
 	names, foreign := identify(resp.Header, req.Header.Get(requestIDHeader))
 	c.recordNamesRequests(endpointID, names)
-	if foreign || transport == c.pooled && (!names || responsehead.IsMerged(resp)) {
-		_ = resp.Body.Close() // closes the connection
-		return nil, errForeignAnswer
+	switch r := recorder(); {
+	case foreign || transport == c.pooled && !names:
+		err = errForeignAnswer
+	case r != nil && r.isMerged():
+		err = errMergedHeads
+	default:
+		return resp, nil
 	}
-	return resp, nil
+	_ = resp.Body.Close() // closes the connection
+	return nil, err
 }
 
 // identify reports whether the header of an answer names the request with the given ID,
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -136,8 +136,9 @@
 	reused        bool      // an earlier request has used it
 	reusableUntil time.Time // when the endpoint may close it
 	// headBytesLeft is how many more bytes may be received for the head that is being
-	// read, or unlimited.
+	// read, or unlimited. headBytes are those received so far.
 	headBytesLeft int
+	headBytes     []byte
 }
 
 // Close closes the idle connections. Connections in use are closed when their
@@ -323,9 +324,6 @@
 		if resp.StatusCode < 200 {
 			continue
 		}
-		if x.conn.reused && responsehead.IsMerged(resp) {
-			return nil, errMergedHeads
-		}
 		if x.req.OnHead != nil {
 			x.req.OnHead(resp.StatusCode, resp.Header)
 		}
@@ -343,16 +341,25 @@
 	return nil, errors.New("no response to the request among those received")
 }
 
-// errMergedHeads means that an endpoint broke a response to an earlier request off inside
-// its head, which then goes on with the one to this request.
+// errMergedHeads means that an endpoint broke off the head of a response, to this request or
+// an earlier one, and went on with another one.
 var errMergedHeads = errors.New("the head of a response contains another one")
 
-// readHead reads the head of a response, of at most
-// limits.ResponseHeadBytes.
+// readHead reads the head of a response, of at most limits.ResponseHeadBytes. It fails with
+// errMergedHeads if the head goes on with another one.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
+	buffered, err := c.reader.Peek(c.reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	c.headBytes = append(c.headBytes[:0], buffered...)
 	c.headBytesLeft = limits.ResponseHeadBytes
 	resp, err := http.ReadResponse(c.reader, req)
 	c.headBytesLeft = unlimited
+	// http.ReadResponse deletes some fields, so that the bytes are checked.
+	if err == nil && responsehead.IsMerged(c.headBytes[:len(c.headBytes)-c.reader.Buffered()]) {
+		return nil, errMergedHeads
+	}
 	return resp, err
 }
 
@@ -366,6 +373,7 @@
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
 	c.headBytesLeft -= n
+	c.headBytes = append(c.headBytes, p[:n]...)
 	return n, err
 }
 
