Let runners of the soak garble answers

Change: faulty runners repeat an earlier refusal or a part of an earlier answer on a kept connection, answer twice, break heads off, go on with the head of an error, and answer resumed streams with an error of any status.

--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -47,6 +47,7 @@
 	instances []*testInstance
 	runners   *machines.CrashingRunners
 	notices   *notices
+	garbler   *garbler
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -88,6 +89,7 @@
 	tc := &testCluster{t: t, dir: dir, binary: binary, store: store, server: httptest.NewServer(store), prepaid: 400_000, notices: newNotices(),
 		rng: rand.New(rand.NewPCG(seed, seed)), promptTokens: map[string]int64{}, executions: map[string]int{}, nonRepeatable: map[string]bool{}}
 	t.Cleanup(tc.server.Close)
+	tc.garbler = &garbler{cluster: tc}
 	tc.runners = machines.NewCrashingRunners(store, tc.serveRunner)
 	t.Cleanup(tc.runners.Close)
 	for i := range numRunners {
@@ -138,7 +140,7 @@
 
 // serveRunner is the machines.Script of the runners. Streams resume after the event
 // that a request names. While runnersFaulty is set, 10 % of the requests are refused,
-// 10 % lose their answers and 20 % of the streams are interrupted.
+// 10 % lose their answers, 20 % of the streams are interrupted and others are garbled.
 func (tc *testCluster) serveRunner(r *http.Request, _ []byte, c net.Conn) bool {
 	id := r.Header.Get(machines.HeaderRequestID)
 	if violation := tc.notices.checkArrival(id, c.LocalAddr().String()); violation != "" {
@@ -151,6 +153,7 @@
 	tc.mu.Lock()
 	faulty := tc.runnersFaulty
 	tc.mu.Unlock()
+	answerConn := tc.garbler.wrap(r, c, faulty)
 	if faulty && draw < 0.1 {
 		return machines.Shed(r, nil, c)
 	}
@@ -164,7 +167,7 @@
 		return false // closes the connection without an answer
 	}
 	if !strings.HasPrefix(r.URL.Path, "/chat/") {
-		return machines.Answer(http.StatusOK, "whole")(r, nil, c)
+		return machines.Answer(http.StatusOK, "whole")(r, nil, answerConn)
 	}
 	first := 1
 	if last := r.Header.Get(machines.HeaderLastEventID); last != "" {
@@ -180,9 +183,9 @@
 		last = min(last, first+1)
 	}
 	if tc.randInt(4) == 0 {
-		return machines.UnframedStream(first, last, complete)(r, nil, c)
+		return machines.UnframedStream(first, last, complete)(r, nil, answerConn)
 	}
-	return machines.Stream(first, last, complete)(r, nil, c)
+	return machines.Stream(first, last, complete)(r, nil, answerConn)
 }
 
 // parseTokens parses the header with the numbers of prompt and output tokens.
