Take no body that goes on with the head of another answer

Cause: an endpoint that breaks off a body with a length and goes on with another answer fills the length up with its head; only the number of bytes was checked. Change: a body with a length fails if a status line begins in it and bytes follow it. Without such bytes a status line is data. pkg/responsehead is pkg/splice now, with both checks, for both paths. Open: a body without framing that goes on with another answer, and a body with exactly the length of its part and the other answer.

--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -302,7 +303,7 @@
 	for framing, frame := range framings {
 		for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
 			for _, failed := range []string{
-				"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\n\r\n<html>\n\n",
+				"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", errorHead502 + "<html>\n\n",
 				"HTTP/1.0 503 Service Unavailable\r\n" + machines.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
 			} {
 				t.Run(framing+path+"/"+failed[9:12], func(t *testing.T) {
@@ -326,6 +327,29 @@
 	}
 }
 
+// Guards against a body that its endpoint breaks off and fills up with the head of an error.
+func TestBodyThatGoesOnWithErrorHeadIsNotSuccess(t *testing.T) {
+	const body = "a body that is long enough for the head of an error"
+	for _, failed := range []string{"HTTP/1.1 500 Oops\r\n\r\n" + body, errorHead502 + body, "HTTP/1.0 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" + body} {
+		for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
+			var cut atomic.Int64
+			g := newTestGateway(t, func(q *http.Request, _ []byte, c net.Conn) bool {
+				_, _ = io.WriteString(c, machines.ResponseHead(q, 200, "Content-Length: "+strconv.Itoa(len(body)))+body[:cut.Load()]+failed)
+				return false
+			})
+			for ; cut.Load() <= int64(len(body)); cut.Add(1) {
+				got := g.send(g.newRequest(path, "body", machines.HeaderDeadline+": 1000"))
+				if got.status == 200 && got.err == nil && got.body != body || cut.Load() == int64(len(body)) && path == "/book/1" && got.body != body {
+					t.Errorf("%s %q: cut after %d bytes: status %d, body %q", path, failed[:12], cut.Load(), got.status, got.body)
+				}
+			}
+		}
+	}
+}
+
+// errorHead502 is the head of an error whose body ends with the connection.
+const errorHead502 = "HTTP/1.1 502 Bad Gateway\r\nConnection: close\r\n\r\n"
+
 // Guards against a request without an ID that waits for its deadline because no answer can name it.
 func TestRequestWithoutIDGetsItsRefusalOnKeptConnection(t *testing.T) {
 	g := newTestGateway(t, machines.Answer(200, "earlier"))
--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -12,6 +12,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
 const (
@@ -216,8 +217,8 @@
 	if errors.Is(cause, errIdleTimeout) {
 		problem = "was silent for too long"
 	}
-	if errors.Is(cause, errMergedHeads) {
-		problem = "sent the head of an answer with a second status line in it"
+	if errors.Is(cause, errSplicedHead) || errors.Is(cause, splice.ErrBody) {
+		problem = "sent an answer with a second status line in it"
 	}
 	if isConnectionRefused(cause) {
 		problem = "refused the connection"
--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -226,6 +226,22 @@
 	}
 }
 
+// Guards against a body that its endpoint breaks off and fills up with the head of an error.
+func TestBodyThatGoesOnWithErrorHeadIsNotComplete(t *testing.T) {
+	body := strings.Repeat("body ", 1000)
+	for _, failed := range []string{"HTTP/1.1 500 Oops\r\n\r\n" + body, "HTTP/1.0 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n" + body} {
+		for _, cut := range []int{0, 1, 9, 100, 3900, 4000, 4900, len(body) - 30, len(body) - 12, len(body) - 11, len(body) - 1, len(body)} {
+			address := startRawEndpoint(t, func(q *http.Request, c net.Conn) bool {
+				_, _ = io.WriteString(c, strings.Replace(rawAnswer(http.StatusOK, "r", body), body, body[:cut]+failed, 1))
+				return false
+			})
+			if res, got := runApp(address, false); res.Outcome == Complete != (cut == len(body)) || got.code == 0 == (cut == len(body)) {
+				t.Errorf("%q, cut after %d bytes: %+v, status %d", failed[:12], cut, res, got.code)
+			}
+		}
+	}
+}
+
 // Guards against the text of an error in the middle of a stream, and against a stream that ends like a complete one.
 func TestStreamThatBreaksOffGetsNoForeignBytes(t *testing.T) {
 	const errorText = `{"error":"the model is gone"}`
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -74,7 +74,7 @@
 
 func newTransport(opts Options) *http.Transport {
 	return &http.Transport{
-		DialContext:            recordHeads(opts.Dial),
+		DialContext:            recordConns(opts.Dial),
 		MaxIdleConnsPerHost:    maxIdleConnsPerEndpoint,
 		IdleConnTimeout:        idleConnTimeout,
 		DisableCompression:     true, // bodies pass through unchanged
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -3,14 +3,16 @@
 import (
 	"errors"
 	"net/http"
+
+	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
 var (
 	// errForeignAnswer means that an answer belongs to another request, or may do so.
 	errForeignAnswer = errors.New("the answer does not name the request")
-	// errMergedHeads means that an endpoint broke off the head of an answer, to this request
+	// errSplicedHead means that an endpoint broke off the head of an answer, to this request
 	// or an earlier one, and went on with another one.
-	errMergedHeads = errors.New("the head of an answer contains another one")
+	errSplicedHead = errors.New("the head of an answer contains another one")
 )
 
 // roundTrip sends a request to an endpoint and returns the answer to it. It uses a kept
@@ -21,7 +23,7 @@
 	if !newConn && c.namesRequests(endpointID) {
 		transport = c.pooled
 	}
-	ctx, recorder := withHeadTrace(req.Context())
+	ctx, usedRecorder := withRecorder(req.Context())
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
@@ -29,16 +31,21 @@
 	c.reportDraining(endpointID, resp.Header) // whatever request the answer belongs to
 	names, foreign := identify(resp.Header, req.Header.Get(requestIDHeader))
 	c.recordNamesRequests(endpointID, names)
-	switch r := recorder(); {
+	r := usedRecorder()
+	switch {
 	case foreign || transport == c.pooled && !names:
 		err = errForeignAnswer
-	case r != nil && r.isMerged():
-		err = errMergedHeads
-	default:
-		return resp, nil
+	case r != nil && r.hasSplicedHead():
+		err = errSplicedHead
+	}
+	if err != nil {
+		_ = resp.Body.Close() // closes the connection
+		return nil, err
+	}
+	if r != nil && resp.ContentLength > 0 {
+		resp.Body = splice.NewBody(resp.Body, func() []byte { return r.after(resp.ContentLength) })
 	}
-	_ = resp.Body.Close() // closes the connection
-	return nil, err
+	return resp, nil
 }
 
 // identify reports whether the header of an answer names the request with the given ID,
--- /dev/null
+++ b/pkg/splice/head.go
@@ -0,0 +1,48 @@
+// Package splice detects HTTP/1 responses that were broken off and go on with another response.
+package splice
+
+import (
+	"bytes"
+	"regexp"
+)
+
+// statusLine matches the beginning of a status line (RFC 9112, section 4), of
+// statusLineBytes bytes.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+const statusLineBytes = len("HTTP/1.1 200")
+
+// IsHead reports whether head, from the status line to the empty line, contains a second
+// status line, in the reason phrase or in a field. Its status and fields then belong to
+// either response.
+func IsHead(head []byte) bool { return len(statusLine.FindAllIndex(head, 2)) > 1 }
+
+// emptyLines are the ends of the last line of a head with the empty line after it.
+var emptyLines = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
+
+// FinalHead returns the head of the first final response in received, without the heads of
+// interim ones (1xx) before it, and the bytes after it. It reports false if that head is
+// incomplete.
+func FinalHead(received []byte) (head, rest []byte, ok bool) {
+	for {
+		end := -1
+		for _, e := range emptyLines {
+			if i := bytes.Index(received, e); i >= 0 && (end < 0 || i+len(e) < end) {
+				end = i + len(e)
+			}
+		}
+		if end < 0 {
+			return received, nil, false
+		}
+		head, received = received[:end], received[end:]
+		if !isInterim(head) {
+			return head, received, true
+		}
+	}
+}
+
+// isInterim reports whether a head has a status of 1xx.
+func isInterim(head []byte) bool {
+	const statusAt = len("HTTP/1.1 ")
+	return len(head) > statusAt && head[statusAt] == '1'
+}
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
 var (
@@ -37,6 +39,9 @@
 }
 
 func newResponse(resp *http.Response, x *exchange) *Response {
+	if resp.ContentLength > 0 {
+		resp.Body = splice.NewBody(resp.Body, x.conn.buffered)
+	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x,
 		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody}
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -16,7 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
-	"github.com/clementinerack/clementinerack/pkg/responsehead"
+	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
 const (
@@ -341,28 +341,31 @@
 	return nil, errors.New("no response to the request among those received")
 }
 
-// errMergedHeads means that an endpoint broke off the head of a response, to this request or
+// errSplicedHead means that an endpoint broke off the head of a response, to this request or
 // an earlier one, and went on with another one.
-var errMergedHeads = errors.New("the head of a response contains another one")
+var errSplicedHead = errors.New("the head of a response contains another one")
 
 // readHead reads the head of a response, of at most limits.ResponseHeadBytes. It fails with
-// errMergedHeads if the head goes on with another one.
+// errSplicedHead if the head goes on with another one.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
-	buffered, err := c.reader.Peek(c.reader.Buffered())
-	if err != nil {
-		return nil, err
-	}
-	c.headBytes = append(c.headBytes[:0], buffered...)
+	c.headBytes = append(c.headBytes[:0], c.buffered()...)
 	c.headBytesLeft = limits.ResponseHeadBytes
 	resp, err := http.ReadResponse(c.reader, req)
 	c.headBytesLeft = unlimited
 	// http.ReadResponse deletes some fields, so that the bytes are checked.
-	if err == nil && responsehead.IsMerged(c.headBytes[:len(c.headBytes)-c.reader.Buffered()]) {
-		return nil, errMergedHeads
+	if err == nil && splice.IsHead(c.headBytes[:len(c.headBytes)-c.reader.Buffered()]) {
+		return nil, errSplicedHead
 	}
 	return resp, err
 }
 
+// buffered returns the bytes that were received and not read yet. They are valid until the
+// next read.
+func (c *conn) buffered() []byte {
+	b, _ := c.reader.Peek(c.reader.Buffered()) // does not read, so that it cannot fail
+	return b
+}
+
 // Read implements io.Reader for the reader of the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headBytesLeft == unlimited {
