Pass on nothing but events in a stream

Callers got the head or the text of an error as a whole stream (ORDER, MIXED), if the endpoint broke off before the first event of a body without framing, or answered with a success whose body was no event. Cause: the syntax of events was checked only for those with a number; a first block without one passed whatever it was. Change: each block must have the syntax of an event. The soak cuts garbled answers anywhere, not only in the head.

--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -191,6 +191,23 @@
 	}
 }
 
+// Guards against the text or the head of an error that callers get as a whole stream.
+func TestErrorInPlaceOfEventsIsNotPassedOn(t *testing.T) {
+	for _, body := range []string{
+		"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 500 Oops\r\n\r\n<html>\n</html>\n\n", "HTTP/1.1 500 Oops\n\n",
+		"502 Bad Gateway\n\n", `{"error":"the model is gone"}` + "\n\n", "the model is gone\n\n", "error: the model is gone\n\n", "data: x\r\ndata: y\n\n",
+	} {
+		for framing := range framings {
+			for _, path := range []string{"/once/1", "/chat/1"} {
+				g := newTestGateway(t, framedStream(framing, body))
+				if got := g.send(g.newRequest(path, "body", tokensHeader(), machines.HeaderDeadline+": 500")); got.status < 500 || got.status == 503 && path == "/once/1" {
+					t.Errorf("%s%s %q: status %d, body %q, %v", framing, path, body, got.status, got.body, got.err)
+				}
+			}
+		}
+	}
+}
+
 // Guards against an event of a stream that has been joined with other bytes of its endpoint, and is passed on.
 func TestEventJoinedWithForeignBytesIsNotPassedOn(t *testing.T) {
 	const line, field = "HTTP/1.1 503 Service Unavailable", "Content-Length: 4"
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -19,9 +19,9 @@
 	errIncompleteEvent = errors.New("the stream ended inside an event")
 	// errMissingEvents is also a value of the label result of the attempts metric.
 	errMissingEvents = errors.New("events are missing after the resumption")
-	// errForeignEvent means that a stream of numbered events goes on with bytes that are
-	// none of them, such as an error.
-	errForeignEvent = errors.New("the stream goes on with something else than a numbered event")
+	// errForeignEvent means that a stream has bytes that are no event, or an event without a
+	// number after numbered ones, such as an error.
+	errForeignEvent = errors.New("the stream has something else than an event, or than a numbered one after others")
 )
 
 // eventReader splits a stream of server-sent events at event boundaries.
@@ -124,9 +124,9 @@
 
 // skipDelivered returns the events of a batch that the caller does not have yet, and
 // advances the position in the stream. It fails with errMissingEvents if a resumed
-// run starts later than the next event, and with errForeignEvent at an event without a
-// number in a stream of numbered ones, or at a numbered one that was joined with other
-// bytes; the events before it are returned too.
+// run starts later than the next event, and with errForeignEvent at bytes that are
+// no event, or at an event without a number after numbered ones; the events before it are
+// returned too.
 func (s *streamState) skipDelivered(batch []byte) (eventBatch, error) {
 	var out eventBatch
 	for rest := batch; len(rest) > 0; {
@@ -138,7 +138,7 @@
 		id, ok := eventID(event)
 		n, err := strconv.ParseInt(id, 10, 64)
 		numbered := ok && err == nil
-		if !numbered && s.hasLastNumber && hasFields(event) || numbered && !isSoundEvent(event, s.isEventField) {
+		if hasFields(event) && (!numbered && s.hasLastNumber || !isSoundEvent(event, s.isEventField)) {
 			return out, errForeignEvent
 		}
 		if !ok {
--- a/pkg/gateway/eventsyntax.go
+++ b/pkg/gateway/eventsyntax.go
@@ -2,10 +2,10 @@
 
 import "bytes"
 
-// isSoundEvent reports whether an event has one ID, only fields of the event stream format
-// (WHATWG HTML, section 9.2.6) or for which isEventField holds, and one kind of line end.
-// An event that lacks these was joined with other bytes, such as the head of an error after
-// a cut.
+// isSoundEvent reports whether an event has at most one ID, only fields of the event stream
+// format (WHATWG HTML, section 9.2.6) or for which isEventField holds, and one kind of line
+// end. Other bytes are no event, or were joined with one, such as the head of an error after a
+// cut.
 func isSoundEvent(event []byte, isEventField func(name string) bool) bool {
 	ids := 0
 	for line := range eventLines(event) {
@@ -24,7 +24,7 @@
 		}
 	}
 	// A CR at the end may be the first half of a CR LF.
-	return ids == 1 && lineEndKinds(bytes.TrimSuffix(event, []byte("\r"))) == 1
+	return ids <= 1 && lineEndKinds(bytes.TrimSuffix(event, []byte("\r"))) == 1
 }
 
 // lineEndKinds returns how many of the line ends CR LF, LF and CR occur in b.
--- a/test/soak/garbled_test.go
+++ b/test/soak/garbled_test.go
@@ -71,7 +71,7 @@
 		status := []int{200, 204, 206, 404, 500, 503}[draw(6)]
 		return []byte(machines.ResponseHead(c.request, status, "Content-Length: 12") + "it is gone\n\n"), true
 	case kind == 3:
-		return append(bytes.Clone(cut(head)), errorHead...), true
+		return append(bytes.Clone(cut(answer)), errorHead...), true
 	case kind == 4:
 		return append(bytes.Clone(answer), refusal...), false
 	default:
