Test spliced bodies however they are divided into reads

Cause: the tests of both paths read bodies in one or two parts. Change: tables for bodies read by bytes and halves, and for heads after interim ones.

--- /dev/null
+++ b/pkg/splice/splice_test.go
@@ -0,0 +1,42 @@
+package splice
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+)
+
+// Guards against a spliced body that passes because of how it was divided into reads, and against data that fails.
+func TestBody(t *testing.T) {
+	const line = "HTTP/1.1 503 Busy\r\n\r\n"
+	for _, tc := range []struct {
+		body, after string
+		spliced     bool
+	}{
+		{"whole", "", false}, {"whole", "x", false}, {"whole", line, false}, {"data " + line + " data", "", false}, {"", line, false},
+		{"half" + line, "rest", true}, {"half" + line[:5], line[5:], true}, {"half" + line[:1], line[1:], true}, {"half" + line[:11], line[11:], true},
+		{"half" + line[:5], "x" + line[5:], false}, {line[:12], "x", true}, {line[:11], line[11:], true},
+	} {
+		for name, divide := range map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader, "data with EOF": iotest.DataErrReader} {
+			got, err := io.ReadAll(NewBody(io.NopCloser(divide(strings.NewReader(tc.body))), func() []byte { return []byte(tc.after) }))
+			if string(got) != tc.body || (err == ErrBody) != tc.spliced || err != nil && err != ErrBody {
+				t.Errorf("%s: %q, then %q: %q, %v", name, tc.body, tc.after, got, err)
+			}
+		}
+	}
+}
+
+// Guards against a head that is taken for incomplete, or for that of an interim response.
+func TestFinalHead(t *testing.T) {
+	const interim, final = "HTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\r\n"
+	for received, want := range map[string]string{
+		final: final, final + "body\n\n": final, interim + interim + final + "body": final, "HTTP/1.0 204 No\n\nx\r\n\r\n": "HTTP/1.0 204 No\n\n",
+		interim: "", interim + final[:len(final)-1]: "", "": "",
+	} {
+		head, rest, ok := FinalHead([]byte(received))
+		if ok != (want != "") || ok && (string(head) != want || !strings.HasSuffix(received, want+string(rest))) {
+			t.Errorf("%q: %q, %q, %v", received, head, rest, ok)
+		}
+	}
+}
