Name restrictions of endpoints and share the error of spliced heads

Cause: a wish is no usual term; both paths had an error of their own for heads that go on with another one. Change: wish is restriction, splice.CheckHead returns splice.ErrHead.

--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -21,7 +21,7 @@
 	errMissingEvents = errors.New("events are missing after the resumption")
 	// errForeignEvent means that a stream has bytes that are no event, or an event without a
 	// number after numbered ones, such as an error.
-	errForeignEvent = errors.New("the stream has something else than an event, or than a numbered one after others")
+	errForeignEvent = errors.New("the stream contains something else than events, or an event without a number after numbered ones")
 )
 
 // eventReader splits a stream of server-sent events at event boundaries.
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -98,7 +98,7 @@
 	catalog.Endpoint
 	hash             uint64
 	listed           bool
-	wish             *wish
+	restriction      *restriction
 	inFlight         int
 	pendingTokens    int64        // prompt tokens of requests without a first byte
 	lagMs            decayingMean // delay of the first byte beyond the expected prefill time
@@ -137,13 +137,13 @@
 type Pool struct {
 	localDomain string
 
-	mu        sync.Mutex
-	rng       *rand.Rand
-	endpoints map[string]*endpointState
-	services  map[string][]*endpointState
-	domains   map[string]*domainState
-	cachedAt  map[cachedPrefix]time.Time // time of the latest first byte
-	wishes    map[incarnation]*wish
+	mu           sync.Mutex
+	rng          *rand.Rand
+	endpoints    map[string]*endpointState
+	services     map[string][]*endpointState
+	domains      map[string]*domainState
+	cachedAt     map[cachedPrefix]time.Time // time of the latest first byte
+	restrictions map[incarnation]*restriction
 }
 
 // cachedPrefix is a prompt prefix that an endpoint has processed.
@@ -157,7 +157,7 @@
 func New(localDomain string, seed uint64) *Pool {
 	return &Pool{localDomain: localDomain, rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{},
 		services: map[string][]*endpointState{}, domains: map[string]*domainState{}, cachedAt: map[cachedPrefix]time.Time{},
-		wishes: map[incarnation]*wish{}}
+		restrictions: map[incarnation]*restriction{}}
 }
 
 // Update replaces the list of endpoints at time now. An endpoint whose address or start
@@ -172,11 +172,11 @@
 	for _, entry := range list.Endpoints {
 		e := p.endpoints[entry.ID]
 		if e == nil || e.Address != entry.Address || e.Started != entry.Started {
-			e = &endpointState{hash: hashID(entry.ID), wish: p.wishOf(entry, now)}
+			e = &endpointState{hash: hashID(entry.ID), restriction: p.restrictionOf(entry, now)}
 			p.endpoints[entry.ID] = e
 		}
 		e.Endpoint, e.listed = entry, true
-		e.wish.isLeaving = e.wish.isLeaving || entry.Draining
+		e.restriction.isLeaving = e.restriction.isLeaving || entry.Draining
 		p.services[entry.Service] = append(p.services[entry.Service], e)
 	}
 	for id, e := range p.endpoints {
@@ -184,7 +184,7 @@
 			delete(p.endpoints, id)
 		}
 	}
-	p.forgetWishes(now)
+	p.forgetRestrictions(now)
 }
 
 func hashID(id string) uint64 {
@@ -253,7 +253,7 @@
 
 // isAvailable reports whether the endpoint accepts the request at time now.
 func (e *endpointState) isAvailable(req *Request, now time.Time) bool {
-	return e.wish.allows(now) && !req.Exclude[e.ID]
+	return e.restriction.allows(now) && !req.Exclude[e.ID]
 }
 
 // topTwo returns the two endpoints with the highest rendezvous weight for the
--- a/pkg/placement/wishes.go
+++ b/pkg/placement/restrictions.go
@@ -12,52 +12,52 @@
 	started     int64
 }
 
-// wish is what an endpoint has said about the requests that it wants. It outlives the
+// restriction is what an endpoint has said about the requests that it accepts. It outlives the
 // registration of the endpoint, which may expire and return while the process runs.
-type wish struct {
-	isLeaving   bool      // it wants no further requests
-	pausedUntil time.Time // it wants no requests from this instance before this time
+type restriction struct {
+	isLeaving   bool      // it accepts no further requests
+	pausedUntil time.Time // it accepts no requests from this instance before this time
 	unlistedAt  time.Time // when its registration was found to be gone, or zero
 }
 
 const (
-	// wishTTL is how long a wish is remembered after its registration has gone. Endpoints
+	// restrictionTTL is how long a restriction is remembered after its registration has gone. Endpoints
 	// stop within a minute after they have left.
-	wishTTL = 10 * time.Minute
-	// unknownStartTTL replaces wishTTL for a leave if the registration has no start time,
+	restrictionTTL = 10 * time.Minute
+	// unknownStartTTL replaces restrictionTTL for a leave if the registration has no start time,
 	// so that a new process cannot be told from one whose registration returns, by a write
 	// that was delayed or after a cut.
 	unknownStartTTL = 30 * time.Second
 )
 
 // allows reports whether the endpoint accepts requests at time now.
-func (w *wish) allows(now time.Time) bool { return !w.isLeaving && !now.Before(w.pausedUntil) }
+func (r *restriction) allows(now time.Time) bool { return !r.isLeaving && !now.Before(r.pausedUntil) }
 
-// wishOf returns the wish of the process that an entry of the list describes.
-func (p *Pool) wishOf(entry catalog.Endpoint, now time.Time) *wish {
+// restrictionOf returns the restriction of the process that an entry of the list describes.
+func (p *Pool) restrictionOf(entry catalog.Endpoint, now time.Time) *restriction {
 	key := incarnation{entry.ID, entry.Address, entry.Started}
-	w := p.wishes[key]
+	r := p.restrictions[key]
 	switch {
-	case w == nil:
-		w = &wish{}
-		p.wishes[key] = w
-	case key.started == 0 && !w.unlistedAt.IsZero() && now.Sub(w.unlistedAt) > unknownStartTTL:
-		w.isLeaving = false
+	case r == nil:
+		r = &restriction{}
+		p.restrictions[key] = r
+	case key.started == 0 && !r.unlistedAt.IsZero() && now.Sub(r.unlistedAt) > unknownStartTTL:
+		r.isLeaving = false
 	}
-	return w
+	return r
 }
 
-// forgetWishes removes the wishes of processes that have ended. p.mu must be held.
-func (p *Pool) forgetWishes(now time.Time) {
-	for key, w := range p.wishes {
+// forgetRestrictions removes the restrictions of processes that have ended. p.mu must be held.
+func (p *Pool) forgetRestrictions(now time.Time) {
+	for key, r := range p.restrictions {
 		e := p.endpoints[key.id]
 		switch {
-		case e != nil && e.wish == w:
-			w.unlistedAt = time.Time{}
-		case w.unlistedAt.IsZero():
-			w.unlistedAt = now
-		case now.Sub(w.unlistedAt) > wishTTL && !now.Before(w.pausedUntil):
-			delete(p.wishes, key)
+		case e != nil && e.restriction == r:
+			r.unlistedAt = time.Time{}
+		case r.unlistedAt.IsZero():
+			r.unlistedAt = now
+		case now.Sub(r.unlistedAt) > restrictionTTL && !now.Before(r.pausedUntil):
+			delete(p.restrictions, key)
 		}
 	}
 }
@@ -67,15 +67,15 @@
 func (c *Choice) MarkLeaving() {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	c.state.wish.isLeaving = true
+	c.state.restriction.isLeaving = true
 }
 
 // Pause records that the endpoint wants no requests from this instance before until.
 func (c *Choice) Pause(until time.Time) {
 	c.pool.mu.Lock()
 	defer c.pool.mu.Unlock()
-	if w := c.state.wish; until.After(w.pausedUntil) {
-		w.pausedUntil = until
+	if r := c.state.restriction; until.After(r.pausedUntil) {
+		r.pausedUntil = until
 	}
 }
 
@@ -86,8 +86,8 @@
 	defer p.mu.Unlock()
 	var end time.Time
 	for _, e := range p.services[service] {
-		switch until := e.wish.pausedUntil; {
-		case e.wish.isLeaving:
+		switch until := e.restriction.pausedUntil; {
+		case e.restriction.isLeaving:
 		case !now.Before(until):
 			return time.Time{}
 		case end.IsZero() || until.Before(end):
--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -217,7 +217,7 @@
 	if errors.Is(cause, errIdleTimeout) {
 		problem = "was silent for too long"
 	}
-	if errors.Is(cause, errSplicedHead) || errors.Is(cause, splice.ErrBody) {
+	if errors.Is(cause, splice.ErrHead) || errors.Is(cause, splice.ErrBody) {
 		problem = "sent an answer with a second status line in it"
 	}
 	if isConnectionRefused(cause) {
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -7,13 +7,8 @@
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
-var (
-	// errForeignAnswer means that an answer belongs to another request, or may do so.
-	errForeignAnswer = errors.New("the answer does not name the request")
-	// errSplicedHead means that an endpoint broke off the head of an answer, to this request
-	// or an earlier one, and went on with another one.
-	errSplicedHead = errors.New("the head of an answer contains another one")
-)
+// errForeignAnswer means that an answer belongs to another request, or may do so.
+var errForeignAnswer = errors.New("the answer does not name the request")
 
 // roundTrip sends a request to an endpoint and returns the answer to it. It uses a kept
 // connection only if newConn is false and the endpoint repeats request IDs in its answers:
@@ -35,8 +30,8 @@
 	switch {
 	case foreign || transport == c.pooled && !names:
 		err = errForeignAnswer
-	case r != nil && r.hasSplicedHead():
-		err = errSplicedHead
+	case r != nil:
+		err = r.checkHead()
 	}
 	if err != nil {
 		_ = resp.Body.Close() // closes the connection
--- a/pkg/relay/recorder.go
+++ b/pkg/relay/recorder.go
@@ -77,11 +77,11 @@
 	return n, err
 }
 
-// hasSplicedHead reports whether the head received since start contains another one.
-func (r *recorder) hasSplicedHead() bool {
+// checkHead fails with splice.ErrHead if the head received since start contains another one.
+func (r *recorder) checkHead() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return splice.IsHead(r.received)
+	return splice.CheckHead(r.received)
 }
 
 // after returns the latest bytes that were received after a body of the given length.
--- a/pkg/splice/head.go
+++ b/pkg/splice/head.go
@@ -3,6 +3,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"regexp"
 )
 
@@ -12,10 +13,18 @@
 
 const statusLineBytes = len("HTTP/1.1 200")
 
-// IsHead reports whether head, from the status line to the empty line, contains a second
-// status line, in the reason phrase or in a field. Its status and fields then belong to
-// either response.
-func IsHead(head []byte) bool { return len(statusLine.FindAllIndex(head, 2)) > 1 }
+// ErrHead means that the head of a response was broken off and goes on with another head.
+var ErrHead = errors.New("the head of a response contains another one")
+
+// CheckHead fails with ErrHead if head, from the status line to the empty line, contains a
+// second status line, in the reason phrase or in a field. Its status and fields then belong
+// to either response.
+func CheckHead(head []byte) error {
+	if len(statusLine.FindAllIndex(head, 2)) > 1 {
+		return ErrHead
+	}
+	return nil
+}
 
 // emptyLines are the ends of the last line of a head with the empty line after it.
 var emptyLines = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -341,22 +341,18 @@
 	return nil, errors.New("no response to the request among those received")
 }
 
-// errSplicedHead means that an endpoint broke off the head of a response, to this request or
-// an earlier one, and went on with another one.
-var errSplicedHead = errors.New("the head of a response contains another one")
-
 // readHead reads the head of a response, of at most limits.ResponseHeadBytes. It fails with
-// errSplicedHead if the head goes on with another one.
+// splice.ErrHead if the head goes on with another one.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.headBytes = append(c.headBytes[:0], c.buffered()...)
 	c.headBytesLeft = limits.ResponseHeadBytes
 	resp, err := http.ReadResponse(c.reader, req)
 	c.headBytesLeft = unlimited
-	// http.ReadResponse deletes some fields, so that the bytes are checked.
-	if err == nil && splice.IsHead(c.headBytes[:len(c.headBytes)-c.reader.Buffered()]) {
-		return nil, errSplicedHead
+	if err != nil {
+		return nil, err
 	}
-	return resp, err
+	// http.ReadResponse deletes some fields, so that the bytes are checked.
+	return resp, splice.CheckHead(c.headBytes[:len(c.headBytes)-c.reader.Buffered()])
 }
 
 // buffered returns the bytes that were received and not read yet. They are valid until the
