Detect a spliced body whose second answer broke off in its status line

Callers got a 200 whose body ended in the first bytes of another answer (MIXED). Cause: a status line that begins in the body was looked for as a whole, but the second answer may break off in it too. Change: the bytes after the body are compared as far as they go. Measured: TestBody, eight cases red before (two bodies, each divided in four ways).

--- a/pkg/splice/body.go
+++ b/pkg/splice/body.go
@@ -9,9 +9,9 @@
 // ErrBody means that a body was broken off and filled up with another response.
 var ErrBody = errors.New("the body goes on with another response")
 
-// Body reads a body with a length. At its end it fails with ErrBody if a status line begins
-// in the body and bytes follow the body: the length then ended inside another response.
-// Without such bytes, a status line is part of the data.
+// Body reads a body with a length. At its end it fails with ErrBody if a status line, or as
+// much of one as was received, begins in the body and bytes follow the body: the length then
+// ended inside another response. Without such bytes, a status line is part of the data.
 type Body struct {
 	io.ReadCloser
 	after func() []byte // what was received after the body
@@ -32,7 +32,7 @@
 	if err != io.EOF {
 		return n, err
 	}
-	if after := b.after(); len(after) > 0 && (b.found || b.isBegunIn(after)) {
+	if after := b.after(); len(after) > 0 && (b.found || b.endsInStatusLine(after)) {
 		err = ErrBody
 	}
 	return n, err
@@ -40,7 +40,8 @@
 
 // scan searches the next part of the body.
 func (b *Body) scan(part []byte) {
-	b.found = b.found || statusLine.Match(part) || b.isBegunIn(part)
+	joined := slices.Concat(b.tail, part[:min(len(part), statusLineBytes-1)])
+	b.found = b.found || statusLine.Match(joined) || statusLine.Match(part)
 	if keep := statusLineBytes - 1; len(part) >= keep {
 		b.tail = append(b.tail[:0], part[len(part)-keep:]...)
 	} else {
@@ -49,9 +50,12 @@
 	}
 }
 
-// isBegunIn reports whether a status line begins in the tail and ends in next.
-func (b *Body) isBegunIn(next []byte) bool {
-	joined := slices.Concat(b.tail, next[:min(len(next), statusLineBytes-1)])
-	at := statusLine.FindIndex(joined)
-	return at != nil && at[0] < len(b.tail)
+// endsInStatusLine reports whether a status line begins in the tail and goes on in after.
+func (b *Body) endsInStatusLine(after []byte) bool {
+	for i := range b.tail {
+		if isStatusLinePrefix(slices.Concat(b.tail[i:], after)) {
+			return true
+		}
+	}
+	return false
 }
--- a/pkg/splice/head.go
+++ b/pkg/splice/head.go
@@ -13,8 +13,17 @@
 
 const statusLineBytes = len("HTTP/1.1 200")
 
-// ErrHead means that the head of a response was broken off and goes on with another head.
-var ErrHead = errors.New("the head of a response contains another one")
+// isStatusLinePrefix reports whether b is not empty and begins a status line, as far as it
+// goes.
+func isStatusLinePrefix(b []byte) bool {
+	const sample = "HTTP/1.1 200"
+	b = b[:min(len(b), statusLineBytes)]
+	line := append(bytes.Clone(b), sample[len(b):]...)
+	return len(b) > 0 && statusLine.Match(line)
+}
+
+// ErrHead means that the head of a response was broken off and goes on with other bytes.
+var ErrHead = errors.New("the head of a response contains another one, or other text")
 
 // CheckHead fails with ErrHead if head, from the status line to the empty line, contains a
 // second status line, in the reason phrase or in a field. Its status and fields then belong
@@ -26,6 +35,17 @@
 	return nil
 }
 
+// LineEndKinds returns how many of the line ends CR LF, LF and CR occur in text. Senders use
+// one of them; text that was spliced with other text may have more.
+func LineEndKinds(text []byte) int {
+	kinds := 0
+	pairs := bytes.Count(text, []byte("\r\n"))
+	for _, n := range []int{pairs, bytes.Count(text, []byte("\n")) - pairs, bytes.Count(text, []byte("\r")) - pairs} {
+		kinds += min(n, 1)
+	}
+	return kinds
+}
+
 // emptyLines are the ends of the last line of a head with the empty line after it.
 var emptyLines = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
 
--- a/pkg/splice/splice_test.go
+++ b/pkg/splice/splice_test.go
@@ -17,6 +17,7 @@
 		{"whole", "", false}, {"whole", "x", false}, {"whole", line, false}, {"data " + line + " data", "", false}, {"", line, false},
 		{"half" + line, "rest", true}, {"half" + line[:5], line[5:], true}, {"half" + line[:1], line[1:], true}, {"half" + line[:11], line[11:], true},
 		{"half" + line[:5], "x" + line[5:], false}, {line[:12], "x", true}, {line[:11], line[11:], true},
+		{"half" + line[:3], line[3:6], true}, {"half" + line[:9], line[9:10], true}, {"<HT", "ML>", false}, {"half" + line[:3], "", false}, {"H", line, false},
 	} {
 		for name, divide := range map[string]func(io.Reader) io.Reader{"whole": func(r io.Reader) io.Reader { return r }, "bytes": iotest.OneByteReader, "halves": iotest.HalfReader, "data with EOF": iotest.DataErrReader} {
 			got, err := io.ReadAll(NewBody(io.NopCloser(divide(strings.NewReader(tc.body))), func() []byte { return []byte(tc.after) }))
