Take no head that goes on with text

Callers got a 200 whose body was an error (MIXED): an endpoint broke off the head of its answer and went on with a text and an empty line, which ended the head. Cause: the text stands in a field, and no second status line shows. Change: a head must have one kind of line end, on both paths, as the events of a stream.

--- a/pkg/gateway/brokenanswers_test.go
+++ b/pkg/gateway/brokenanswers_test.go
@@ -315,13 +315,14 @@
 	}
 }
 
-// Guards against an answer that its endpoint breaks off in the middle of the head, and goes on with an error's.
+// Guards against an answer that its endpoint breaks off in the middle of the head, and goes on with an error's head or text.
 func TestAnswerThatGoesOnWithErrorHeadIsNotSuccess(t *testing.T) {
 	for framing, frame := range framings {
 		for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
 			for _, failed := range []string{
 				"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", errorHead502 + "<html>\n\n",
-				"HTTP/1.0 503 Service Unavailable\r\n" + machines.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n",
+				"HTTP/1.0 503 Service Unavailable\r\n" + machines.HeaderNotExecuted + ": 1\r\nContent-Length: 0\r\n\r\n", "the model is gone\n\nwhole",
+				"gone\n\nHTTP/1.1 500 Oops\r\n\r\n",
 			} {
 				t.Run(framing+path+"/"+failed[9:12], func(t *testing.T) {
 					t.Parallel()
--- a/pkg/gateway/eventsyntax.go
+++ b/pkg/gateway/eventsyntax.go
@@ -1,6 +1,10 @@
 package gateway
 
-import "bytes"
+import (
+	"bytes"
+
+	"github.com/clementinerack/clementinerack/pkg/splice"
+)
 
 // isSoundEvent reports whether an event has at most one ID, only fields of the event stream
 // format (WHATWG HTML, section 9.2.6) or for which isEventField holds, and one kind of line
@@ -24,15 +28,5 @@
 		}
 	}
 	// A CR at the end may be the first half of a CR LF.
-	return ids <= 1 && lineEndKinds(bytes.TrimSuffix(event, []byte("\r"))) == 1
-}
-
-// lineEndKinds returns how many of the line ends CR LF, LF and CR occur in b.
-func lineEndKinds(b []byte) int {
-	kinds := 0
-	pairs := bytes.Count(b, []byte("\r\n"))
-	for _, n := range []int{pairs, bytes.Count(b, []byte("\n")) - pairs, bytes.Count(b, []byte("\r")) - pairs} {
-		kinds += min(n, 1)
-	}
-	return kinds
+	return ids <= 1 && splice.LineEndKinds(bytes.TrimSuffix(event, []byte("\r"))) == 1
 }
--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -218,7 +218,7 @@
 		problem = "was silent for too long"
 	}
 	if errors.Is(cause, splice.ErrHead) || errors.Is(cause, splice.ErrBody) {
-		problem = "sent an answer with a second status line in it"
+		problem = "sent an answer that goes on with other bytes"
 	}
 	if isConnectionRefused(cause) {
 		problem = "refused the connection"
--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -209,11 +209,12 @@
 	}
 }
 
-// Guards against an answer that its endpoint breaks off in the middle of the head, and goes on with an error's.
+// Guards against an answer that its endpoint breaks off in the middle of the head, and goes on with an error's head or text.
 func TestAnswerThatGoesOnWithErrorHeadIsNotComplete(t *testing.T) {
 	for _, framing := range []string{"Content-Length: 0", "Content-Length: 5", "Transfer-Encoding: chunked"} {
 		head := strings.Join([]string{"HTTP/1.1 200 OK", requestIDHeader + ": r", framing, "Connection: keep-alive", "Content-Type: text/event-stream", "X-Last: 0 ", "", ""}, "\r\n")
-		for _, failed := range []string{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", "HTTP/1.0 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfull"} {
+		for _, failed := range []string{"HTTP/1.1 500 Oops\r\nContent-Length: 0\r\n\r\n", "HTTP/1.0 502 Bad Gateway\r\nConnection: close\r\nContent-Length: 4\r\n\r\nfull",
+			"gone\n\nwhole"} {
 			for cut := 1; cut < len(head); cut++ {
 				address := startRawEndpoint(t, func(_ *http.Request, c net.Conn) bool { _, _ = io.WriteString(c, head[:cut]+failed); return false })
 				for _, repeatable := range []bool{true, false} {
--- a/pkg/relay/recorder.go
+++ b/pkg/relay/recorder.go
@@ -77,7 +77,7 @@
 	return n, err
 }
 
-// checkHead fails with splice.ErrHead if the head received since start contains another one.
+// checkHead fails with splice.ErrHead if the head received since start goes on with other bytes.
 func (r *recorder) checkHead() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/pkg/splice/head.go
+++ b/pkg/splice/head.go
@@ -26,10 +26,10 @@
 var ErrHead = errors.New("the head of a response contains another one, or other text")
 
 // CheckHead fails with ErrHead if head, from the status line to the empty line, contains a
-// second status line, in the reason phrase or in a field. Its status and fields then belong
-// to either response.
+// second status line, in the reason phrase or in a field, or two kinds of line ends. Its
+// status and fields then belong to either response.
 func CheckHead(head []byte) error {
-	if len(statusLine.FindAllIndex(head, 2)) > 1 {
+	if len(statusLine.FindAllIndex(head, 2)) > 1 || LineEndKinds(head) > 1 {
 		return ErrHead
 	}
 	return nil
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -342,7 +342,7 @@
 }
 
 // readHead reads the head of a response, of at most limits.ResponseHeadBytes. It fails with
-// splice.ErrHead if the head goes on with another one.
+// splice.ErrHead if the head goes on with other bytes.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.headBytes = append(c.headBytes[:0], c.buffered()...)
 	c.headBytesLeft = limits.ResponseHeadBytes
