Keep ports that refuse connections from other tests

Cause: the test closed runners and used their addresses. Other test processes, which listen on hundreds of ports, got these ports meanwhile and answered. Change: both tests that need refused connections use sockets that are bound and do not listen. What they check stays.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -135,6 +135,40 @@
 	traits  *traitLog
 }
 
+// listRefusing replaces the list of endpoints by n that refuse connections, and the runners. No
+// other process can get their ports while the test runs.
+func (g *testGateway) listRefusing(n int, runners ...*machines.Runner) {
+	list := catalog.EndpointList{Revision: 1 << 32}
+	add := func(id, address string) {
+		list.Endpoints = append(list.Endpoints, catalog.Endpoint{ID: id, Service: "s", Address: address, Domain: "z"})
+	}
+	for i := range n {
+		add(fmt.Sprintf("refusing%d", i), refusingAddress(g.t))
+	}
+	for _, r := range runners {
+		add(r.ID, r.Address())
+	}
+	g.pool.Update(list, time.Now())
+}
+
+// refusingAddress returns the address of a socket that is bound and does not listen.
+func refusingAddress(t *testing.T) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+}
+
 // newTestGateway starts a gateway and one runner per script. All runners serve the
 // same service.
 func newTestGateway(t *testing.T, scripts ...machines.Script) *testGateway {
@@ -351,7 +385,7 @@
 			g.rights.free = promptTokens
 			q.Header.Set(machines.HeaderTokens, fmt.Sprintf("%d,%d", promptTokens, maxOutputTokens))
 		}, 429},
-		{"no endpoint", func(g *testGateway, _ *http.Request) { g.runners[0].Close() }, 503},
+		{"no endpoint", func(g *testGateway, _ *http.Request) { g.listRefusing(1) }, 503},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
 			g := newTestGateway(t, machines.Answer(200, "x"))
@@ -559,9 +593,8 @@
 
 // Guards against attempts that reach no endpoint and still use up the retry budget.
 func TestUnreachedSparesRetryBudget(t *testing.T) {
-	g := newTestGateway(t, machines.Answer(200, "whole"), machines.Answer(200, "whole"), machines.Answer(200, "whole"))
-	g.runners[0].Close()
-	g.runners[1].Close()
+	g := newTestGateway(t, machines.Answer(200, "whole"))
+	g.listRefusing(2, g.runners...)
 	g.retries = gateway.NewRetryBudget(0, 0, 10*time.Second, func() int { return 1 })
 	g.startGateway()
 	for i := range 5 {
