--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -53,8 +53,16 @@
 	// Pause is how long the endpoint wants no requests from this instance, 0 if it does
 	// not say so.
 	Pause time.Duration
+	// IsLimited means that the endpoint names a limit on its requests. RateLimit is the
+	// number of requests per second that it takes from all instances together, or
+	// UnknownRate.
+	IsLimited bool
+	RateLimit float64
 }
 
+// UnknownRate is the RateLimit of an endpoint that names a limit which cannot be read.
+const UnknownRate = -1
+
 // Codec translates between header fields and the types of this package.
 type Codec interface {
 	// Decode reads the envelope of a request. It fails with failure.Invalid if a
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
@@ -24,6 +25,9 @@
 		c.Pause(now.Add(notice.Pause))
 		description += ": it wants nothing for " + notice.Pause.String()
 	}
+	if notice.IsLimited {
+		description += ": it takes " + strconv.FormatFloat(notice.RateLimit, 'g', 4, 64) + " requests a second"
+	}
 	return description
 }
 
