--- a/standins/machines/runner.go
+++ b/standins/machines/runner.go
@@ -23,6 +23,7 @@
 	HeaderLastEventID      = "Last-Event-Id"
 	HeaderLeaving          = "Server-Leaving" // "1" in all responses of a runner that leaves
 	HeaderRetryAfter       = "Retry-After"    // seconds
+	HeaderLimit            = "Server-Limit"   // requests per second that a runner takes from all instances together
 	// KeyScheme is the authentication scheme before the key in the field
 	// Authorization, with the space that separates them.
 	KeyScheme = "Token "
