Keep the limit that an endpoint names over all instances together

Callers saw slow answers and refusals of an endpoint in need, because it got more requests than it had asked for. Cause: nothing used Server-Limit. A limit that each instance keeps by itself would not do either: the sum over all instances counts. Change: the limit of an endpoint is divided among a few instances, chosen by rendezvous hashing among those that have been listed for a while, each with a token bucket; no call is needed before a request. The number of senders is the limit plus three, so that the requests they may have at hand at the same time stay within the bound. The other instances choose other endpoints or refuse at once. Instances tell each other when a limit begins, changes or ends, because most send no request to such an endpoint.

--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -206,7 +206,7 @@
 		g.runners = append(g.runners, runner)
 		list.Endpoints = append(list.Endpoints, catalog.Endpoint{ID: runner.ID, Service: "s", Address: runner.Address(), Domain: "z"})
 	}
-	g.pool = placement.New("z", 1)
+	g.pool = placement.New("z", 1, nil)
 	g.pool.Update(list, time.Now())
 	g.retries = gateway.NewRetryBudget(0.2, 50, 10*time.Second, func() int { return 1 })
 	g.startGateway()
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -25,8 +25,14 @@
 		c.Pause(now.Add(notice.Pause))
 		description += ": it wants nothing for " + notice.Pause.String()
 	}
-	if notice.IsLimited {
+	switch {
+	case notice.IsLimited:
+		if notice.RateLimit != UnknownRate {
+			c.SetLimit(notice.RateLimit, now)
+		}
 		description += ": it takes " + strconv.FormatFloat(notice.RateLimit, 'g', 4, 64) + " requests a second"
+	case q.g.opts.Codec.IsResponseTo(header, q.envelope.ID, true):
+		c.ClearLimit(now)
 	}
 	return description
 }
--- /dev/null
+++ b/pkg/node/limitshares.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/rendezvous"
+)
+
+const (
+	// extraSenders is added to the limit of an endpoint, in requests per second, to get the
+	// number of instances that send it requests. Each may have one request at hand when its
+	// turn has not come for long, so that this bounds the excess over the limit in any time.
+	extraSenders = 3
+	// establishedTTL is how long the list of established instances is used before it is read again.
+	establishedTTL = 500 * time.Millisecond
+)
+
+// limitShares divides the limit of an endpoint among the instances without asking them: all
+// instances that know the same others choose the same senders, which share it evenly.
+type limitShares struct {
+	self        peer.Identity
+	established func(now time.Time) (others []peer.Identity, self bool)
+
+	mu            sync.Mutex
+	instances     []hashedInstance // established, this one included if it is
+	isEstablished bool
+	readAt        time.Time
+}
+
+// hashedInstance is an instance with the hash of its name.
+type hashedInstance struct {
+	peer.Identity
+	hash uint64
+}
+
+// of implements placement.Share.
+func (s *limitShares) of(endpoint catalog.Endpoint, perSecond float64) float64 {
+	senders, isEstablished := s.senders(endpoint, perSecond, time.Now())
+	if !isEstablished || !slices.ContainsFunc(senders, func(id peer.Identity) bool { return id.Instance == s.self.Instance }) {
+		return 0
+	}
+	return perSecond / float64(len(senders))
+}
+
+// senders returns the instances that send requests to an endpoint which takes perSecond from
+// all together, and whether this instance is established. One half is chosen from the
+// failure domain of the endpoint, which may be cut off from the others.
+func (s *limitShares) senders(endpoint catalog.Endpoint, perSecond float64, now time.Time) ([]peer.Identity, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.readEstablished(now)
+	n := len(s.instances)
+	if perSecond+extraSenders < float64(n) {
+		n = int(perSecond) + extraSenders
+	}
+	hash := rendezvous.Hash(endpoint.ID)
+	ranked := slices.SortedFunc(slices.Values(s.instances), func(a, b hashedInstance) int {
+		return cmp.Or(cmp.Compare(rendezvous.Mix(b.hash^hash), rendezvous.Mix(a.hash^hash)), cmp.Compare(a.Instance, b.Instance))
+	})
+	var senders []peer.Identity
+	for _, id := range ranked {
+		if id.Domain == endpoint.Domain && len(senders) < (n+1)/2 {
+			senders = append(senders, id.Identity)
+		}
+	}
+	for _, id := range ranked {
+		if len(senders) < n && !slices.Contains(senders, id.Identity) {
+			senders = append(senders, id.Identity)
+		}
+	}
+	return senders, s.isEstablished
+}
+
+// readEstablished reads the list of established instances if establishedTTL has passed. s.mu
+// must be held.
+func (s *limitShares) readEstablished(now time.Time) {
+	if now.Sub(s.readAt) < establishedTTL {
+		return
+	}
+	var known []peer.Identity
+	known, s.isEstablished = s.established(now)
+	if s.isEstablished {
+		known = append(known, s.self)
+	}
+	s.instances, s.readAt = s.instances[:0], now
+	for _, id := range known {
+		s.instances = append(s.instances, hashedInstance{id, rendezvous.Hash(id.Instance)})
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -76,6 +76,7 @@
 	syncer     *rights.Syncer
 	exchange   *rights.Exchange
 	crashes    *crashGuard
+	limits     *limitSpreader
 	gateway    *gateway.Gateway
 	stopping   atomic.Bool
 	goroutines sync.WaitGroup
@@ -98,7 +99,9 @@
 	}}
 	opts.Registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
 	n.roster = roster.New(n.self, opts.Store, n.log)
-	n.pool = placement.New(opts.Domain, uint64(nonce[0])|uint64(nonce[1])<<8|uint64(nonce[2])<<16|1)
+	shares := &limitShares{self: n.self, established: n.roster.Established}
+	n.pool = placement.New(opts.Domain, uint64(nonce[0])|uint64(nonce[1])<<8|uint64(nonce[2])<<16|1, shares.of)
+	n.limits = &limitSpreader{pool: n.pool, shares: shares, peers: n.peers, others: n.roster.Others, log: n.log}
 	n.client = upstream.New()
 	n.buildRights()
 	n.buildCatalog()
@@ -308,6 +311,7 @@
 	n.replica.RegisterPeer(transport)
 	n.exchange.RegisterPeer(transport, n.self.Incarnation)
 	n.crashes.registerPeer(transport)
+	n.limits.registerPeer(transport)
 	listener, err := n.opts.Listen(n.opts.PeerAddress)
 	if err != nil {
 		n.log.WithError(err).Error("cannot open the listener for other instances")
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -136,6 +136,7 @@
 // concurrent use.
 type Pool struct {
 	localDomain string
+	share       Share // nil if this instance is the only one
 
 	mu           sync.Mutex
 	rng          *rand.Rand
@@ -153,9 +154,10 @@
 }
 
 // New returns an empty pool for an instance in the failure domain localDomain. The
-// seed determines the choice among endpoints of nearly equal cost.
-func New(localDomain string, seed uint64) *Pool {
-	return &Pool{localDomain: localDomain, rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{},
+// seed determines the choice among endpoints of nearly equal cost. share may be nil if there
+// is no other instance.
+func New(localDomain string, seed uint64, share Share) *Pool {
+	return &Pool{localDomain: localDomain, share: share, rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{},
 		services: map[string][]*endpointState{}, domains: map[string]*domainState{}, cachedAt: map[cachedPrefix]time.Time{},
 		restrictions: map[incarnation]*restriction{}}
 }
@@ -223,7 +225,7 @@
 	var best *endpointState
 	bestCost := math.Inf(1)
 	for _, e := range p.services[req.Service] {
-		if !e.isAvailable(&req, now) {
+		if !e.isAvailable(&req, p.share, now) {
 			continue
 		}
 		// Less than 1 ms of noise spreads requests over endpoints of equal cost.
@@ -246,14 +248,15 @@
 	case second:
 		c.Rank = 2
 	}
+	best.restriction.limit.take(now)
 	best.inFlight++
 	best.pendingTokens += c.promptTokens
 	return c, nil
 }
 
-// isAvailable reports whether the endpoint accepts the request at time now.
-func (e *endpointState) isAvailable(req *Request, now time.Time) bool {
-	return e.restriction.allows(now) && !req.Exclude[e.ID]
+// isAvailable reports whether the endpoint accepts the request from this instance at time now.
+func (e *endpointState) isAvailable(req *Request, share Share, now time.Time) bool {
+	return e.restriction.allows(now) && !req.Exclude[e.ID] && e.restriction.limit.allows(e.Endpoint, share, now)
 }
 
 // topTwo returns the two endpoints with the highest rendezvous weight for the
@@ -266,7 +269,7 @@
 	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
 	for _, e := range p.services[req.Service] {
 		switch {
-		case !e.isAvailable(req, now):
+		case !e.isAvailable(req, p.share, now):
 		case first == nil || weight(e) > weight(first):
 			first, second = e, first
 		case second == nil || weight(e) > weight(second):
--- a/pkg/placement/pool_test.go
+++ b/pkg/placement/pool_test.go
@@ -17,7 +17,7 @@
 	for i, d := range domains {
 		list.Endpoints = append(list.Endpoints, catalog.Endpoint{ID: fmt.Sprintf("e%d", i), Service: "s", Address: fmt.Sprintf("a%d", i), Domain: d})
 	}
-	p := New("z", 1)
+	p := New("z", 1, nil)
 	p.Update(list, start)
 	return p, list
 }
@@ -221,7 +221,7 @@
 		{"a new process long after the old one, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {}, {}, {}, {}, {}, {}, {}, {}, {listed(false, 0)}}, true},
 		{"ready again long after the list changed last, start unknown", [][]catalog.Endpoint{{listed(true, 0)}, {listed(true, 0)}, nil, nil, nil, nil, nil, nil, nil, {listed(false, 0)}}, false},
 	} {
-		p := New("z", 1)
+		p := New("z", 1, nil)
 		now := start
 		for _, entries := range append([][]catalog.Endpoint{{listed(false, 5)}, {listed(true, 5)}}, tc.entries...) {
 			now = now.Add(5 * time.Second)
--- a/pkg/placement/restrictions.go
+++ b/pkg/placement/restrictions.go
@@ -18,6 +18,7 @@
 	isLeaving   bool      // it accepts no further requests
 	pausedUntil time.Time // it accepts no requests from this instance before this time
 	unlistedAt  time.Time // when its registration was found to be gone, or zero
+	limit       limit     // on the requests of all instances together
 }
 
 const (
--- a/pkg/roster/roster.go
+++ b/pkg/roster/roster.go
@@ -44,6 +44,12 @@
 	// lags by a few seconds at most. Instances seen on a connection more recently than
 	// that are kept although a list lacks them.
 	maxListAge = 5 * time.Second
+	// absenceTTL is how long an instance that is missing from the lists still counts in
+	// Established. Its registration may have expired in an outage of the store.
+	absenceTTL = 15 * time.Second
+	// joinDelay is the time after the registration of this instance from which it counts
+	// itself in Established: by then the others have listed it.
+	joinDelay = 2 * renewInterval
 )
 
 // Store is the part of the store that a Roster uses.
@@ -70,6 +76,14 @@
 	settled       bool            // two reads of the list in a row agreed
 	leaders       map[string]bool // incarnations chosen from members and this instance; nil after a change
 	leadersTarget int             // target for which leaders were chosen
+	registeredAt  time.Time       // first registration of this instance, or zero
+	established   map[string]establishedMember
+}
+
+// establishedMember is an instance that was listed, by name.
+type establishedMember struct {
+	peer.Identity
+	absentSince time.Time // first list without it since it was listed last, or zero
 }
 
 // connection records a connection to an instance that the list does not contain yet.
@@ -82,7 +96,7 @@
 
 // New returns a roster for the instance self. It does not use the store until Run.
 func New(self peer.Identity, store Store, log logrus.FieldLogger) *Roster {
-	return &Roster{self: self, store: store, log: log}
+	return &Roster{self: self, store: store, log: log, established: map[string]establishedMember{}}
 }
 
 // Others returns the other instances: those of the latest list of the store, and those
@@ -143,6 +157,37 @@
 	r.listedAt = now
 	r.members, r.leaders = members, nil
 	r.peak = max(r.peak, len(members)+1)
+	r.updateEstablished(now)
+}
+
+// updateEstablished brings r.established up to date with r.members. r.mu must be held.
+func (r *Roster) updateEstablished(now time.Time) {
+	for name, m := range r.established {
+		if m.absentSince.IsZero() {
+			m.absentSince = now
+		}
+		r.established[name] = m
+		if now.Sub(m.absentSince) > absenceTTL {
+			delete(r.established, name)
+		}
+	}
+	for _, m := range r.members {
+		r.established[m.Instance] = establishedMember{Identity: m}
+	}
+}
+
+// Established returns the instances, without this one, that divide limits among them, and
+// whether this instance is one of them. An instance that starts again under its name keeps
+// its place, one that is gone loses it after absenceTTL, and this one counts from joinDelay
+// after its registration. So the places of two instances rarely overlap while their lists
+// differ.
+func (r *Roster) Established(now time.Time) (others []peer.Identity, self bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, m := range r.established {
+		others = append(others, m.Identity)
+	}
+	return others, r.settled && !r.registeredAt.IsZero() && now.Sub(r.registeredAt) >= joinDelay
 }
 
 // sameMembers reports whether a and b hold the same instances.
@@ -286,6 +331,11 @@
 		return err
 	}
 	r.lease = lease
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.registeredAt.IsZero() {
+		r.registeredAt = time.Now()
+	}
 	return nil
 }
 
--- a/standins/engine/play/policies.go
+++ b/standins/engine/play/policies.go
@@ -48,7 +48,7 @@
 }
 
 func newPoolPolicy(instance, engines int, reportsSharedParts bool) *poolPolicy {
-	p := &poolPolicy{pool: placement.New("z", uint64(instance)), engineIndex: map[string]int{}, reportsSharedParts: reportsSharedParts}
+	p := &poolPolicy{pool: placement.New("z", uint64(instance), nil), engineIndex: map[string]int{}, reportsSharedParts: reportsSharedParts}
 	endpoints := catalog.EndpointList{Revision: 1}
 	for i := range engines {
 		id := fmt.Sprintf("engine-%02d", i)
