--- a/standins/machines/store.go
+++ b/standins/machines/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -68,6 +69,14 @@
 	chooseFault       func(call string) Fault
 	delayed           []func()
 	calls             map[string]int
+	era               uint64 // rises when the store returns from a copy
+}
+
+// Copy is the content of a store at some time.
+type Copy struct {
+	revision uint64
+	items    map[string]Item
+	leases   map[uint64]bool
 }
 
 var _ http.Handler = (*Store)(nil)
@@ -75,7 +84,7 @@
 // NewStore returns an empty store. It returns an error when its routes cannot be
 // built.
 func NewStore() (*Store, error) {
-	s := &Store{app: iris.New(), items: map[string]Item{}, leases: map[uint64]bool{}, changed: make(chan struct{}), calls: map[string]int{}}
+	s := &Store{era: 1, app: iris.New(), items: map[string]Item{}, leases: map[uint64]bool{}, changed: make(chan struct{}), calls: map[string]int{}}
 	s.app.Logger().SetLevel("disable")
 	s.app.Configure(iris.WithoutPathCorrection, iris.WithoutAutoFireStatusCode)
 	s.app.Get("/-/kv-key", s.withFaults("get", s.get))
@@ -180,6 +189,35 @@
 	}
 }
 
+// HeaderEra is the header field of all answers of the store. Its number rises by one each
+// time the store returns from a copy.
+const HeaderEra = "Store-Era"
+
+// Copy returns the current content.
+func (s *Store) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return Copy{s.revision, maps.Clone(s.items), maps.Clone(s.leases)}
+}
+
+// Restore replaces the content by an earlier copy. Revisions go back with it and are given
+// out again. What the operator and the runners have written since is written again.
+func (s *Store) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	lost := s.items
+	s.era++
+	s.revision, s.items, s.leases = c.revision, maps.Clone(c.items), maps.Clone(c.leases)
+	s.history, s.compactedRevision = nil, s.revision
+	for key, it := range lost {
+		if (strings.HasPrefix(key, "op/") || strings.HasPrefix(key, ServersPrefix)) && it.Revision > c.revision {
+			s.revision++
+			s.put(key, it.Value, 0)
+		}
+	}
+	s.notifyWatchers()
+}
+
 // put writes an item at the current revision. The mutex is held.
 func (s *Store) put(key string, value []byte, lease uint64) {
 	it := Item{Key: key, Value: value, Revision: s.revision, Created: s.revision, Lease: lease}
@@ -221,6 +259,7 @@
 	return func(c iris.Context) {
 		s.mu.Lock()
 		s.calls[kind]++
+		c.Header(HeaderEra, strconv.FormatUint(s.era, 10))
 		fault := NoFault
 		if s.chooseFault != nil {
 			fault = s.chooseFault(kind)
@@ -287,7 +326,7 @@
 	deadline := time.After(time.Duration(waitMillis) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		compacted, at, changed := after < s.compactedRevision, s.revision, s.changed
+		compacted, at, changed := after < s.compactedRevision || after > s.revision, s.revision, s.changed
 		events := []event{}
 		for _, e := range s.history {
 			if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
