Restore the sums of granted rights after the store has lost them

Tenants got more tokens than they had paid for. Cause: the sums of granted and spent tokens went back with the copy, while the instances still held the rights of before. The same tokens were granted again. Nothing told a sum of before from one of the copy. Change: one instance in each era of the store asks all others for the latest sums that they know and writes them back, in the transaction that creates the fence record of the era. All later transactions are conditional on that record, and that of the former era is removed, so that none of before takes effect afterwards. No rights are taken until then; requests use what the instances hold. A record keeps the states of former eras from which it continues, so that an instance that was out of reach adds what was missing. A transaction without an answer is given up: its rights are not used, and what it returned stays granted.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -5,6 +5,7 @@
 	"context"
 	cryptorand "crypto/rand"
 	"encoding/hex"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -75,6 +76,7 @@
 	book       *rights.Book
 	syncer     *rights.Syncer
 	exchange   *rights.Exchange
+	witnesses  *rights.Witnesses
 	crashes    *crashGuard
 	limits     *limitSpreader
 	gateway    *gateway.Gateway
@@ -124,8 +126,10 @@
 // exchange refer to each other, so the syncer gets methods that look up the exchange.
 func (n *Node) buildRights() {
 	n.book = rights.NewBook()
+	ledger := rights.NewLedger(n.opts.Store, n.self.Incarnation)
+	n.witnesses = rights.NewWitnesses(ledger, n.peers, n.witnessAddresses)
 	n.syncer = rights.NewSyncer(rights.SyncerOptions{
-		Book: n.book, Ledger: rights.NewLedger(n.opts.Store, n.self.Incarnation), Prepaid: n.prepaidTotals,
+		Book: n.book, Ledger: ledger, Prepaid: n.prepaidTotals, Evidence: n.witnesses.Evidence, RestoreDelay: n.restoreDelay,
 		BufferHolders: n.leaderCount, Instances: n.instanceCount, SupplierRank: n.supplierRank, ResolvePending: n.resolveCalls, Refill: n.refill, Policy: rights.DefaultPolicy(), Timing: rights.DefaultTiming(), Log: n.log,
 	})
 	n.exchange = rights.NewExchange(n.book, n.peers, n.rightsPeers, n.syncer, n.log)
@@ -198,6 +202,12 @@
 // fewer, more rights are stranded when one dies.
 const targetLeaders = 12
 
+const (
+	// restoreRankDelay is the delay between two instances that try to restore the sums of
+	// rights; it exceeds the time that one needs. maxRestoreDelay bounds that of the last ones.
+	restoreRankDelay, maxRestoreDelay = 500 * time.Millisecond, 3 * time.Second
+)
+
 // leaderCount returns the number of leaders and whether this instance is one. Until it
 // knows the other instances, an instance is no leader: when a whole fleet starts, all
 // would otherwise take buffers of rights, each in conflict with all others.
@@ -219,6 +229,36 @@
 	return slices.Index(rights.Suppliers(workspace, leaders), n.self.Incarnation)
 }
 
+// restoreDelay is the delay of rights.SyncerOptions: the leaders follow each other, and then
+// the other instances.
+func (n *Node) restoreDelay() (time.Duration, bool) {
+	if !n.roster.IsSettled() {
+		return 0, false
+	}
+	leaders, isLeader := n.roster.Leaders(targetLeaders)
+	rank := len(leaders)
+	if isLeader {
+		rank = 0
+		for other := range leaders {
+			if rendezvous.Hash(other) < rendezvous.Hash(n.self.Incarnation) {
+				rank++
+			}
+		}
+	}
+	return min(time.Duration(rank)*restoreRankDelay, maxRestoreDelay), true
+}
+
+// witnessAddresses returns the addresses of all instances that may know the sums of rights:
+// also those that a restored list of instances lacks.
+func (n *Node) witnessAddresses() []string {
+	established, _ := n.roster.Established(time.Now())
+	addresses := map[string]bool{}
+	for _, other := range append(n.roster.Others(), established...) {
+		addresses[other.Address] = true
+	}
+	return slices.Collect(maps.Keys(addresses))
+}
+
 // isFirstSupplier reports whether this instance updates the record of a workspace in the
 // store on behalf of all instances.
 func (n *Node) isFirstSupplier(workspace string) bool { return n.supplierRank(workspace) == 0 }
@@ -310,6 +350,7 @@
 		OnPeer: func(id peer.Identity) { n.roster.AddConnected(id, time.Now()) }}, n.opts.Registry)
 	n.replica.RegisterPeer(transport)
 	n.exchange.RegisterPeer(transport, n.self.Incarnation)
+	n.witnesses.RegisterPeer(transport)
 	n.crashes.registerPeer(transport)
 	n.limits.registerPeer(transport)
 	listener, err := n.opts.Listen(n.opts.PeerAddress)
--- a/pkg/rights/ledger.go
+++ b/pkg/rights/ledger.go
@@ -6,6 +6,10 @@
 	"maps"
 	"strconv"
 	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
@@ -38,6 +42,8 @@
 	// Spent is the sum that instances have reported. It lags behind the real
 	// consumption and is used only to size holdings.
 	Spent map[string]Tokens `cbor:"2,keyasint"`
+	// Bases are the states of former eras from which the record continues, oldest first.
+	Bases []base `cbor:"3,keyasint,omitempty"`
 }
 
 // holderRecord is the stored form of the latest transaction of one instance.
@@ -45,9 +51,9 @@
 	Sequence uint64 `cbor:"1,keyasint"`
 }
 
-// shardState is the latest known state of a shard record.
-type shardState struct {
-	revision uint64
+// ShardState is a known state of a shard record. Its maps must not be modified.
+type ShardState struct {
+	Revision uint64
 	shardRecord
 }
 
@@ -72,15 +78,22 @@
 	kvstore.RangeReader
 }
 
-// Ledger changes the granted and spent sums in the store. It is not safe for
-// concurrent use.
+// Ledger changes the granted and spent sums in the store. Only Known and Witness are safe
+// for concurrent use.
 type Ledger struct {
 	store          Store
-	holderKey      string // key of the holder record of this instance
-	shards         [Shards]shardState
+	holderKey      string       // key of the holder record of this instance
 	holderRevision uint64       // revision of that holder record
 	sequence       uint64       // of the latest transaction
 	pending        *transaction // transaction without a known result, or nil
+	era            uint64       // of the store, as entered by EnterEra
+	seenEra        uint64       // latest era of an answer
+	fence          uint64       // revision of the fence record of era, 0 for a store without eras
+	enteredAt      time.Time    // when era was entered
+
+	mu        sync.Mutex         // held to change the fields below and in Known
+	shards    [Shards]ShardState // of era, as last read or written
+	witnessed [Shards]ShardState // as last reported by other instances
 }
 
 // NewLedger returns the ledger of one incarnation of an instance.
@@ -99,23 +112,23 @@
 }
 
 // Refresh reads the sums from the store. It uses a cheap read that may be stale,
-// which at worst makes the next transaction conflict.
+// which at worst makes the next transaction conflict. It fails if the store has returned
+// from an older copy; see NewEra.
 func (l *Ledger) Refresh(ctx context.Context) error {
-	items, _, err := l.store.Range(ctx, shardPrefix, true)
+	items, at, err := l.store.Range(ctx, shardPrefix, time.Since(l.enteredAt) > staleReadPause)
 	if err != nil {
 		return err
 	}
-	for _, it := range items {
-		i, err := strconv.Atoi(strings.TrimPrefix(it.Key, shardPrefix))
-		if err != nil || i < 0 || i >= Shards || it.Revision <= l.shards[i].revision {
-			continue
-		}
-		var rec shardRecord
-		if err := peer.Unmarshal(it.Value, &rec); err != nil {
-			return err
-		}
-		l.shards[i] = shardState{revision: it.Revision, shardRecord: rec}
+	if l.seenEra = max(l.seenEra, kvstore.EraOf(at)); l.seenEra != l.era || kvstore.EraOf(at) != l.era {
+		return errEraChanged
 	}
+	read, err := decodeShards(items)
+	if err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.shards = latest(l.shards, read)
 	return nil
 }
 
@@ -146,14 +159,14 @@
 }
 
 // buildTransaction returns a transaction that is conditional on the known revisions of
-// the holder record and of the shard records that changes affects.
+// the holder record, of the shard records that changes affects and of the fence record.
 func (l *Ledger) buildTransaction(changes map[string]Change) (*transaction, error) {
 	changed := map[int]shardRecord{}
 	for w, c := range changes {
 		i := shardOf(w)
 		rec, ok := changed[i]
 		if !ok {
-			rec = shardRecord{Granted: cloneOrEmpty(l.shards[i].Granted), Spent: cloneOrEmpty(l.shards[i].Spent)}
+			rec = shardRecord{Granted: cloneOrEmpty(l.shards[i].Granted), Spent: cloneOrEmpty(l.shards[i].Spent), Bases: l.shards[i].Bases}
 			changed[i] = rec
 		}
 		rec.Granted[w] += c.Granted
@@ -172,9 +185,12 @@
 		if err != nil {
 			return nil, err
 		}
-		t.request.Expect = append(t.request.Expect, kvstore.Expectation{Key: shardKey(i), Revision: l.shards[i].revision})
+		t.request.Expect = append(t.request.Expect, kvstore.Expectation{Key: shardKey(i), Revision: l.shards[i].Revision})
 		t.request.Write = append(t.request.Write, kvstore.Write{Key: shardKey(i), Value: value})
 	}
+	if l.fence > 0 {
+		t.request.Expect = append(t.request.Expect, kvstore.Expectation{Key: fenceKey(l.era), Revision: l.fence})
+	}
 	return t, nil
 }
 
@@ -196,6 +212,9 @@
 		return t.changes, nil, l.applyWrites(t, revision)
 	case failure.Is(err, failure.Conflict):
 		committed, updateErr := l.update(t, current)
+		if errors.Is(updateErr, errEraChanged) && l.pending == nil {
+			return nil, t.changes, updateErr // the only attempt had no effect
+		}
 		if updateErr != nil {
 			l.pending = t
 			return nil, nil, updateErr
@@ -219,17 +238,25 @@
 	for _, w := range t.request.Write {
 		items = append(items, kvstore.Item{Key: w.Key, Value: w.Value, Revision: revision})
 	}
+	if l.fence > 0 {
+		items = append(items, kvstore.Item{Key: fenceKey(l.era), Revision: l.fence})
+	}
 	_, err := l.update(t, items)
 	return err
 }
 
 // update sets the known state of the records of a transaction to items and reports
 // whether the holder record shows that the transaction took effect. A record that is
-// not among the items does not exist.
+// not among the items does not exist. update fails if the store has returned from an older
+// copy.
 func (l *Ledger) update(t *transaction, items []kvstore.Item) (bool, error) {
 	byKey := make(map[string]kvstore.Item, len(items))
 	for _, it := range items {
 		byKey[it.Key] = it
+		l.seenEra = max(l.seenEra, kvstore.EraOf(it.Revision))
+	}
+	if l.seenEra != l.era || byKey[fenceKey(l.era)].Revision != l.fence {
+		return false, errEraChanged
 	}
 	var holder holderRecord
 	if it := byKey[l.holderKey]; it.Revision > 0 {
@@ -237,19 +264,22 @@
 			return false, err
 		}
 	}
+	read, err := decodeShards(items)
+	if err != nil {
+		return false, err
+	}
 	l.holderRevision = byKey[l.holderKey].Revision
-	for _, e := range t.request.Expect[1:] {
-		i, err := strconv.Atoi(e.Key[len(shardPrefix):])
-		if err != nil {
-			return false, failure.New(failure.Internal, "report this message to the maintainers", "parse shard key %q: %v", e.Key, err)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, w := range t.request.Write {
+		if w.Key == l.holderKey {
+			continue
 		}
-		var rec shardRecord
-		if it := byKey[e.Key]; it.Revision > 0 {
-			if err := peer.Unmarshal(it.Value, &rec); err != nil {
-				return false, err
-			}
+		i, err := strconv.Atoi(strings.TrimPrefix(w.Key, shardPrefix))
+		if err != nil {
+			return false, failure.New(failure.Internal, "report this message to the maintainers", "parse shard key %q: %v", w.Key, err)
 		}
-		l.shards[i] = shardState{revision: byKey[e.Key].Revision, shardRecord: rec}
+		l.shards[i] = read[i]
 	}
 	return holder.Sequence == t.sequence, nil
 }
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -64,9 +64,14 @@
 	// want is negative, and reports what was spent. It reports false if no supplier
 	// reached the store.
 	Refill func(ctx context.Context, workspace string, want Tokens) bool
-	Policy Policy
-	Timing Timing
-	Log    logrus.FieldLogger
+	// Evidence returns what other instances know of the sums before the store returned from
+	// an older copy. RestoreDelay is how long this instance leaves the restoration of the sums
+	// to others; it reports false while this instance does not know the others.
+	Evidence     Evidence
+	RestoreDelay func() (delay time.Duration, ok bool)
+	Policy       Policy
+	Timing       Timing
+	Log          logrus.FieldLogger
 }
 
 // Syncer keeps the holdings of a Book near the Policy's targets. Run, and after it
@@ -81,6 +86,8 @@
 	supplierRequests     map[string]Tokens       // rights to ask of a supplier, or to return to it if negative
 	unsupplied           map[string]bool         // no supplier reached the store in the latest round
 	supplierReachedStore bool                    // a supplier reached the store in the latest round
+	newEra               uint64                  // latest era that the ledger did not use when it was seen
+	newEraSince          time.Time               // when it was seen first
 
 	mu             sync.Mutex
 	shortfalls     map[string]Tokens            // what waiting requests lack, by workspace
@@ -200,10 +207,7 @@
 		s.plan(time.Now(), nil, false, shardSet{})
 		return
 	}
-	callCtx, cancel := context.WithTimeout(ctx, s.opts.Timing.CallTimeout)
-	err := s.opts.Ledger.Refresh(callCtx)
-	cancel()
-	if err != nil {
+	if err := s.refresh(ctx); err != nil {
 		s.recordResult(err)
 		s.plan(time.Now(), nil, false, shardSet{})
 		return
@@ -229,6 +233,51 @@
 	}
 }
 
+const (
+	// enterEraTimeout bounds the calls with which the sums are restored.
+	enterEraTimeout = 2 * time.Second
+	// enterEraRetryDelay is the delay after a failed attempt to enter an era, in which no
+	// rights can be taken.
+	enterEraRetryDelay = 200 * time.Millisecond
+)
+
+// refresh reads the sums, and enters the era of the store if it is a new one.
+func (s *Syncer) refresh(ctx context.Context) error {
+	callCtx, cancel := context.WithTimeout(ctx, s.opts.Timing.CallTimeout)
+	defer cancel()
+	err := s.opts.Ledger.Refresh(callCtx)
+	if era, changed := s.opts.Ledger.NewEra(); changed {
+		err = s.enterEra(ctx, era, time.Now())
+		if err != nil {
+			time.AfterFunc(enterEraRetryDelay, s.TriggerRound)
+		}
+	}
+	return err
+}
+
+// enterEra enters a new era of the store. While no instance has restored the sums in it,
+// each tries to after its own delay, so that mostly one asks all others for them.
+func (s *Syncer) enterEra(ctx context.Context, era uint64, now time.Time) error {
+	if era != s.newEra {
+		s.newEra, s.newEraSince = era, now
+	}
+	evidence := s.opts.Evidence
+	if delay, ok := s.opts.RestoreDelay(); !ok || now.Sub(s.newEraSince) < delay {
+		evidence = nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, enterEraTimeout)
+	defer cancel()
+	err := s.opts.Ledger.EnterEra(ctx, evidence)
+	log := s.opts.Log.WithField("era", era)
+	switch {
+	case err == nil:
+		log.Info("ledger entered an era of the store")
+	case evidence != nil:
+		log.WithError(err).Warn("cannot restore the sums in a new era of the store")
+	}
+	return err
+}
+
 // shardSet is a set of shard numbers.
 type shardSet [Shards]bool
 
@@ -550,6 +599,9 @@
 func (s *Syncer) ReturnAll(ctx context.Context) error {
 	var lastErr error
 	for i := range s.opts.Timing.MaxAttempts {
+		if _, changed := s.opts.Ledger.NewEra(); changed {
+			_ = s.refresh(ctx) // fails again below if it fails here
+		}
 		applied, rejected, err := s.opts.Ledger.ResolvePending(ctx)
 		s.applyResult(applied, rejected)
 		if err == nil {
--- a/standins/machines/store.go
+++ b/standins/machines/store.go
@@ -415,6 +415,10 @@
 		return
 	}
 	for _, w := range t.Write {
+		if w.Value == nil {
+			c.StatusCode(http.StatusBadRequest)
+			return
+		}
 		if strings.HasPrefix(w.Key, "op/") || strings.HasPrefix(w.Key, "servers/") {
 			c.StatusCode(http.StatusForbidden)
 			return
