Do not use endpoints that a restored store lists again

Cause: a store that returned from an older copy lists endpoints that had left meanwhile, until their registrations expire, and lacks those that came since, until they register again. An instance used the former and, if the outage was short, dropped the latter. The first list of a new era counts as one after an outage, so that missing endpoints stay in use for the recovery window.

--- a/pkg/catalog/outage_test.go
+++ b/pkg/catalog/outage_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
 
 // Guards against an endpoint that stays in use after it has left because an outage of the source ended shortly before.
@@ -114,3 +116,26 @@
 		}
 	}
 }
+
+// Guards against endpoints that are used again, or no more, because the source returned from an older copy.
+func TestRestoredSourceListsDepartedEndpoints(t *testing.T) {
+	restored := func(raw uint64, ids ...string) EndpointList { return endpointList(kvstore.InEra(2, raw), ids...) }
+	s := &fakeSource{doc: &Document{Version: 5}, list: endpointList(kvstore.InEra(1, 10), "stays", "departs")}
+	testReplica(t, s, &fakePeer{}, func(r *Replica) {
+		check := func(when string, want ...string) {
+			time.Sleep(time.Second)
+			if got := sortedIDs(r.Endpoints()); !slices.Equal(got, want) {
+				t.Errorf("%s: %v, want %v", when, got, want)
+			}
+		}
+		check("before", "departs", "stays")
+		s.set(func(s *fakeSource) { s.list = endpointList(kvstore.InEra(1, 30), "new", "stays") })
+		check("after a change", "new", "stays")
+		s.set(func(s *fakeSource) { s.list = restored(10, "departs", "stays") })
+		check("after the restore", "new", "stays")
+		s.set(func(s *fakeSource) { s.list = restored(12, "departs", "new", "stays") })
+		check("after the new endpoint has registered again", "new", "stays")
+		time.Sleep(5 * time.Second)
+		check("once registrations have expired", "departs", "new", "stays")
+	})
+}
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/eventlog"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/wait"
 )
@@ -116,6 +117,9 @@
 	// RecoveryWindow is how long endpoints stay in use that are missing from the first list
 	// after an outage of the source. Running endpoints register again within 2 s.
 	RecoveryWindow time.Duration
+	// RegistrationTTL is how long the registration of an endpoint outlives it. A registration
+	// that the source has only because it returned from an older copy is gone after that.
+	RegistrationTTL time.Duration
 }
 
 // DefaultTiming returns the timing that NewReplica uses if none is set.
@@ -134,6 +138,7 @@
 		RelaySearchDelay:  100 * time.Millisecond,
 		RelaySearches:     8,
 		RecoveryWindow:    2 * time.Second,
+		RegistrationTTL:   5 * time.Second,
 	}
 }
 
@@ -170,7 +175,8 @@
 	listed       EndpointList              // latest list of the source
 	digest       uint64                    // of listed
 	lapsed       lapsedEndpoints           // in use although listed lacks them
-	inUse        EndpointList              // listed and lapsed
+	departed     departedEndpoints         // no longer in use; some may be listed again
+	inUse        EndpointList              // listed and lapsed, without those that had departed
 	lastListAt   time.Time                 // when listed was last known to be that of the source
 	sourceFailed bool                      // the latest probe or read of the source failed
 	interrupted  bool                      // a probe or read has failed since lastListAt
@@ -346,6 +352,14 @@
 	if list.Revision < r.listed.Revision {
 		return false
 	}
+	if r.listed.Revision > 0 && kvstore.EraOf(list.Revision) > kvstore.EraOf(r.listed.Revision) {
+		// Registrations since the copy are missing until they are written again, and those
+		// that were removed since are listed.
+		if afterOutage = from != secondHand; afterOutage {
+			r.recoveredAt = now
+		}
+		r.hideDeparted(list, now)
+	}
 	if afterOutage {
 		r.keepLapsed(list, now)
 	}
@@ -373,10 +387,11 @@
 // held.
 func (r *Replica) updateInUse() {
 	previous := r.inUse
-	r.inUse = EndpointList{Revision: r.listed.Revision, Endpoints: r.lapsed.addTo(r.listed.Endpoints)}
+	r.inUse = EndpointList{Revision: r.listed.Revision, Endpoints: r.departed.removeHidden(r.lapsed.addTo(r.listed.Endpoints))}
 	if !r.logListChanges(previous, r.inUse) {
 		return
 	}
+	r.departed.record(previous.Endpoints, r.inUse.Endpoints, time.Now())
 	if r.opts.OnEndpoints != nil {
 		r.opts.OnEndpoints(r.inUse)
 	}
