Save refusals again after the store has lost them

Cause: what crashes endpoints is stored so that it outlasts the end of all instances. A collector that had stored it did not notice that the store returned from a copy without it. Change: collectors save everything again in a new era of the store. Result: TestRefusalOutlastsAllInstances, with a store that becomes empty before the instances end, fails without the change and passes.

--- a/pkg/node/culprit_refusals.go
+++ b/pkg/node/culprit_refusals.go
@@ -114,6 +114,12 @@
 // save writes the adoptions that no instance has stored to the store. The key depends on
 // the combination alone, so that it does not matter who writes it.
 func (f *culpritFinder) save(ctx context.Context) {
+	if era := f.storeEra(); era != f.savedEra {
+		f.savedEra = era
+		for _, a := range f.adopted {
+			a.stored = false // a store that returned from an older copy may have lost it
+		}
+	}
 	for _, a := range f.adopted {
 		if a.stored || a.saving {
 			continue
--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -72,6 +72,8 @@
 	roster culpritRoster
 	store  culpritStore
 	prober endpointProber
+	// storeEra returns the era of the store; see kvstore.EraOf.
+	storeEra func() uint64
 	// endpoints returns the endpoints of all services.
 	endpoints func() []catalog.Endpoint
 	refusals  *quarantine.Refusals
@@ -95,6 +97,7 @@
 	reviewAgain bool // deaths were reported during the review
 	reports     []*ownReport
 	adopted     []*adoption
+	savedEra    uint64          // era of the store in which adopted was saved
 	told        map[string]int  // by incarnation: how many of adopted it knows
 	telling     map[string]bool // by incarnation: a call is running
 	synced      bool            // what the fleet refuses is known
--- a/pkg/node/culprits_test.go
+++ b/pkg/node/culprits_test.go
@@ -75,7 +75,7 @@
 	log.SetOutput(io.Discard)
 	x := &testFinder{fleet: f, handlers: map[peer.Method]peer.Handler{}, stopped: make(chan struct{})}
 	x.culpritFinder = newCulpritFinder(culpritOptions{self: peer.Identity{Instance: name, Incarnation: name, Address: name},
-		peers: x, roster: x, store: f.store, prober: x, endpoints: f.endpoints, log: log, refusals: quarantine.NewRefusals(nil), survivals: quarantine.NewSurvivals()})
+		peers: x, roster: x, store: f.store, prober: x, storeEra: f.store.currentEra, endpoints: f.endpoints, log: log, refusals: quarantine.NewRefusals(nil), survivals: quarantine.NewSurvivals()})
 	x.registerPeer(x)
 	ctx, cancel := context.WithCancel(context.Background())
 	x.stop = cancel
@@ -217,6 +217,21 @@
 	kvstore.RangeReader
 	mu     sync.Mutex
 	values map[string][]byte
+	era    uint64
+}
+
+func (s *memoryStore) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// restoreEmpty returns the store to an empty copy.
+func (s *memoryStore) restoreEmpty() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	clear(s.values)
 }
 
 func (s *memoryStore) Commit(_ context.Context, t kvstore.Transaction) (uint64, []kvstore.Item, error) {
@@ -265,7 +280,17 @@
 	}
 }
 
-// Guards against a refusal that is forgotten when all instances end at once.
+// waitUntilStored waits until a refusal is in the store.
+func (f *finderFleet) waitUntilStored() {
+	f.t.Helper()
+	for deadline := time.Now().Add(contactWindow); f.store.isEmpty(); time.Sleep(10 * time.Millisecond) {
+		if time.Now().After(deadline) {
+			f.t.Fatal("the refusal is not stored")
+		}
+	}
+}
+
+// Guards against a refusal that is forgotten when all instances end at once, also after the store lost it.
 func TestRefusalOutlastsAllInstances(t *testing.T) {
 	t.Parallel()
 	f := newFinderFleet(t, 4)
@@ -273,11 +298,9 @@
 		f.crash(f.finders[i], crashing)
 	}
 	f.waitUntilRefused(contactWindow, crashing)
-	for deadline := time.Now().Add(contactWindow); f.store.isEmpty(); time.Sleep(10 * time.Millisecond) {
-		if time.Now().After(deadline) {
-			t.Fatal("the refusal is not stored")
-		}
-	}
+	f.waitUntilStored()
+	f.store.restoreEmpty()
+	f.waitUntilStored()
 	for _, x := range f.running() {
 		f.end(x)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -21,6 +21,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
+	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
@@ -109,7 +110,7 @@
 	n.buildCatalog()
 	tracker := quarantine.New(quarantine.Options{}, opts.Registry)
 	n.crashes = &crashGuard{Tracker: tracker, culpritFinder: newCulpritFinder(culpritOptions{
-		self: n.self, peers: n.peers, roster: n.roster, store: opts.Store, prober: n.client,
+		self: n.self, peers: n.peers, roster: n.roster, store: opts.Store, prober: n.client, storeEra: n.storeEra,
 		endpoints: func() []catalog.Endpoint { return slices.Clone(n.replica.Endpoints().Endpoints) },
 		refusals:  tracker.Refusals(), survivals: tracker.Survivals(), log: n.log,
 	})}
@@ -386,6 +387,9 @@
 	_ = transport.Close(closeCtx) // the process ends next
 }
 
+// storeEra returns the era of the store as of the latest list of endpoints.
+func (n *Node) storeEra() uint64 { return kvstore.EraOf(n.replica.Endpoints().Revision) }
+
 // isReady reports whether the instance has declarations and endpoints, has synchronized
 // its rights with the store once, and is not stopping.
 func (n *Node) isReady() bool {
