Write the credential of the instances back after a restore

Cause: if the copy was older than the credential that the instances share, an instance that started after the restore generated another one and could not call those that ran. Change: the leaders write the credential again in a new era of the store if it is missing, and log an error if there is another one. Result: TestRestoredStoreKeepsCredential failed before and passes.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -378,6 +378,7 @@
 		return
 	}
 	n.peers.transport.Store(transport)
+	n.goroutines.Go(func() { n.keepCredential(ctx, credential) })
 	server := &http.Server{Handler: transport, ReadHeaderTimeout: headerTimeout}
 	n.goroutines.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
 	<-ctx.Done()
--- a/pkg/node/peers.go
+++ b/pkg/node/peers.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"sync/atomic"
@@ -43,6 +44,33 @@
 	return transport.Call(ctx, address, method, req, resp)
 }
 
+// keepCredential writes the credential to the store again after a restored copy lacked it:
+// instances that start would generate another one and could not call those that run.
+func (n *Node) keepCredential(ctx context.Context, credential []byte) {
+	transaction := kvstore.Transaction{
+		Expect: []kvstore.Expectation{{Key: credentialKey}},
+		Write:  []kvstore.Write{{Key: credentialKey, Value: credential}},
+	}
+	var keptEra uint64
+	for ; ctx.Err() == nil; wait.Sleep(ctx, credentialRetryDelay) {
+		era := n.storeEra()
+		if _, isLeader := n.leaderCount(); keptEra == 0 || era == keptEra || !isLeader {
+			keptEra = max(keptEra, era)
+			continue
+		}
+		callCtx, cancel := context.WithTimeout(ctx, credentialRetryDelay*2)
+		_, items, err := n.opts.Store.Commit(callCtx, transaction)
+		cancel()
+		if err != nil && !failure.Is(err, failure.Conflict) {
+			continue
+		}
+		if len(items) == 1 && !bytes.Equal(items[0].Value, credential) {
+			n.log.Error("the store has another credential of the instances; restart those that started before it returned from a copy")
+		}
+		keptEra = era
+	}
+}
+
 // sharedCredential returns the credential that the instances share. If the store holds
 // none, it writes a generated one. It retries until ctx ends and then returns its error.
 func sharedCredential(ctx context.Context, store kvstore.Transactor) ([]byte, error) {
--- a/pkg/node/restored_test.go
+++ b/pkg/node/restored_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"bytes"
 	"fmt"
 	"testing"
 	"time"
@@ -88,3 +89,19 @@
 		}
 	}
 }
+
+// Guards against instances that cannot call each other because the store lost their credential.
+func TestRestoredStoreKeepsCredential(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	copied := f.store.Copy()
+	f.start("a")
+	f.start("b")
+	const key = "peers/credential"
+	before, _ := f.store.Get(key)
+	f.store.Restore(copied)
+	f.waitUntil("the credential is stored again", func() bool {
+		after, ok := f.store.Get(key)
+		return ok && bytes.Equal(before, after)
+	})
+}
