Answer the requests at the end of a planned stop

Report of another operator: requests that came late in the grace of a stop were passed on and cut off without an answer. Cause: when no request was in flight, the drain ended, but requests with a short deadline were still taken while rights were returned and the servers closed, which cut them off after 300 ms. Requests that were still in flight at the end of the shutdown timeout were cut off as well. Change: once the drain has ended, all requests are refused as not run. Those in flight at its end are aborted and answered: 503 if they cannot have run, otherwise 504 with an unknown outcome. A stream that has begun breaks off. Result: TestRequestAfterDrainIsRefused (200 in place of 503) and TestRequestsAtEndOfDrainAreAnswered (no answer) failed before and pass.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -135,13 +135,18 @@
 // response of an endpoint, or answers with an error. cause is used if no endpoint
 // may have run the request; it may be nil.
 func (q *request) giveUp(ctx context.Context, s *streamState, lastErrorResponse *bufferedResponse, cause *failure.Error) {
+	isAborted := q.g.aborted.Err() != nil && q.r.Context().Err() == nil
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case errors.Is(ctx.Err(), context.Canceled) && !isAborted:
 		q.err = failure.New(failure.Truncated, "repeat the request", "the caller disconnected")
 	case s.started:
 		q.err = failure.New(failure.Truncated, "resume after the last event", "the stream broke off")
 		q.status = 0 // the caller got no complete response
 		abort.Response(q.w, q.r)
+	case isAborted && !q.mayHaveRun:
+		q.refuse(newNotRunError(failure.NotReady, "send it to another instance", "the instance is stopping"), otherInstanceRetryDelay)
+	case isAborted:
+		q.refuse(failure.New(failure.Timeout, "check whether the request ran before repeating it", "the instance is stopping").WithOutcome(failure.Unknown), 0)
 	case ctx.Err() != nil:
 		q.refuse(failure.New(failure.Timeout, "set a longer timeout", "the deadline of the request has passed").WithOutcome(q.outcome()), 0)
 	case lastErrorResponse != nil:
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -50,14 +50,19 @@
 	draining           bool      // new requests are refused unless their deadline is before drainDeadline
 	drainDeadline      time.Time // deadline of the context of Drain
 	inFlight           int
+	isDrained          bool          // Drain has ended or is about to: all requests are refused
 	drained            chan struct{} // closed when a draining gateway has no request in flight
+	aborted            context.Context
+	abort              context.CancelFunc // ends the requests that are in flight at the end of Drain
 }
 
 var _ http.Handler = (*Gateway)(nil)
 
 // New returns a gateway that accepts requests.
 func New(opts Options) *Gateway {
-	return &Gateway{opts: opts, metrics: newMetrics(opts.Registerer)}
+	g := &Gateway{opts: opts, metrics: newMetrics(opts.Registerer)}
+	g.aborted, g.abort = context.WithCancel(context.Background())
+	return g
 }
 
 // DisableKeepAlives makes each further response close its connection, so that
@@ -68,19 +73,22 @@
 	g.keepAlivesDisabled = true
 }
 
-// Drain disables keep-alives and waits until no request is in flight. It returns
-// the error of ctx if ctx ends first. New requests are refused unless their
+// abortTimeout bounds the time in which aborted requests are answered.
+const abortTimeout = 100 * time.Millisecond
+
+// Drain disables keep-alives and waits until no request is in flight. If ctx ends
+// first, it aborts those requests, so that their callers get an answer that says whether
+// they may have run, and returns the error of ctx. New requests are refused unless their
 // deadline is before that of ctx; those are still served because callers on open
-// connections, and a load balancer without another instance, keep sending some.
+// connections, and a load balancer without another instance, keep sending some. Once
+// no request is in flight, all are refused.
 func (g *Gateway) Drain(ctx context.Context) error {
 	g.mu.Lock()
 	g.keepAlivesDisabled, g.draining = true, true
 	g.drainDeadline, _ = ctx.Deadline()
 	if g.drained == nil {
 		g.drained = make(chan struct{})
-		if g.inFlight == 0 {
-			close(g.drained)
-		}
+		g.endDrainIfIdle()
 	}
 	drained := g.drained
 	g.mu.Unlock()
@@ -88,7 +96,28 @@
 	case <-drained:
 		return nil
 	case <-ctx.Done():
-		return ctx.Err()
+	}
+	g.mu.Lock()
+	g.isDrained = true
+	g.mu.Unlock()
+	g.abort()
+	select {
+	case <-drained:
+	case <-time.After(abortTimeout):
+	}
+	return ctx.Err()
+}
+
+// endDrainIfIdle ends Drain if no request is in flight. g.mu must be held.
+func (g *Gateway) endDrainIfIdle() {
+	if g.inFlight > 0 {
+		return
+	}
+	g.isDrained = true
+	select {
+	case <-g.drained:
+	default:
+		close(g.drained)
 	}
 }
 
@@ -112,7 +141,7 @@
 func (g *Gateway) canAccept(deadline time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return !g.draining || deadline.Before(g.drainDeadline)
+	return !g.draining || !g.isDrained && deadline.Before(g.drainDeadline)
 }
 
 // endRequest ends the count of a request and reports the end of a drain.
@@ -120,12 +149,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.inFlight--
-	if g.draining && g.inFlight == 0 {
-		select {
-		case <-g.drained:
-		default:
-			close(g.drained)
-		}
+	if g.draining {
+		g.endDrainIfIdle()
 	}
 }
 
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -625,6 +625,47 @@
 	}
 }
 
+// Guards against a request that is taken after the drain, when nobody waits for its end.
+func TestRequestAfterDrainIsRefused(t *testing.T) {
+	g := newTestGateway(t, machines.Answer(200, "whole"))
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	if err := g.gateway.Drain(ctx); err != nil {
+		t.Fatal(err)
+	}
+	if late := g.send(g.newRequest("/brief/1", "body")); late.status != 503 || !strings.Contains(late.body, "not-run") || len(g.runners[0].Requests()) > 0 {
+		t.Errorf("request after the drain: %+v", late)
+	}
+}
+
+// Guards against requests that are cut off without an answer at the end of the shutdown timeout.
+func TestRequestsAtEndOfDrainAreAnswered(t *testing.T) {
+	arrived := make(chan struct{})
+	release := make(chan struct{})
+	g := newTestGateway(t, func(*http.Request, []byte, net.Conn) bool {
+		close(arrived)
+		<-release
+		return false
+	})
+	defer close(release)
+	got := make(chan callerResponse)
+	go func() { got <- g.send(g.newRequest("/book/1", "body")) }()
+	<-arrived
+	ctx, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	if err := g.gateway.Drain(ctx); err == nil {
+		t.Error("drained with a request in flight")
+	}
+	select {
+	case a := <-got:
+		if a.status != 504 || !strings.Contains(a.body, "unknown") {
+			t.Errorf("request in flight at the end: %+v", a)
+		}
+	case <-time.After(time.Second):
+		t.Error("no answer after the end of the drain")
+	}
+}
+
 // Guards against a drain that interrupts a request in flight, accepts one that may
 // not complete in time, or refuses one whose deadline is before the end of the drain.
 func TestDrain(t *testing.T) {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -182,6 +182,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
+	defer context.AfterFunc(q.g.aborted, cancel)()
 	if err := q.reserve(ctx); err != nil {
 		q.refuse(err, jitter(meanRetryDelay))
 		return
