Let runners of the soak name limits

Cause: no test played limits beside kills, pauses, cuts and restarts. Change: runners name random limits for some seconds; each arrival is checked against the users' bound.

--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,7 +34,7 @@
 // injectFault starts one random fault.
 func (tc *testCluster) injectFault(ctx context.Context) {
 	n := tc.instances[tc.randInt(len(tc.instances))]
-	switch tc.randInt(12) {
+	switch tc.randInt(13) {
 	case 0:
 		n.restart(func() { n.terminate(syscall.SIGKILL) })
 	case 1:
@@ -64,6 +64,8 @@
 		tc.leave(ctx)
 	case 11:
 		tc.turnAway(ctx, tc.randDuration(meanFaultWindow))
+	case 12:
+		tc.limit(ctx)
 	}
 }
 
--- a/test/soak/notices_test.go
+++ b/test/soak/notices_test.go
@@ -22,7 +22,7 @@
 	pauseSlack        = 500 * time.Millisecond
 	maxPausedArrivals = 2
 	meanLeaveTime     = 4 * time.Second
-	// runnerHeader names the address of a leaving runner in its answers.
+	// runnerHeader names the address of a leaving or limited runner in its answers.
 	runnerHeader = "X-Runner"
 )
 
@@ -43,10 +43,11 @@
 	sentAt   map[string]time.Time // by request id
 	passedOn map[link]time.Time   // when the first answer was passed on that said that the runner leaves
 	pauses   map[link][]*pauseNotice
+	limits   map[string]*limitNotice // by address of the runner
 }
 
 func newNotices() *notices {
-	return &notices{leaving: map[string]bool{}, busy: map[string]float64{}, sentAt: map[string]time.Time{}, passedOn: map[link]time.Time{}, pauses: map[link][]*pauseNotice{}}
+	return &notices{leaving: map[string]bool{}, busy: map[string]float64{}, sentAt: map[string]time.Time{}, passedOn: map[link]time.Time{}, pauses: map[link][]*pauseNotice{}, limits: map[string]*limitNotice{}}
 }
 
 // instanceOf returns the name of the instance to which a request was sent.
@@ -66,6 +67,9 @@
 			delete(v.pauses, l)
 		}
 	}
+	for _, limit := range v.limits {
+		delete(limit.told, instance)
+	}
 }
 
 // recordAnswer records an answer that an instance passed on.
@@ -76,6 +80,9 @@
 	if _, known := v.passedOn[l]; !known && header.Get(machines.HeaderLeaving) != "" {
 		v.passedOn[l] = time.Now()
 	}
+	if limit := v.limits[l.runner]; limit != nil && header.Get(machines.HeaderLimit) != "" && limit.told[instance].IsZero() {
+		limit.told[instance] = time.Now()
+	}
 }
 
 // checkArrival returns a violation by a request that reaches a runner, or "".
@@ -94,6 +101,9 @@
 			return fmt.Sprintf("%s reached %s %s after it had turned %s away for %s, as number %d", id, runner, now.Sub(p.from.Add(-pauseSlack)), l.instance, p.until.Sub(p.from)+pauseSlack, p.arrivals)
 		}
 	}
+	if limit := v.limits[runner]; limit != nil {
+		return limit.checkArrival(l.instance, now)
+	}
 	return ""
 }
 
@@ -109,8 +119,18 @@
 		_, _ = fmt.Fprintf(c, "HTTP/1.1 503 Busy\r\n%s: 1\r\n%s: %.3f\r\nContent-Length: 0\r\n\r\n", machines.HeaderNotExecuted, machines.HeaderRetryAfter, after)
 		return nil
 	}
+	lines := ""
 	if v.leaving[runner] {
-		return &headerWriter{Conn: c, lines: fmt.Sprintf("%s: 1\r\n%s: %s\r\n", machines.HeaderLeaving, runnerHeader, runner)}
+		lines += machines.HeaderLeaving + ": 1\r\n"
+	}
+	if limit := v.limits[runner]; limit != nil {
+		lines += fmt.Sprintf("%s: %g\r\n", machines.HeaderLimit, limit.perSecond)
+		if limit.namedAt.IsZero() {
+			limit.namedAt = time.Now()
+		}
+	}
+	if lines != "" {
+		return &headerWriter{Conn: c, lines: lines + runnerHeader + ": " + runner + "\r\n"}
 	}
 	return c
 }
