--- a/pkg/node/restored_test.go
+++ b/pkg/node/restored_test.go
@@ -105,3 +105,27 @@
 		return ok && bytes.Equal(before, after)
 	})
 }
+
+// Guards against tokens that are granted twice because the store returned from a copy while no instance ran that remembers the first grant.
+func TestRestoredStoreAfterLossOfAllKeepsBudget(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	f.runner.SetScript(machines.Stream(1, 0, true))
+	a := f.start("a")
+	time.Sleep(time.Second)
+	copied := f.store.Copy()
+	spent := 0
+	for range 15 {
+		if status, _ := a.send("/chat/1", "2000,0"); status == 200 {
+			spent += 2000
+		}
+	}
+	a.stop()
+	err := <-a.done
+	a.done <- err // for the cleanup
+	f.store.Restore(copied)
+	spent += sendUntilExhausted(f.start("b"))
+	if spent > machines.Prepaid {
+		t.Errorf("%d tokens were spent, %d paid", spent, machines.Prepaid)
+	}
+}
--- a/standins/machines/store.go
+++ b/standins/machines/store.go
@@ -260,11 +260,12 @@
 		s.mu.Lock()
 		s.calls[kind]++
 		c.Header(HeaderEra, strconv.FormatUint(s.era, 10))
+		chooseFault := s.chooseFault
+		s.mu.Unlock()
 		fault := NoFault
-		if s.chooseFault != nil {
-			fault = s.chooseFault(kind)
+		if chooseFault != nil {
+			fault = chooseFault(kind)
 		}
-		s.mu.Unlock()
 		switch fault {
 		case Unavailable:
 			c.StatusCode(http.StatusServiceUnavailable)
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -34,7 +34,7 @@
 // injectFault starts one random fault.
 func (tc *testCluster) injectFault(ctx context.Context) {
 	n := tc.instances[tc.randInt(len(tc.instances))]
-	switch tc.randInt(13) {
+	switch tc.randInt(14) {
 	case 0:
 		n.restart(func() { n.terminate(syscall.SIGKILL) })
 	case 1:
@@ -66,6 +66,8 @@
 		tc.turnAway(ctx, tc.randDuration(meanFaultWindow))
 	case 12:
 		tc.limit(ctx)
+	case 13:
+		tc.restoreStore(ctx, tc.randDuration(meanFaultWindow))
 	}
 }
 
@@ -139,3 +141,19 @@
 	set(true)
 	go func() { wait.Sleep(ctx, d); set(false) }()
 }
+
+// restoreStore makes the store unavailable for d, after which it returns from a copy of the
+// time before the previous restore or of the start.
+func (tc *testCluster) restoreStore(ctx context.Context, d time.Duration) {
+	tc.store.SetFaults(func(string) machines.Fault { return machines.Unavailable })
+	go func() {
+		wait.Sleep(ctx, d)
+		current := tc.store.Copy()
+		tc.mu.Lock()
+		copied := tc.copied
+		tc.copied = current
+		tc.mu.Unlock()
+		tc.store.Restore(copied)
+		tc.store.SetFaults(nil)
+	}()
+}
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -57,6 +57,7 @@
 	executions    map[string]int   // number of executions by request id
 	nonRepeatable map[string]bool  // ids of executed requests that must run at most once
 	runnersFaulty bool             // runners refuse, lose and interrupt some answers
+	copied        machines.Copy    // of the store
 }
 
 // testInstance is one instance: an address with its current process.
@@ -112,6 +113,7 @@
 	for _, n := range tc.instances {
 		n.awaitReady()
 	}
+	tc.copied = store.Copy()
 	return tc
 }
 
