Leave the restoration of sums to instances that know them

Cause: an instance that started just before the store returned from a copy knows no sums. If it did not reach the others, it restored those of the copy, and rights were taken twice until the others added what was missing. Change: an instance without a state of a former era waits 1.5 s longer before it restores the sums. The first instances of a new fleet wait as well.

--- a/pkg/rights/era.go
+++ b/pkg/rights/era.go
@@ -74,6 +74,16 @@
 	return known
 }
 
+// KnowsFormer reports whether this instance knows a state from an era before the given one.
+func (l *Ledger) KnowsFormer(era uint64) bool {
+	for _, s := range l.Known(era) {
+		if s.Revision > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // Witness records states that another instance has written. It is safe for concurrent use.
 func (l *Ledger) Witness(states []KnownState) {
 	l.mu.Lock()
--- a/pkg/rights/machine_test.go
+++ b/pkg/rights/machine_test.go
@@ -7,10 +7,12 @@
 	"math/rand/v2"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"pgregory.net/rapid"
 
+	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 )
 
@@ -59,7 +61,7 @@
 	inst := &modelInstance{name: fmt.Sprintf("i%d", f.started), address: address, book: NewBook()}
 	inst.ledger = NewLedger(f.store, inst.name)
 	inst.syncer = NewSyncer(SyncerOptions{Book: inst.book, Ledger: inst.ledger, Prepaid: func() map[string]Tokens { return map[string]Tokens{ws: f.prepaid} },
-		Evidence: f.evidence, Announce: func(_ context.Context, states []KnownState) { f.announce(inst, states) }, RestoreDelay: func() (time.Duration, bool) { return 0, true },
+		Evidence: f.evidence, Announce: func(_ context.Context, states []KnownState) { f.announce(inst, states) }, RestoreDelay: func() (time.Duration, bool) { return -uninformedDelay, true },
 		BufferHolders: func() (int, bool) { return 2, address != "a2" }, Instances: func() int { return 2 }, SupplierRank: func(string) int { return modelRank(address) }, Policy: DefaultPolicy(), Timing: DefaultTiming(), Log: discardLogger()})
 	inst.exchange = NewExchange(inst.book, f.peers, func(string) []Member { return f.members(inst) }, inst.syncer, discardLogger())
 	inst.exchange.grantTimeout = 0
@@ -244,6 +246,37 @@
 	})
 }
 
+// Guards against an instance that has just started and restores older sums before those that know the latest ones.
+func TestUninformedInstanceLeavesRestoreToOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := newFakeStore()
+		store.era = 1
+		informed, _ := newSyncer(store, "i1", 100_000, DefaultPolicy())
+		started, _ := newSyncer(store, "i2", 100_000, DefaultPolicy())
+		for _, s := range []*Syncer{informed, started} {
+			s.opts.Evidence = func(context.Context, uint64) (none [Shards]ShardState) { return none }
+			s.opts.Announce = func(context.Context, []KnownState) {}
+			s.opts.RestoreDelay = func() (time.Duration, bool) { return 0, true }
+		}
+		_ = informed.refresh(t.Context()) // the first instance of all waits as well
+		time.Sleep(uninformedDelay)
+		informed.runRound(t.Context())
+		store.copyContent()
+		informed.ReportShortfall(ws, 50_000)
+		informed.runRound(t.Context())
+		store.restore()
+		if err := started.refresh(t.Context()); !failure.Is(err, failure.NotReady) {
+			t.Errorf("the started instance restored the sums: %v", err)
+		}
+		if err := informed.refresh(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if err := started.refresh(t.Context()); err != nil || started.opts.Ledger.Granted(ws) < 50_000 {
+			t.Errorf("%d tokens are granted, %v", started.opts.Ledger.Granted(ws), err)
+		}
+	})
+}
+
 // Guards against rights that are taken twice because the store returned from an older copy, also repeatedly, or while instances end or take part late.
 func TestRestoredRightsMachine(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -242,6 +242,9 @@
 	// enterEraRetryDelay is the delay after a failed attempt to enter an era, in which no
 	// rights can be taken.
 	enterEraRetryDelay = 200 * time.Millisecond
+	// uninformedDelay is how much longer an instance that knows no former sums, because it has
+	// just started, leaves their restoration to the others: it may not reach them.
+	uninformedDelay = 1500 * time.Millisecond
 )
 
 // refresh reads the sums, and enters the era of the store if it is a new one.
@@ -265,7 +268,11 @@
 		s.newEra, s.newEraSince = era, now
 	}
 	evidence := s.opts.Evidence
-	if delay, ok := s.opts.RestoreDelay(); !ok || now.Sub(s.newEraSince) < delay {
+	delay, ok := s.opts.RestoreDelay()
+	if !s.opts.Ledger.KnowsFormer(era) {
+		delay += uninformedDelay
+	}
+	if !ok || now.Sub(s.newEraSince) < delay {
 		evidence = nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, enterEraTimeout)
