Do not rank instances for limits that all of them share

Cause: a high limit makes all instances senders; ranking them takes time that grows with the square of their number, under the lock of the pool. Change: all instances are returned as they are.

--- a/pkg/node/limitshares.go
+++ b/pkg/node/limitshares.go
@@ -54,15 +54,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readEstablished(now)
-	n := len(s.instances)
-	if perSecond+extraSenders < float64(n) {
-		n = int(perSecond) + extraSenders
+	var senders []peer.Identity
+	if perSecond+extraSenders >= float64(len(s.instances)) {
+		for _, id := range s.instances {
+			senders = append(senders, id.Identity)
+		}
+		return senders, s.isEstablished
 	}
+	n := int(perSecond) + extraSenders
 	hash := rendezvous.Hash(endpoint.ID)
 	ranked := slices.SortedFunc(slices.Values(s.instances), func(a, b hashedInstance) int {
 		return cmp.Or(cmp.Compare(rendezvous.Mix(b.hash^hash), rendezvous.Mix(a.hash^hash)), cmp.Compare(a.Instance, b.Instance))
 	})
-	var senders []peer.Identity
 	for _, id := range ranked {
 		if id.Domain == endpoint.Domain && len(senders) < (n+1)/2 {
 			senders = append(senders, id.Identity)
