Log whether a failed attempt used a kept connection

An extra response of an endpoint can only arrive on a connection that has carried an earlier request. The log named the endpoint and the result of an attempt, so that it could not tell a refusal from the copy of an earlier one.

Failed attempts now say whether their connection was reused and how many responses to other requests were skipped on it; a counter sums the latter.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -198,6 +198,8 @@
 	} else {
 		status, outcome, result, errorResponse = q.handleResponse(ctx, c, s, resp)
 		resp.Close()
+		notice += describeConnection(status, resp)
+		q.g.metrics.foreignResponses.Add(float64(resp.Skipped))
 	}
 	now := time.Now()
 	if status == attemptLost || status == attemptBroken {
@@ -226,6 +228,19 @@
 	return status, errorResponse
 }
 
+// describeConnection returns how a response that did not serve the request arrived, for the
+// log: an extra response can only arrive on a reused connection.
+func describeConnection(status attemptStatus, resp *upstream.Response) string {
+	text := ""
+	if resp.Reused && status != attemptDone {
+		text = " on a reused connection"
+	}
+	if resp.Skipped > 0 {
+		text += " after " + strconv.Itoa(resp.Skipped) + " responses to other requests"
+	}
+	return text
+}
+
 // attemptTimeoutFactor is the multiple of the route's objective after which an
 // attempt of an idempotent request is abandoned in favor of another endpoint.
 const attemptTimeoutFactor = 2
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -12,6 +12,8 @@
 	requests *prometheus.CounterVec
 	duration *prometheus.HistogramVec
 	attempts *prometheus.CounterVec
+	// foreignResponses counts responses to other requests, which endpoints sent again.
+	foreignResponses prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -23,6 +25,8 @@
 			Help: "Duration of requests in seconds, by route kind.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"kind"}),
 		attempts: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_attempts_total",
 			Help: "Number of attempts to send a request to an endpoint, by result."}, []string{"result"}),
+		foreignResponses: f.NewCounter(prometheus.CounterOpts{Name: "clementinerack_gateway_foreign_responses_total",
+			Help: "Number of responses to other requests that arrived before the response to a request on its connection."}),
 	}
 }
 
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -33,6 +33,10 @@
 	// EndsWithConnection means that the body has neither a length nor chunks: it ends
 	// when the endpoint closes the connection.
 	EndsWithConnection bool
+	// Reused means that the connection has carried an earlier request. Skipped is the
+	// number of responses to other requests that arrived on it before this one.
+	Reused  bool
+	Skipped int
 
 	resp     *http.Response
 	exchange *exchange
@@ -42,7 +46,7 @@
 	if resp.ContentLength > 0 {
 		resp.Body = splice.NewBody(resp.Body, x.conn.buffered)
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x,
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x, Reused: x.conn.reused,
 		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody}
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -316,6 +316,7 @@
 		}
 	}
 	parseReq := &http.Request{Method: x.req.Method}
+	skipped := 0
 	for range maxResponsesRead {
 		resp, err := x.conn.readHead(parseReq)
 		if err != nil {
@@ -329,8 +330,10 @@
 		}
 		own := newResponse(resp, x)
 		if x.req.IsOwnResponse == nil || x.req.IsOwnResponse(resp.Header, x.conn.reused) {
+			own.Skipped = skipped
 			return own, nil
 		}
+		skipped++
 		if own.EndsWithConnection {
 			return nil, errors.New("the body of a response to another request ends with the connection")
 		}
