Do not repeat a refused request on its connection

Cause: a refusal was identified by the ID of its request alone. Endpoints may send a refusal once more, late, and the same request may be under way again on the same connection: idle connections are kept by address, but endpoints are excluded by ID, so that a request goes to a second registration of the same address (an endpoint that crashed and is back under a new ID), and callers may repeat an ID. The copy then looks like the answer, and the request that runs is sent to another endpoint or reported as not run.

pkg/upstream remembers on each connection which requests were answered with an error on it, and sends such a request only on another connection. No answer to an earlier sending can arrive there, so that the ID is enough again. The hashes of at most 64 IDs are kept per connection; it is closed after as many errors.

TestRefusedRequestIsRepeatedOnAnotherConnection is new.

--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -40,6 +40,7 @@
 
 	resp     *http.Response
 	exchange *exchange
+	released bool // by releaseConn
 }
 
 func newResponse(resp *http.Response, x *exchange) *Response {
@@ -61,13 +62,22 @@
 }
 
 // releaseConn ends the exchange after the end of the body. The connection is reused
-// if the end of the body did not depend on the end of the connection and if the
-// endpoint allows it.
+// if the end of the body did not depend on the end of the connection, if the
+// endpoint allows it, and if it has not refused too many requests on it.
 func (r *Response) releaseConn() {
+	if r.released {
+		return // another request may use the connection
+	}
+	r.released = true
 	timeout := idleTimeout(r.Header)
+	x := r.exchange
 	reuse := !r.EndsWithConnection && !r.resp.Close && timeout > 0
-	r.exchange.conn.reusableUntil = time.Now().Add(timeout)
-	r.exchange.finish(reuse)
+	if r.Status >= http.StatusBadRequest && x.req.ID != "" {
+		x.conn.refused = append(x.conn.refused, x.client.hashID(x.req.ID))
+		reuse = reuse && len(x.conn.refused) < maxRefusedRequests
+	}
+	x.conn.reusableUntil = time.Now().Add(timeout)
+	x.finish(reuse)
 }
 
 // ReadAll returns the whole body if it has at most limit bytes. Otherwise it returns
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -4,8 +4,10 @@
 	"bufio"
 	"bytes"
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -41,6 +43,9 @@
 	// readBufferBytes has room for the header of a response and a few events. Larger
 	// request bodies are written concurrently with reading the response.
 	readBufferBytes = 4 << 10
+	// maxRefusedRequests bounds the IDs of refused requests that a connection remembers.
+	// After as many refusals it is closed.
+	maxRefusedRequests = 64
 	// maxResponsesRead bounds the responses that are read in search of the one to the
 	// request. Interim responses (1xx) count too.
 	maxResponsesRead = 3
@@ -48,6 +53,10 @@
 
 // Request is a request to an endpoint.
 type Request struct {
+	// ID identifies the request to the endpoint, which repeats it in its responses. If an
+	// endpoint has refused it, it is sent again only on another connection: on the same one,
+	// a copy of the refusal would look like the new response. It may be empty.
+	ID     string
 	Method string
 	// Target is the request target, sent unchanged.
 	Target string
@@ -98,6 +107,7 @@
 	// OnDial is called before each new connection is opened. It may be nil and must
 	// not be changed after the first request.
 	OnDial func()
+	seed   maphash.Seed // of hashID
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, most recently used last
@@ -125,7 +135,7 @@
 
 // NewWithDialer returns a client that opens connections with dial.
 func NewWithDialer(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{dial: dial, idle: map[string][]*conn{}}
+	return &Client{dial: dial, seed: maphash.MakeSeed(), idle: map[string][]*conn{}}
 }
 
 // conn is a connection to an endpoint. One request uses it at a time.
@@ -135,6 +145,9 @@
 	reader        *bufio.Reader
 	reused        bool      // an earlier request has used it
 	reusableUntil time.Time // when the endpoint may close it
+	// refused holds the hashes of the IDs of the requests that were answered with an error
+	// on this connection.
+	refused []uint64
 	// headBytesLeft is how many more bytes may be received for the head that is being
 	// read, or unlimited. headBytes are those received so far.
 	headBytesLeft int
@@ -165,14 +178,19 @@
 	delete(c.idle, address)
 }
 
-// takeIdle removes the most recently used reusable connection to an address and
-// returns it, or nil if there is none. It closes those that are not reusable.
-func (c *Client) takeIdle(address string, now time.Time) *conn {
+// takeIdle removes the most recently used connection to an address that can carry the
+// request with the given ID and returns it, or nil if there is none. It closes those that are
+// not reusable.
+func (c *Client) takeIdle(address, id string, now time.Time) *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for list := c.idle[address]; len(list) > 0; {
-		cn := list[len(list)-1]
-		list = list[:len(list)-1]
+	list := c.idle[address]
+	for i := len(list) - 1; i >= 0; i-- {
+		cn := list[i]
+		if id != "" && cn.hasRefused(c.hashID(id)) {
+			continue
+		}
+		list = slices.Delete(list, i, i+1)
 		c.idle[address] = list
 		if now.Before(cn.reusableUntil) && cn.isReusable() {
 			return cn
@@ -182,6 +200,13 @@
 	return nil
 }
 
+// hashID returns the hash of a request ID. A collision costs only a new connection.
+func (c *Client) hashID(id string) uint64 { return maphash.String(c.seed, id) }
+
+// hasRefused reports whether the request whose ID has the given hash was answered with an
+// error on this connection.
+func (c *conn) hasRefused(hash uint64) bool { return slices.Contains(c.refused, hash) }
+
 // isReusable reports whether the connection is open and no unread data has arrived
 // on it.
 func (c *conn) isReusable() bool {
@@ -224,7 +249,7 @@
 // response is no longer needed. Errors are of type *Error and wrap the cause of the
 // end of ctx, if it has ended.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
-	cn, err := c.connect(ctx, address)
+	cn, err := c.connect(ctx, address, req.ID)
 	if err != nil {
 		return nil, &Error{NotSent, err}
 	}
@@ -241,12 +266,13 @@
 	return resp, nil
 }
 
-// connect returns an idle connection or opens a new one.
-func (c *Client) connect(ctx context.Context, address string) (*conn, error) {
+// connect returns an idle connection that can carry the request with the given ID, or opens a
+// new one.
+func (c *Client) connect(ctx context.Context, address, id string) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if cn := c.takeIdle(address, time.Now()); cn != nil {
+	if cn := c.takeIdle(address, id, time.Now()); cn != nil {
 		return cn, nil
 	}
 	return c.open(ctx, address)
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -116,6 +116,40 @@
 	}
 }
 
+// Guards against a refused request that is sent again where a copy of its refusal would look like the response to it.
+func TestRefusedRequestIsRepeatedOnAnotherConnection(t *testing.T) {
+	const requests = 200
+	r := startRunner(t, machines.Answer(503, "full"))
+	c := newClient(t)
+	dials := 0
+	c.OnDial = func() { dials++ }
+	send := func(i int) {
+		q := newRequest(fmt.Sprint(i), "")
+		q.ID = fmt.Sprint(i)
+		if _, err := doAndRead(c, r.Address(), q); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for i := range requests {
+		send(i)
+	}
+	if dials < 2 || dials > requests/20 {
+		t.Errorf("%d connections for %d refused requests", dials, requests)
+	}
+	remote := map[string]bool{} // request ID and address of the connection
+	r.SetScript(func(q *http.Request, b []byte, conn net.Conn) bool {
+		pair := q.Header.Get(machines.HeaderRequestID) + " " + conn.RemoteAddr().String()
+		if remote[pair] {
+			t.Errorf("request and connection %s twice", pair)
+		}
+		remote[pair] = true
+		return machines.Answer(503, "full")(q, b, conn)
+	})
+	for i := range 3 * requests {
+		send(i % 7)
+	}
+}
+
 // Guards against a broken response that is taken as complete, and against an error
 // that does not say that the endpoint may have read the request.
 func TestBrokenAnswers(t *testing.T) {
