List the software version of endpoints, and when the list was confirmed

The list of endpoints said nothing of the version of their software, and no part could tell how old the list in use is: lastListAt is that of the read here also for a list of a relay, which may be 1.5 s old by then.

It is part of digests and changes, and omitted if it is empty. A relay of an older release would hide the versions, so that its lists are not used. Replica.Confirmed returns lower bounds that count from the start of the call that confirmed the list, here or at the relay.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -151,6 +151,7 @@
 	defer p.mu.Unlock()
 	pull := req.(PullRequest)
 	reply := resp.(*PullReply)
+	reply.PassesSoftwareVersions = true
 	if p.reply.Document != nil && p.reply.Document.Version > pull.Version {
 		reply.Document = p.reply.Document
 	}
--- /dev/null
+++ b/pkg/catalog/confirmed_test.go
@@ -0,0 +1,113 @@
+package catalog
+
+import (
+	"io"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+)
+
+// confirmedAge returns the age of the list of r.
+func confirmedAge(r *Replica) time.Duration {
+	latest, _ := r.Confirmed()
+	return time.Since(latest)
+}
+
+// Guards against a list that counts as recent although the source or the relay does not answer, or as old although it does.
+func TestListIsConfirmedOnlyWhileItsChangesArrive(t *testing.T) {
+	for _, tc := range []struct {
+		desc  string
+		fault func(link *cuttableLink, relaySource, ownSource *fakeSource)
+		fresh bool
+	}{
+		{"no fault", func(*cuttableLink, *fakeSource, *fakeSource) {}, true},
+		{"the relay does not answer", func(l *cuttableLink, _, _ *fakeSource) { l.cut.Store(true) }, true},
+		{"no source answers", func(_ *cuttableLink, a, b *fakeSource) {
+			for _, s := range []*fakeSource{a, b} {
+				s.set(func(s *fakeSource) { s.silent = true })
+			}
+		}, false},
+		{"neither the relay nor the source answers", func(l *cuttableLink, a, b *fakeSource) {
+			l.cut.Store(true)
+			b.set(func(s *fakeSource) { s.unavailable = true })
+		}, false},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				relaySource, ownSource := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}, &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
+				link, r, stop := startRelayedReplica(t, relaySource, ownSource)
+				time.Sleep(settleDelay)
+				_, since := r.Confirmed()
+				for range 100 {
+					time.Sleep(30 * time.Millisecond)
+					if age := confirmedAge(r); age > MaxConfirmationGap {
+						t.Fatalf("confirmed %s ago", age)
+					}
+				}
+				faultAt := time.Now()
+				tc.fault(link, relaySource, ownSource)
+				time.Sleep(5 * time.Second)
+				latest, sinceThen := r.Confirmed()
+				if fresh := time.Since(latest) <= MaxConfirmationGap; fresh != tc.fresh || !fresh && latest.After(faultAt) || tc.desc == "no fault" && !sinceThen.Equal(since) {
+					t.Errorf("confirmed %s ago, %s after the fault; since %s, before %s", time.Since(latest), latest.Sub(faultAt), sinceThen, since)
+				}
+				stop()
+			})
+		})
+	}
+}
+
+// Guards against a pause of the process that makes an old list look recent, and against a probe that confirms a list although no watch waits.
+func TestConfirmationCountsFromTheCall(t *testing.T) {
+	s := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
+	testReplica(t, s, &fakePeer{}, func(r *Replica) {
+		time.Sleep(3100 * time.Millisecond)
+		session, sent := r.currentSession(), time.Now()
+		before, _ := r.Confirmed()
+		r.confirm(before.Add(-time.Second))
+		if latest, _ := r.Confirmed(); !latest.Equal(before) {
+			t.Errorf("confirmed at %s, before %s", latest, before)
+		}
+		r.setWatching(session, sent.Add(time.Millisecond))
+		if r.confirmWatched(session, sent) {
+			t.Error("a probe confirms the list although the watch began after it")
+		}
+		r.setWatching(session, time.Time{})
+		if r.confirmWatched(session, sent) {
+			t.Error("a probe confirms the list although no watch waits")
+		}
+	})
+}
+
+// Guards against a relay of an older release whose lists lack the software versions.
+func TestListWithoutSoftwareVersionsIsNotUsed(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	r := NewReplica(ReplicaOptions{Log: log})
+	list := endpointList(10, "e1")
+	if _, ok := r.listFromReply(PullReply{Endpoints: &list}, PullRequest{}); ok {
+		t.Error("the list is used")
+	}
+	if _, ok := r.listFromReply(PullReply{Endpoints: &list, PassesSoftwareVersions: true}, PullRequest{}); !ok {
+		t.Error("a list with versions is not used")
+	}
+}
+
+// Guards against a changed software version that instances behind a relay miss.
+func TestChangedSoftwareVersionIsPassedOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relaySource, ownSource := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}, &fakeSource{doc: &Document{Version: 5}}
+		_, r, stop := startRelayedReplica(t, relaySource, ownSource)
+		time.Sleep(settleDelay)
+		changed := endpointList(11, "e1")
+		changed.Endpoints[0].SoftwareVersion = "b"
+		relaySource.set(func(s *fakeSource) { s.list = changed })
+		time.Sleep(maxPropagationDelay)
+		if got := r.Endpoints().Endpoints; len(got) != 1 || got[0].SoftwareVersion != "b" {
+			t.Errorf("endpoints: %v", got)
+		}
+		stop()
+	})
+}
--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -192,6 +192,10 @@
 	// Started is the start time in Unix milliseconds, or 0 if it is unknown. An
 	// endpoint that restarts under the same ID has lost its cache.
 	Started int64
+	// SoftwareVersion is the version of the endpoint's own software, not of the weights of
+	// its model, or "" if it names none. Endpoints of equal versions continue each other's
+	// streams.
+	SoftwareVersion string `cbor:",omitempty"`
 }
 
 // EndpointList holds the endpoints at one revision of the store.
--- a/pkg/catalog/outage.go
+++ b/pkg/catalog/outage.go
@@ -109,7 +109,7 @@
 		return
 	}
 	r.applyDocument(reply.Document, address)
-	if reply.Endpoints != nil {
+	if reply.Endpoints != nil && reply.PassesSoftwareVersions {
 		r.applyList(*reply.Endpoints, time.Now(), secondHand)
 	}
 }
--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -43,15 +43,16 @@
 // isRelay reports whether this instance can act as a relay. r.mu must be held.
 func (r *Replica) isRelay() bool { return !r.sourceFailed && r.session != nil }
 
-// buildReply returns the content that is newer than the caller's.
-func (r *Replica) buildReply(req PullRequest, now time.Time) PullReply {
+// buildReply returns the content that is newer than the caller's. arrival is the time at which
+// the request arrived.
+func (r *Replica) buildReply(req PullRequest, arrival, now time.Time) PullReply {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if req.WaitMillis > 0 {
 		r.polledAt = now
 	}
 	reply := PullReply{AgeMillis: now.Sub(r.lastListAt).Milliseconds(), SourceUnavailable: !r.isRelay(), Standby: !r.isRelay() && !r.sourceFailed, Version: r.version(), PassesVersions: true,
-		Recovering: now.Sub(r.recoveredAt) < r.opts.Timing.RecoveryWindow}
+		PassesSoftwareVersions: true, Confirmed: r.confirmed.latest.Sub(arrival), Recovering: now.Sub(r.recoveredAt) < r.opts.Timing.RecoveryWindow}
 	if c := r.Current(); c != nil && c.Version > req.Version {
 		if req.WaitMillis == 0 {
 			reply.Document = c.Document
@@ -261,6 +262,7 @@
 	r.mu.Lock()
 	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.listed.Revision, Digest: r.digest, WaitMillis: timeout.Milliseconds()}
 	r.mu.Unlock()
+	sent := time.Now()
 	reply, err := r.callPull(ctx, address, req, timeout+r.opts.Timing.RelayReplyTimeout)
 	if err != nil {
 		return relayUnavailable, err
@@ -268,7 +270,7 @@
 	age := time.Duration(reply.AgeMillis) * time.Millisecond
 	state := relayUnavailable
 	switch {
-	case !reply.PassesVersions:
+	case !reply.PassesVersions || !reply.PassesSoftwareVersions:
 	case !reply.SourceUnavailable && age <= r.opts.Timing.maxListGap():
 		state = relayCurrent
 	case reply.Standby:
@@ -283,6 +285,7 @@
 	}
 	if list, ok := r.listFromReply(reply, req); ok {
 		r.applyList(list, time.Now(), from)
+		r.confirm(sent.Add(reply.Confirmed))
 	}
 	r.applyDelta(reply, address)
 	return state, nil
@@ -348,6 +351,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	switch {
+	case !reply.PassesSoftwareVersions:
+		return EndpointList{}, false
 	case reply.Unchanged && r.digest == req.Digest:
 		list := r.listed
 		if reply.Endpoints != nil {
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -79,6 +79,12 @@
 	// is large.
 	Version uint64         `cbor:"6,keyasint,omitempty"`
 	Delta   *DocumentDelta `cbor:"7,keyasint,omitempty"`
+	// PassesSoftwareVersions is set by releases that pass Endpoint.SoftwareVersion on. Lists
+	// without it are not used.
+	PassesSoftwareVersions bool `cbor:"12,keyasint,omitempty"`
+	// Confirmed is the time from the arrival of the request to that of Replica.Confirmed. It
+	// is negative if the list was confirmed before.
+	Confirmed time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // Timing holds the timeouts and intervals of a Replica.
@@ -171,13 +177,14 @@
 	wake    chan struct{} // makes probeSource probe at once
 	fetch   chan string   // address of the relay that announced a version without a delta
 
-	mu           sync.Mutex                // serializes changes
-	listed       EndpointList              // latest list of the source
-	digest       uint64                    // of listed
-	lapsed       lapsedEndpoints           // in use although listed lacks them
-	departed     departedEndpoints         // no longer in use; some may be listed again
-	inUse        EndpointList              // listed and lapsed, without those that had departed
-	lastListAt   time.Time                 // when listed was last known to be that of the source
+	mu           sync.Mutex        // serializes changes
+	listed       EndpointList      // latest list of the source
+	digest       uint64            // of listed
+	lapsed       lapsedEndpoints   // in use although listed lacks them
+	departed     departedEndpoints // no longer in use; some may be listed again
+	inUse        EndpointList      // listed and lapsed, without those that had departed
+	lastListAt   time.Time         // when listed was last known to be that of the source
+	confirmed    confirmations
 	sourceFailed bool                      // the latest probe or read of the source failed
 	interrupted  bool                      // a probe or read has failed since lastListAt
 	recoveredAt  time.Time                 // when the latest outage of the source ended
@@ -197,6 +204,8 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	listed bool // the endpoint list has been read in this session
+	// watchingSince is when the call that waits for changes of the list was sent, or zero.
+	watchingSince time.Time
 }
 
 // NewReplica returns an empty replica. It reads nothing until Run.
@@ -229,8 +238,9 @@
 		if err := peer.Unmarshal(body, &req); err != nil {
 			return nil, err
 		}
+		arrival := time.Now()
 		r.waitForChange(ctx, req)
-		return r.buildReply(req, time.Now()), nil
+		return r.buildReply(req, arrival, time.Now()), nil
 	})
 }
 
@@ -295,12 +305,17 @@
 func (r *Replica) watchEndpoints(ctx context.Context) {
 	for s := r.awaitSession(ctx); s != nil; s = r.awaitSession(ctx) {
 		for s.ctx.Err() == nil {
+			start := time.Now()
+			r.setWatching(s, start)
 			list, err := r.readEndpoints(s)
 			if err != nil {
 				r.failSession(ctx, s, err)
 				break
 			}
-			if r.applyList(list, time.Now(), fromSource) {
+			changed := r.applyList(list, time.Now(), fromSource)
+			r.confirm(start)
+			if changed {
+				r.setWatching(s, time.Time{})
 				wait.Sleep(s.ctx, r.opts.Timing.WatchDelay)
 			}
 		}
--- a/pkg/catalog/session.go
+++ b/pkg/catalog/session.go
@@ -28,27 +28,32 @@
 		if r.followsRelay() {
 			continue
 		}
-		if err := r.probe(ctx); err != nil && len(r.opts.Relays()) == 0 {
+		confirmed, err := r.probe(ctx)
+		switch {
+		case err == nil && !confirmed:
+			delay = min(delay, r.opts.Timing.WatchDelay)
+		case err != nil && len(r.opts.Relays()) == 0:
 			// Instances with relays learn from them that the source has returned.
 			delay = r.opts.Timing.RetryDelay
 		}
 	}
 }
 
-// probe probes the source once.
-func (r *Replica) probe(ctx context.Context) error {
-	session := r.currentSession()
+// probe probes the source once. It reports whether that confirms the endpoint list.
+func (r *Replica) probe(ctx context.Context) (confirmed bool, err error) {
+	session, start := r.currentSession(), time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, r.opts.Timing.ProbeTimeout)
 	defer cancel()
 	if err := r.opts.Source.Probe(callCtx); err != nil {
 		r.setSourceFailed(err)
 		r.endSession(session)
-		return err
+		return false, err
 	}
 	r.setSourceFailed(nil)
 	r.confirmList(session, time.Now())
+	confirmed = r.confirmWatched(session, start)
 	r.startSession(ctx)
-	return nil
+	return confirmed, nil
 }
 
 // confirmList records that the endpoint list is current, which it is if its changes were
