Log software versions and the streams that callers take up

The log named the endpoints of a request without the versions of their software, and not which attempt a caller takes up, so that a stream that was joined from two versions within one answer could not be told from one joined over several tries.

Attempts now show the version of their endpoint, and a request that goes on after an event shows that event and the attempt that its caller names. Tests of the packages pass.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -21,7 +21,7 @@
 
 // String formats an attempt for the log.
 func (a attempt) String() string {
-	return fmt.Sprintf("%s rank=%d cost=%.0f %s %dms", a.endpoint, a.rank, a.cost, a.result, a.duration.Milliseconds())
+	return fmt.Sprintf("%s version=%s rank=%d cost=%.0f %s %dms", a.endpoint, a.version, a.rank, a.cost, a.result, a.duration.Milliseconds())
 }
 
 // attemptStatus says how an attempt ended, which decides whether a retry is
@@ -223,7 +223,7 @@
 		q.g.opts.CrashGuard.HandleEndpointDeath(c.ID, now)
 	}
 	c.Done(outcome, now)
-	q.attempts = append(q.attempts, attempt{c.ID, c.Rank, c.Cost, result + notice, now.Sub(start)})
+	q.attempts = append(q.attempts, attempt{c.ID, c.SoftwareVersion, c.Rank, c.Cost, result + notice, now.Sub(start)})
 	q.g.metrics.observeAttempt(result)
 	return status, errorResponse
 }
--- a/pkg/gateway/codec.go
+++ b/pkg/gateway/codec.go
@@ -27,6 +27,9 @@
 	PromptParts []placement.Part
 	// ResumeAfter is the ID of the last event that the caller has, empty if none.
 	ResumeAfter string
+	// Resumes is the ID of the caller's request that brought the first event of the stream
+	// which ResumeAfter continues, empty if it names none.
+	Resumes string
 }
 
 // AttemptMetadata is the metadata that an endpoint gets in addition to the header
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -56,6 +56,7 @@
 // attempt records one attempt for the log.
 type attempt struct {
 	endpoint string  // ID
+	version  string  // of its software
 	rank     int     // placement.Choice.Rank
 	cost     float64 // placement.Choice.Cost, in ms
 	result   string
@@ -275,6 +276,9 @@
 	if q.reserved > 0 {
 		f["reserved"], f["used"], f["events"] = q.reserved, q.used, q.deliveredEvents
 	}
+	if q.envelope.ResumeAfter != "" {
+		f["resumes"], f["after"] = q.envelope.Resumes, q.envelope.ResumeAfter
+	}
 	if len(q.attempts) > 0 {
 		f["attempts"] = q.formatAttempts()
 	}
