--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -175,28 +175,37 @@
 
 // send sends a request and returns the status and the body of the response.
 func (m *member) send(path, tokenCounts string) (int, string) {
+	status, body, err := m.sendWith(path, "id1", func(h http.Header) {
+		if tokenCounts != "" {
+			h.Set(machines.HeaderTokens, tokenCounts)
+		}
+	})
+	if err != nil {
+		return status, err.Error()
+	}
+	return status, body
+}
+
+// sendWith sends a request with the given ID and further fields of its header. It returns the
+// status, what arrived of the body, and an error if that is not the whole response.
+func (m *member) sendWith(path, id string, setHeader func(http.Header)) (int, string, error) {
 	req, err := http.NewRequest(http.MethodPost, "http://"+m.callers+path, strings.NewReader("body"))
 	if err != nil {
 		m.f.t.Error(err)
-		return 0, ""
+		return 0, "", err
 	}
 	req.Host = "h.example"
 	req.Header.Set("Authorization", machines.KeyScheme+"key1")
-	req.Header.Set(machines.HeaderRequestID, "id1")
+	req.Header.Set(machines.HeaderRequestID, id)
 	req.Header.Set(machines.HeaderDeadline, "5000")
-	if tokenCounts != "" {
-		req.Header.Set(machines.HeaderTokens, tokenCounts)
-	}
+	setHeader(req.Header)
 	resp, err := m.f.client.Do(req)
 	if err != nil {
-		return 0, err.Error()
+		return 0, "", err
 	}
 	defer func() { _ = resp.Body.Close() }()
 	b, err := io.ReadAll(resp.Body)
-	if err != nil {
-		return resp.StatusCode, err.Error()
-	}
-	return resp.StatusCode, string(b)
+	return resp.StatusCode, string(b), err
 }
 
 func threeEvents() string { return machines.Event(1) + machines.Event(2) + machines.Event(3) }
--- a/standins/machines/operator.go
+++ b/standins/machines/operator.go
@@ -21,11 +21,14 @@
 )
 
 // routeKinds maps route names to their route_kind. Other routes are idempotent.
-var routeKinds = map[string]string{"chat": "streaming", "book": "non_idempotent"}
+var routeKinds = map[string]string{"chat": "streaming", ResumableRoute: "streaming", "book": "non_idempotent"}
+
+// ResumableRoute is the name of the route whose streams may be resumed.
+const ResumableRoute = "talk"
 
 // PutConfig writes a configuration with one route per name, at the prefix
-// /NAME/. The route chat is streaming, book is non-idempotent, and all others
-// are idempotent.
+// /NAME/. The routes chat and ResumableRoute are streaming, book is
+// non-idempotent, and all others are idempotent.
 func (s *Store) PutConfig(version int, routes ...string) {
 	s.PutPrepaidConfig(version, Prepaid, routes...)
 }
@@ -39,8 +42,8 @@
 		if kind == "" {
 			kind = "idempotent"
 		}
-		routeTexts = append(routeTexts, fmt.Sprintf(`{"name":%q,"hostname":%q,"prefix":"/%s/","route_kind":%q,"timeout_ms":5000,"target_latency_ms":1000,"service":%q,"max_attempts":2}`,
-			name, Host, name, kind, Service))
+		routeTexts = append(routeTexts, fmt.Sprintf(`{"name":%q,"hostname":%q,"prefix":"/%s/","route_kind":%q,"timeout_ms":5000,"target_latency_ms":1000,"service":%q,"max_attempts":2,"stream_resumption":%t}`,
+			name, Host, name, kind, Service, name == ResumableRoute))
 	}
 	s.Put(ConfigKey, fmt.Sprintf(`{"version":%d,"routes":[%s],"services":[{"name":%q,"inference_engine":{"slots":64,"stride":4}}],"tenants":[{"name":%q,"api_keys":[%q],"prepaid":%d}]}`,
 		version, strings.Join(routeTexts, ","), Service, Workspace, APIKey, prepaid))
@@ -48,5 +51,5 @@
 
 // PutRunner writes the ready entry of a runner in a zone.
 func (s *Store) PutRunner(r *Runner, zone string) {
-	s.Put(ServersPrefix+r.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"slots":64,"state":"ready","sequence":1}`, Service, r.Address(), zone))
+	s.Put(ServersPrefix+r.ID, fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":64,"state":"ready","sequence":1}`, Service, r.Address(), zone, r.Version))
 }
--- a/standins/machines/runner.go
+++ b/standins/machines/runner.go
@@ -21,6 +21,7 @@
 	HeaderTenant           = "X-Tenant-Name"
 	HeaderExpectedInstance = "X-Expected-Instance"
 	HeaderLastEventID      = "Last-Event-Id"
+	HeaderResumes          = "Resumes"        // request ID of the attempt that brought the first event of a stream that is taken up
 	HeaderLeaving          = "Server-Leaving" // "1" in all responses of a runner that leaves
 	HeaderRetryAfter       = "Retry-After"    // seconds
 	HeaderLimit            = "Server-Limit"   // requests per second that a runner takes from all instances together
@@ -37,6 +38,7 @@
 // response, so that responses can be malformed or incomplete.
 type Runner struct {
 	ID         string
+	Version    string // of its software, which PutRunner registers
 	listener   net.Listener
 	goroutines sync.WaitGroup
 
