--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/lineage"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
@@ -80,6 +81,7 @@
 	witnesses  *rights.Witnesses
 	crashes    *crashGuard
 	limits     *limitSpreader
+	lineage    *lineage.Tracker
 	gateway    *gateway.Gateway
 	stopping   atomic.Bool
 	goroutines sync.WaitGroup
@@ -108,6 +110,8 @@
 	n.client = upstream.New()
 	n.buildRights()
 	n.buildCatalog()
+	n.lineage = lineage.New(lineage.Options{Incarnation: n.self.Incarnation, Store: opts.Store, StoreEra: n.storeEra,
+		ListConfirmed: n.replica.Confirmed, Rank: n.leaderRank, Log: n.log, Registerer: opts.Registry})
 	tracker := quarantine.New(quarantine.Options{}, opts.Registry)
 	n.crashes = &crashGuard{Tracker: tracker, culpritFinder: newCulpritFinder(culpritOptions{
 		self: n.self, peers: n.peers, roster: n.roster, store: opts.Store, prober: n.client, storeEra: n.storeEra,
@@ -155,7 +159,11 @@
 		Relays:      n.relays,
 		Timing:      n.catalogTiming(),
 		OnDocument:  func(*catalog.Catalog) { n.syncer.TriggerRound() },
-		OnEndpoints: func(list catalog.EndpointList) { n.pool.Update(list, time.Now()) },
+		OnEndpoints: func(list catalog.EndpointList) {
+			now := time.Now()
+			n.lineage.UpdateEndpoints(list, now) // before streams can begin at a new version
+			n.pool.Update(list, now)
+		},
 	})
 }
 
@@ -236,17 +244,26 @@
 	if !n.roster.IsSettled() {
 		return 0, false
 	}
+	return min(time.Duration(n.leaderRank())*restoreRankDelay, maxRestoreDelay), true
+}
+
+// leaderRank returns the rank of this instance among the leaders, or their number if it is
+// none of them. Until it knows the other instances, it returns targetLeaders.
+func (n *Node) leaderRank() int {
+	if !n.roster.IsSettled() {
+		return targetLeaders
+	}
 	leaders, isLeader := n.roster.Leaders(targetLeaders)
-	rank := len(leaders)
-	if isLeader {
-		rank = 0
-		for other := range leaders {
-			if rendezvous.Hash(other) < rendezvous.Hash(n.self.Incarnation) {
-				rank++
-			}
+	if !isLeader {
+		return len(leaders)
+	}
+	rank := 0
+	for other := range leaders {
+		if rendezvous.Hash(other) < rendezvous.Hash(n.self.Incarnation) {
+			rank++
 		}
 	}
-	return min(time.Duration(rank)*restoreRankDelay, maxRestoreDelay), true
+	return rank
 }
 
 // witnessAddresses returns the addresses of all instances that may know the sums of rights:
