--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -156,9 +156,9 @@
 			}
 			return addresses
 		},
-		Relays:      n.relays,
-		Timing:      n.catalogTiming(),
-		OnDocument:  func(*catalog.Catalog) { n.syncer.TriggerRound() },
+		Relays:     n.relays,
+		Timing:     n.catalogTiming(),
+		OnDocument: func(*catalog.Catalog) { n.syncer.TriggerRound() },
 		OnEndpoints: func(list catalog.EndpointList) {
 			now := time.Now()
 			n.lineage.UpdateEndpoints(list, now) // before streams can begin at a new version
