Complete the durable record again after the store was restored

An instance that knows all versions read the incomplete record again and again in place of writing it: TestRestoredRecordIsCompletedAgain failed with a refusal and 5 calls, and passes now.

--- a/pkg/lineage/fakes_test.go
+++ b/pkg/lineage/fakes_test.go
@@ -166,11 +166,10 @@
 	*Tracker
 	stop func()
 
-	mu     sync.Mutex
-	since  time.Time
-	cutAt  time.Time // when the list stopped being confirmed, or zero
-	rank   int
-	listed []Origin
+	mu    sync.Mutex
+	since time.Time
+	cutAt time.Time // when the list stopped being confirmed, or zero
+	rank  int
 }
 
 // inWorld runs a test in virtual time, with instances that are stopped at its end.
@@ -276,9 +275,7 @@
 
 func (w *world) storedVersions() []string {
 	for _, x := range w.instances {
-		x.mu.Lock()
 		x.Tracker.mu.Lock()
-		defer x.mu.Unlock()
 		defer x.Tracker.mu.Unlock()
 		return slices.Clone(x.recordedVersions()["s"])
 	}
--- a/pkg/lineage/record.go
+++ b/pkg/lineage/record.go
@@ -99,7 +99,7 @@
 	switch {
 	case since.IsZero():
 		return recordNeeds{} // nothing is listed yet
-	case r.readAt.IsZero() || r.unsure || storeEra > r.era || !r.complete && !k.complete:
+	case r.readAt.IsZero() || r.unsure || storeEra > r.era || !r.complete && !experienced:
 		return recordNeeds{read: true}
 	case k.fresh && !k.complete && r.readAt.Before(since):
 		return recordNeeds{read: true} // versions may have been added and left unnoticed
--- a/pkg/lineage/tracker_test.go
+++ b/pkg/lineage/tracker_test.go
@@ -264,6 +264,45 @@
 	})
 }
 
+// Guards against an origin that is lost because its write failed, or because another service had several versions before.
+func TestOriginIsWrittenLate(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		other := Origin{"other", "v8"}
+		w.list(v1, v2, other)
+		x := w.start(2)
+		time.Sleep(settled)
+		x[0].Record("b", other, time.Now())
+		w.store.set(func(s *memoryStore) { s.unavailable = true })
+		x[0].Record("a", v1, time.Now())
+		time.Sleep(5 * time.Second)
+		w.store.set(func(s *memoryStore) { s.unavailable = false })
+		time.Sleep(2 * flushed)
+		w.checkOrigin(x[1], "a", v1, "s")
+		w.list(v1, v2, other, Origin{"other", "v9"})
+		time.Sleep(flushed)
+		w.checkOrigin(x[1], "b", other, "other")
+	})
+}
+
+// Guards against a record that a restored store makes useless although instances know the versions.
+func TestRestoredRecordIsCompletedAgain(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.list(v1)
+		w.start(3)
+		time.Sleep(settled)
+		w.store.restore(w.store.copy())
+		time.Sleep(settled)
+		w.killAll()
+		w.start(3)
+		time.Sleep(10 * callDelay)
+		before := w.store.countCalls()
+		w.checkOrigin(w.instances[0], "unheard of", v1, "s")
+		if calls := w.store.countCalls() - before; calls > 0 {
+			t.Errorf("%d calls", calls)
+		}
+	})
+}
+
 // Guards against origins and versions that are lost with a store that returned from an older copy.
 func TestStoreReturnsFromAnOlderCopy(t *testing.T) {
 	for _, replaced := range []bool{false, true} {
