Have a new instance add its versions to an incomplete record

A record of a restored store stayed without the versions that only new instances list, so that MayBegin held their streams back for Retention. Found by TestNewInstanceDoesNotCompleteARestoredRecord, which failed in its second part before.

--- a/pkg/catalog/confirmed_test.go
+++ b/pkg/catalog/confirmed_test.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"fmt"
 	"io"
 	"testing"
 	"testing/synctest"
@@ -59,6 +60,30 @@
 	}
 }
 
+// Guards against lists that count as old because they change often.
+func TestChangingListIsConfirmed(t *testing.T) {
+	for _, interval := range []time.Duration{90 * time.Millisecond, 350 * time.Millisecond, 1100 * time.Millisecond} {
+		t.Run(interval.String(), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				relaySource, ownSource := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}, &fakeSource{doc: &Document{Version: 5}}
+				_, r, stop := startRelayedReplica(t, relaySource, ownSource)
+				time.Sleep(settleDelay)
+				_, since := r.Confirmed()
+				for i, changedAt := uint64(0), time.Now(); i < 60; time.Sleep(10 * time.Millisecond) {
+					if time.Since(changedAt) >= interval {
+						i, changedAt = i+1, time.Now()
+						relaySource.set(func(s *fakeSource) { s.list = endpointList(20+i, "e1", fmt.Sprint("e", i)) })
+					}
+					if latest, sinceThen := r.Confirmed(); time.Since(latest) > MaxConfirmationGap || !sinceThen.Equal(since) {
+						t.Fatalf("confirmed %s ago, since %s", time.Since(latest), sinceThen)
+					}
+				}
+				stop()
+			})
+		})
+	}
+}
+
 // Guards against a pause of the process that makes an old list look recent, and against a probe that confirms a list although no watch waits.
 func TestConfirmationCountsFromTheCall(t *testing.T) {
 	s := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
--- a/pkg/lineage/record.go
+++ b/pkg/lineage/record.go
@@ -19,6 +19,10 @@
 	versionsKey = prefix + "versions"
 	// streamsPrefix is the prefix of the keys of the origins, one for each incarnation.
 	streamsPrefix = prefix + "streams/"
+
+	// incompleteReadInterval is the delay between two reads of a record that another instance
+	// may complete.
+	incompleteReadInterval = 2 * time.Second
 )
 
 // storedVersions is the durable record: the possible versions by service.
@@ -96,17 +100,22 @@
 func (t *Tracker) needsOf(k knowledge, since time.Time, storeEra uint64, first, experienced bool, now time.Time) recordNeeds {
 	r, recorded := &t.record, t.recordedVersions()
 	lacks := func(wanted map[string][]string) bool { return !maps.EqualFunc(recorded, wanted, slices.Equal) }
+	if since.IsZero() || r.readAt.IsZero() {
+		return recordNeeds{read: !since.IsZero()} // nothing is listed yet, or nothing is read
+	}
+	age := now.Sub(r.readAt)
+	needs := recordNeeds{write: lacks(t.wantedVersions(k, first, now)) || !r.complete && experienced}
 	switch {
-	case since.IsZero():
-		return recordNeeds{} // nothing is listed yet
-	case r.readAt.IsZero() || r.unsure || storeEra > r.era || !r.complete && !experienced:
-		return recordNeeds{read: true}
+	case r.unsure || storeEra > r.era:
+		needs.read = true
+	case !r.complete && !experienced:
+		needs.read = age > incompleteReadInterval // an instance that knows all versions completes it
 	case k.fresh && !k.complete && r.readAt.Before(since):
-		return recordNeeds{read: true} // versions may have been added and left unnoticed
-	case k.complete && !first && now.Sub(r.readAt) > t.opts.Timing.Retention/2 && lacks(t.wantedVersions(k, true, now)):
-		return recordNeeds{read: true} // the first instance has removed versions, or will
+		needs.read = true // versions may have been added and left unnoticed
+	case k.complete && !first:
+		needs.read = age > t.opts.Timing.Retention/2 && lacks(t.wantedVersions(k, true, now)) // the first instance removes versions
 	}
-	return recordNeeds{write: lacks(t.wantedVersions(k, first, now)) || !r.complete && experienced}
+	return needs
 }
 
 // recordedVersions returns the versions of the durable record. t.mu must be held.
--- a/pkg/lineage/tracker_test.go
+++ b/pkg/lineage/tracker_test.go
@@ -337,6 +337,30 @@
 	}
 }
 
+// Guards against an instance that takes a record from an older copy for complete because it has added a version itself.
+func TestNewInstanceDoesNotCompleteARestoredRecord(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		other := Origin{"other", "v8"}
+		w.list(other)
+		w.start(2)
+		time.Sleep(settled)
+		copied := w.store.copy()
+		w.list(other, v2)
+		time.Sleep(settled)
+		w.killAll()
+		w.store.restore(copied)
+		w.list(other, v1)
+		x := w.start(2)
+		time.Sleep(settled)
+		w.checkRefused(x[0], "begun at the version that only the lost record had", time.Second)
+		w.list(other, v1, Origin{"s", "v3"})
+		time.Sleep(settled)
+		if !x[1].MayBegin("s", "v1", time.Now()) || !x[1].MayBegin("s", "v3", time.Now()) {
+			t.Error("no streams may begin")
+		}
+	})
+}
+
 // Guards against a constraint to a service that no longer serves the route, or to an older origin than the latest.
 func TestMovedRoute(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
