--- a/pkg/lineage/origins.go
+++ b/pkg/lineage/origins.go
@@ -85,7 +85,7 @@
 	}
 	t.failures = 0
 	var record *kvstore.Item
-	t.stored = map[streamID][]Origin{}
+	t.stored, t.storedAt = map[streamID][]Origin{}, start
 	for _, item := range items {
 		switch {
 		case item.Key == versionsKey:
@@ -298,5 +298,8 @@
 			delete(t.streams, id)
 		}
 	}
+	if now.Sub(t.storedAt) > t.opts.Timing.Retention {
+		t.stored = nil
+	}
 	t.dropVersions(now)
 }
--- a/pkg/lineage/tracker.go
+++ b/pkg/lineage/tracker.go
@@ -98,6 +98,7 @@
 	mu       sync.Mutex
 	streams  map[streamID][]recordedOrigin // recorded here
 	stored   map[streamID][]Origin         // of all instances, as of the latest read
+	storedAt time.Time
 	services map[string]map[string]*versionState
 	record   recordState
 	unsaved  bool       // origins were recorded since the latest write began
