Go on with a stream only at the software version that began it

Cause: a stream was continued by position alone. Endpoints had no version for the instances, so that a stream that broke off was sent on to any endpoint of its service, and an instance at which a caller takes a stream up knew nothing of its beginning.

The gateway keeps to the version of the first event within one answer. pkg/lineage records what began each stream, shares it through the store while more than one version of a service is possible, and resolves the stream that a caller names; what is not known for certain is not continued. Placement chooses by version, and begins no streams at a version that other instances may not know yet.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -398,7 +398,7 @@
 	events := newEventReader(resp)
 	s.isResuming = s.hasLastNumber
 	control := http.NewResponseController(q.w)
-	survived := false
+	survived, recorded := false, false
 	for {
 		batch, err := events.next()
 		if len(batch) > 0 {
@@ -412,6 +412,10 @@
 				q.recordSurvival(now)
 			}
 			out, sequenceErr := s.skipDelivered(batch)
+			if !recorded && hasFields(out.bytes) {
+				recorded = true
+				q.recordOrigin(c.Endpoint, now)
+			}
 			if len(out.bytes) > 0 {
 				if !s.started {
 					s.started = true
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/lineage"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/rights"
 	"github.com/clementinerack/clementinerack/pkg/upstream"
@@ -25,6 +26,19 @@
 	Settle(workspace string, reserved, used rights.Tokens)
 }
 
+// Lineage knows which software versions began the streams of resumable routes.
+type Lineage interface {
+	// Record records that an endpoint sends events of a stream. It is called before the
+	// caller gets an event.
+	Record(stream string, origin lineage.Origin, now time.Time)
+	// Resolve returns where a stream may go on, with empty fields if any endpoint of its
+	// route's services will do. It fails if that is not known for certain.
+	Resolve(ctx context.Context, stream string, services []string) (lineage.Origin, *failure.Error)
+	// MayBegin reports whether streams may begin at a software version of a service although
+	// other versions serve.
+	MayBegin(service, version string, now time.Time) bool
+}
+
 // Options are the dependencies of a Gateway. All fields are required except
 // Registerer. Catalog returns nil until the first declarations are known.
 type Options struct {
@@ -34,6 +48,7 @@
 	Client      *upstream.Client
 	Rights      Rights
 	CrashGuard  CrashGuard
+	Lineage     Lineage
 	RetryBudget *RetryBudget
 	Log         logrus.FieldLogger
 	Registerer  prometheus.Registerer
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -33,6 +33,7 @@
 	route       *catalog.Route
 	workspace   *catalog.Workspace
 	service     string
+	version     *string // software version that must write the rest of the stream, nil if any may
 	body        []byte
 	deadline    time.Time // of the complete response
 	fingerprint quarantine.Fingerprint
@@ -184,6 +185,10 @@
 	ctx, cancel := context.WithDeadline(ctx, q.deadline)
 	defer cancel()
 	defer context.AfterFunc(q.g.aborted, cancel)()
+	if err := q.resolveOrigin(ctx); err != nil {
+		q.refuse(err, jitter(meanRetryDelay))
+		return
+	}
 	if err := q.reserve(ctx); err != nil {
 		q.refuse(err, jitter(meanRetryDelay))
 		return
@@ -254,7 +259,8 @@
 }
 
 func (q *request) newPlacementRequest() placement.Request {
-	return placement.Request{Service: q.service, Parts: q.envelope.PromptParts, Exclude: q.excluded}
+	return placement.Request{Service: q.service, Parts: q.envelope.PromptParts, Exclude: q.excluded,
+		Version: q.version, MayBegin: q.mayBegin()}
 }
 
 // recordResult logs the result of the request in one line and updates the metrics.
--- a/pkg/lineage/tracker.go
+++ b/pkg/lineage/tracker.go
@@ -76,7 +76,7 @@
 	return Timing{
 		Retention:     30 * time.Second,
 		MaxListAge:    catalog.MaxConfirmationGap,
-		FlushInterval: 500 * time.Millisecond,
+		FlushInterval: 100 * time.Millisecond,
 		FlushMargin:   250 * time.Millisecond,
 		CallTimeout:   500 * time.Millisecond,
 		ReadTimeout:   time.Second,
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -52,6 +52,10 @@
 	// endpoint.
 	prefixTTL         = 20 * time.Second
 	maxCachedPrefixes = 4096
+	// newVersionDelay is how long after it was first listed a software version gets no
+	// requests with MayBegin, so that all instances that read the list know it by then. It
+	// exceeds catalog.MaxConfirmationGap.
+	newVersionDelay = 2 * time.Second
 )
 
 // Part is one segment of a prompt, with its length in tokens. Requests share
@@ -69,6 +73,12 @@
 	Parts []Part
 	// Exclude holds the IDs of endpoints that must not be chosen.
 	Exclude map[string]bool
+	// Version is the software version that endpoints must have, or nil if all will do.
+	Version *string
+	// MayBegin reports whether the request may begin at endpoints of a software version. Other
+	// endpoints, and those of a version that was listed less than newVersionDelay ago, are
+	// chosen only if no other accepts work. It is nil if all versions will do.
+	MayBegin func(version string) bool
 }
 
 func (r *Request) promptTokens() int64 {
@@ -145,8 +155,12 @@
 	domains      map[string]*domainState
 	cachedAt     map[cachedPrefix]time.Time // time of the latest first byte
 	restrictions map[incarnation]*restriction
+	versions     map[serviceVersion]time.Time // when it was first listed, zero for those of the first list
 }
 
+// serviceVersion is a software version of a service.
+type serviceVersion struct{ service, version string }
+
 // cachedPrefix is a prompt prefix that an endpoint has processed.
 type cachedPrefix struct {
 	prefix   uint64 // key of the prefix
@@ -159,7 +173,7 @@
 func New(localDomain string, seed uint64, share Share) *Pool {
 	return &Pool{localDomain: localDomain, share: share, rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{},
 		services: map[string][]*endpointState{}, domains: map[string]*domainState{}, cachedAt: map[cachedPrefix]time.Time{},
-		restrictions: map[incarnation]*restriction{}}
+		restrictions: map[incarnation]*restriction{}, versions: map[serviceVersion]time.Time{}}
 }
 
 // Update replaces the list of endpoints at time now. An endpoint whose address or start
@@ -171,6 +185,7 @@
 		e.listed = false
 	}
 	p.services = map[string][]*endpointState{}
+	p.updateVersions(list, now)
 	for _, entry := range list.Endpoints {
 		e := p.endpoints[entry.ID]
 		if e == nil || e.Address != entry.Address || e.Started != entry.Started {
@@ -189,6 +204,23 @@
 	p.forgetRestrictions(now)
 }
 
+// updateVersions records when the software versions of a list were first listed.
+func (p *Pool) updateVersions(list catalog.EndpointList, now time.Time) {
+	if len(p.versions) == 0 {
+		now = time.Time{} // nothing is known of the time before
+	}
+	versions := map[serviceVersion]time.Time{}
+	for _, e := range list.Endpoints {
+		v := serviceVersion{e.Service, e.SoftwareVersion}
+		since, known := p.versions[v]
+		if !known {
+			since = now
+		}
+		versions[v] = since
+	}
+	p.versions = versions
+}
+
 func hashID(id string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(id)) // never fails
@@ -230,11 +262,17 @@
 		}
 		// Less than 1 ms of noise spreads requests over endpoints of equal cost.
 		cost := p.estimateCostMs(e, &req, prefixKeys, e == first, e == second, now) + p.rng.Float64()
+		if !p.mayBegin(&req, e, now) {
+			cost += newVersionCostMs
+		}
 		if cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	if best == nil {
+		if req.Version != nil {
+			return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of software version %q of service %q accepts work", *req.Version, req.Service)
+		}
 		return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepts work", req.Service)
 	}
 	c := &Choice{Endpoint: best.Endpoint, Cost: bestCost, pool: p, state: best, promptTokens: req.promptTokens(), prefixKeys: prefixKeys, chosenAt: now,
@@ -256,9 +294,20 @@
 
 // isAvailable reports whether the endpoint accepts the request from this instance at time now.
 func (e *endpointState) isAvailable(req *Request, share Share, now time.Time) bool {
+	if req.Version != nil && *req.Version != e.SoftwareVersion {
+		return false
+	}
 	return e.restriction.allows(now) && !req.Exclude[e.ID] && e.restriction.limit.allows(e.Endpoint, share, now)
 }
 
+// mayBegin reports whether the request may begin at an endpoint although others accept work.
+func (p *Pool) mayBegin(req *Request, e *endpointState, now time.Time) bool {
+	if req.MayBegin == nil {
+		return true
+	}
+	return req.MayBegin(e.SoftwareVersion) && now.Sub(p.versions[serviceVersion{e.Service, e.SoftwareVersion}]) >= newVersionDelay
+}
+
 // topTwo returns the two endpoints with the highest rendezvous weight for the
 // longest shared prefix.
 func (p *Pool) topTwo(req *Request, prefixKeys []uint64, now time.Time) (first, second *endpointState) {
@@ -311,6 +360,10 @@
 // without excluding them.
 const unreachableCostMs = 1e6
 
+// newVersionCostMs ranks endpoints at which a request should not begin behind all others that
+// can be reached.
+const newVersionCostMs = unreachableCostMs / 2
+
 // estimateCostMs estimates the delay of the first byte at an endpoint in ms. All
 // other criteria are converted to ms and added.
 func (p *Pool) estimateCostMs(e *endpointState, req *Request, prefixKeys []uint64, isFirst, isSecond bool, now time.Time) float64 {
