Have three instances write the origins of streams for the fleet

Each write is a call of the store, at most 400 a second for all instances together: 195 instances that each write every 500 ms exceed that while two versions are possible. The others hand their origins to a collector, which answers once they are written.

--- a/pkg/lineage/origins.go
+++ b/pkg/lineage/origins.go
@@ -29,27 +29,68 @@
 	Streams []byte `cbor:"3,keyasint"` // streamIDs in big-endian order, one after the other
 }
 
-// storeRead is a read of all origins that callers of Resolve share.
-type storeRead struct {
+// encodeOrigins returns the encoding of origins.
+func encodeOrigins(entries []originEntry) []storedOrigins {
+	groups := map[Origin]*storedOrigins{}
+	for _, e := range entries {
+		g := groups[e.Origin]
+		if g == nil {
+			g = &storedOrigins{Service: e.Service, Version: e.Version}
+			groups[e.Origin] = g
+		}
+		g.Streams = binary.BigEndian.AppendUint64(g.Streams, uint64(e.id))
+	}
+	var all []storedOrigins
+	for _, origin := range slices.SortedFunc(maps.Keys(groups), func(a, b Origin) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	}) {
+		all = append(all, *groups[origin])
+	}
+	return all
+}
+
+// forEach calls f for each stream of the group.
+func (g storedOrigins) forEach(f func(streamID, Origin)) {
+	for encoded := range slices.Chunk(g.Streams, streamIDBytes) {
+		if len(encoded) == streamIDBytes {
+			f(streamID(binary.BigEndian.Uint64(encoded)), Origin{g.Service, g.Version})
+		}
+	}
+}
+
+// storeCall is a read or write of the store for which several callers wait.
+type storeCall struct {
 	done chan struct{} // closed at the end
 	err  error         // valid after done
 }
 
+func (c *storeCall) end(err error) {
+	if c != nil {
+		c.err = err
+		close(c.done)
+	}
+}
+
+// wait returns the result of the call, or an error of kind failure.Timeout if ctx ends before.
+func (c *storeCall) wait(ctx context.Context) error {
+	select {
+	case <-c.done:
+		return c.err
+	case <-ctx.Done():
+		return failure.New(failure.Timeout, "repeat the request", "the store did not answer in time: %v", ctx.Err())
+	}
+}
+
 // readStore waits for a read of the origins and the durable record that begins after the call.
 func (t *Tracker) readStore(ctx context.Context) error {
 	t.mu.Lock()
-	if t.pending == nil {
-		t.pending = &storeRead{done: make(chan struct{})}
-		t.reads <- struct{}{} // has room: the former read was taken out before pending became nil
+	if t.read == nil {
+		t.read = &storeCall{done: make(chan struct{})}
+		t.reads <- struct{}{} // has room: the former one was taken out before read became nil
 	}
-	read := t.pending
+	read := t.read
 	t.mu.Unlock()
-	select {
-	case <-read.done:
-		return read.err
-	case <-ctx.Done():
-		return failure.New(failure.Timeout, "repeat the request", "the store was not read in time: %v", ctx.Err())
-	}
+	return read.wait(ctx)
 }
 
 // runReads makes the reads that readStore requests until ctx ends.
@@ -61,11 +102,10 @@
 			return
 		}
 		t.mu.Lock()
-		read := t.pending
-		t.pending = nil
+		read := t.read
+		t.read = nil
 		t.mu.Unlock()
-		read.err = t.readOrigins(ctx)
-		close(read.done)
+		read.end(t.readOrigins(ctx))
 		wait.Sleep(ctx, t.opts.Timing.ReadDelay)
 	}
 }
@@ -106,55 +146,12 @@
 		return
 	}
 	for _, g := range groups {
-		origin := Origin{g.Service, g.Version}
-		for encoded := range slices.Chunk(g.Streams, streamIDBytes) {
-			if len(encoded) < streamIDBytes {
-				break
-			}
-			id := streamID(binary.BigEndian.Uint64(encoded))
+		g.forEach(func(id streamID, origin Origin) {
 			if !slices.Contains(t.stored[id], origin) {
 				t.stored[id] = append(t.stored[id], origin)
 			}
-		}
-	}
-}
-
-// publisher writes the origins of this instance to the store. It belongs to the control
-// goroutine.
-type publisher struct {
-	services  []string // those whose origins are published, sorted
-	writtenAt time.Time
-	revision  uint64    // of the own key; 0 if it does not exist
-	unsure    bool      // a write may have taken effect since
-	era       uint64    // of the store at the latest write
-	idleSince time.Time // since when no service has several versions; zero if one has
-}
-
-// publish writes the origins if some are not written, and removes them once no service has
-// several versions. It returns when to call it again; zero means that nothing is due.
-func (t *Tracker) publish(ctx context.Context, p *publisher) time.Time {
-	services := t.ambiguousServices()
-	now := time.Now()
-	if len(services) == 0 {
-		return t.withdraw(ctx, p, now)
-	}
-	era := t.opts.StoreEra()
-	t.mu.Lock()
-	if !slices.Equal(services, p.services) || era != p.era {
-		t.unsaved = true
+		})
 	}
-	unsaved := t.unsaved
-	t.mu.Unlock()
-	p.services, p.era, p.idleSince = services, era, time.Time{}
-	due := p.writtenAt.Add(t.opts.Timing.FlushInterval)
-	if !now.Before(due) {
-		if unsaved {
-			p.writtenAt = now
-			t.writeOrigins(ctx, p, now)
-		}
-		due = now.Add(t.opts.Timing.FlushInterval)
-	}
-	return due
 }
 
 // ambiguousServices returns the services that have more than one possible version, sorted.
@@ -174,120 +171,6 @@
 	return services
 }
 
-// writeOrigins writes the origins of the published services. Its condition keeps a write that
-// the store executes late from replacing a newer one.
-func (t *Tracker) writeOrigins(ctx context.Context, p *publisher, now time.Time) {
-	t.mu.Lock()
-	t.unsaved = false
-	groups := t.originsOf(p.services, now)
-	t.mu.Unlock()
-	if len(groups) == 0 {
-		return
-	}
-	value, err := peer.Marshal(groups)
-	if err == nil {
-		err = t.commitOwn(ctx, p, kvstore.Transaction{Write: []kvstore.Write{{Key: t.ownKey(), Value: value}}})
-	}
-	t.metrics.observeWrite("streams", err)
-	t.health.Record(err)
-	if err == nil {
-		return
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.unsaved = true
-}
-
-func (t *Tracker) ownKey() string { return streamsPrefix + t.opts.Incarnation }
-
-// commitOwn commits a change of the own key. After a conflict, which a former call without an
-// answer or a store that returned from an older copy causes, it commits once more.
-func (t *Tracker) commitOwn(ctx context.Context, p *publisher, change kvstore.Transaction) error {
-	ctx, cancel := context.WithTimeout(ctx, t.opts.Timing.CallTimeout)
-	defer cancel()
-	for again := true; ; again = false {
-		change.Expect = []kvstore.Expectation{{Key: t.ownKey(), Revision: p.revision}}
-		revision, items, err := t.opts.Store.Commit(ctx, change)
-		switch {
-		case err == nil:
-			p.revision, p.unsure = revision, false
-			if len(change.Remove) > 0 {
-				p.revision = 0
-			}
-			return nil
-		case !failure.Is(err, failure.Conflict):
-			p.unsure = p.unsure || failure.Is(err, failure.Uncertain)
-			return err
-		}
-		p.revision = 0
-		for _, item := range items {
-			p.revision = item.Revision
-		}
-		if !again {
-			return err
-		}
-	}
-}
-
-// originsOf returns the origins of services that were recorded here within Retention, those of
-// the latest maxStoredStreams streams. t.mu must be held.
-func (t *Tracker) originsOf(services []string, now time.Time) []storedOrigins {
-	type entry struct {
-		id streamID
-		recordedOrigin
-	}
-	var entries []entry
-	for id, origins := range t.streams {
-		for _, o := range origins {
-			if now.Sub(o.at) <= t.opts.Timing.Retention && slices.Contains(services, o.Service) {
-				entries = append(entries, entry{id, o})
-			}
-		}
-	}
-	if len(entries) > maxStoredStreams {
-		slices.SortFunc(entries, func(a, b entry) int { return b.at.Compare(a.at) })
-		entries = entries[:maxStoredStreams]
-	}
-	groups := map[Origin]*storedOrigins{}
-	for _, e := range entries {
-		g := groups[e.Origin]
-		if g == nil {
-			g = &storedOrigins{Service: e.Service, Version: e.Version}
-			groups[e.Origin] = g
-		}
-		g.Streams = binary.BigEndian.AppendUint64(g.Streams, uint64(e.id))
-	}
-	var all []storedOrigins
-	for _, origin := range slices.SortedFunc(maps.Keys(groups), func(a, b Origin) int {
-		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
-	}) {
-		all = append(all, *groups[origin])
-	}
-	return all
-}
-
-// withdraw removes the own key some time after the last service with several versions, because
-// other instances may count one for a little longer.
-func (t *Tracker) withdraw(ctx context.Context, p *publisher, now time.Time) time.Time {
-	if p.idleSince.IsZero() {
-		p.idleSince = now
-	}
-	p.services = nil
-	if p.revision == 0 && !p.unsure {
-		return time.Time{}
-	}
-	due := p.idleSince.Add(t.opts.Timing.Retention / 4)
-	if now.Before(due) {
-		return due
-	}
-	err := t.commitOwn(ctx, p, kvstore.Transaction{Remove: []string{t.ownKey()}})
-	t.metrics.observeWrite("removal", err)
-	if err == nil {
-		return time.Time{}
-	}
-	return time.Now().Add(t.opts.Timing.RetryDelay)
-}
-
 // sweep forgets the origins and versions that are older than Retention.
 func (t *Tracker) sweep(now time.Time) {
 	t.mu.Lock()
--- a/pkg/lineage/run.go
+++ b/pkg/lineage/run.go
@@ -18,7 +18,8 @@
 	var readers sync.WaitGroup
 	readers.Go(func() { t.runReads(ctx) })
 	defer readers.Wait()
-	keep, p, c := &keeper{}, &publisher{}, &cleaner{keys: map[string]leftKey{}, due: time.Now().Add(t.opts.Timing.Retention)}
+	defer t.transfers.Wait()
+	keep, p, c := &keeper{}, newPublisher(), &cleaner{keys: map[string]leftKey{}, due: time.Now().Add(t.opts.Timing.Retention)}
 	sweepAt := time.Now()
 	timer := time.NewTimer(0)
 	defer timer.Stop()
--- a/pkg/lineage/tracker.go
+++ b/pkg/lineage/tracker.go
@@ -15,6 +15,7 @@
 	"github.com/clementinerack/clementinerack/pkg/eventlog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
+	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
@@ -27,7 +28,7 @@
 	kvstore.RangeReader
 }
 
-// Options configures a Tracker. All fields but Timing and Registerer are required.
+// Options configures a Tracker. All fields up to Rank and Log are required.
 type Options struct {
 	// Incarnation is the name of this incarnation of the instance. It is part of a key.
 	Incarnation string
@@ -38,7 +39,12 @@
 	ListConfirmed func() (latest, since time.Time)
 	// Rank returns the rank of this instance among those that keep the durable record: 0 for
 	// the first one. Instances may share a rank.
-	Rank       func() int
+	Rank func() int
+	// Peers calls other instances. Collectors returns the addresses of the instances that
+	// write origins to the store for this one, in order of preference, and whether this
+	// instance is one of them. Without Collectors it writes its own.
+	Peers      peer.Caller
+	Collectors func() (addresses []string, self bool)
 	Timing     Timing // the zero value means DefaultTiming
 	Log        logrus.FieldLogger
 	Registerer prometheus.Registerer
@@ -56,7 +62,8 @@
 	MaxListAge time.Duration
 	// FlushInterval is the minimum delay between two writes of the origins.
 	FlushInterval time.Duration
-	// FlushMargin is the time that a write of the origins takes.
+	// FlushMargin is how much longer it may take until the store has an origin: the time of
+	// the write, and of the transfer to the instance that writes it.
 	FlushMargin time.Duration
 	// CallTimeout bounds a call of the store, ReadTimeout a read of all origins.
 	CallTimeout, ReadTimeout time.Duration
@@ -77,7 +84,7 @@
 		Retention:     30 * time.Second,
 		MaxListAge:    catalog.MaxConfirmationGap,
 		FlushInterval: 500 * time.Millisecond,
-		FlushMargin:   250 * time.Millisecond,
+		FlushMargin:   600 * time.Millisecond,
 		CallTimeout:   500 * time.Millisecond,
 		ReadTimeout:   time.Second,
 		ReadDelay:     100 * time.Millisecond,
@@ -95,16 +102,22 @@
 	wake    chan struct{} // makes Run check the versions at once
 	reads   chan struct{} // makes Run read the origins
 
+	transfers sync.WaitGroup // of origins to collectors
+
 	mu       sync.Mutex
 	streams  map[streamID][]recordedOrigin // recorded here
 	stored   map[streamID][]Origin         // of all instances, as of the latest read
 	storedAt time.Time
 	services map[string]map[string]*versionState
 	record   recordState
-	unsaved  bool       // origins were recorded since the latest write began
-	pending  *storeRead // the next read; nil if nobody waits for one
-	failures int        // reads that have failed in a row
-	failedAt time.Time  // the latest one of them
+	unsaved  bool // origins were recorded since the latest write or transfer began
+	// collectUntil is until when this instance writes origins because another one has handed
+	// some over.
+	collectUntil time.Time
+	write        *storeCall // the next write; nil if nobody waits for one
+	read         *storeCall // the next read; nil if nobody waits for one
+	failures     int        // reads that have failed in a row
+	failedAt     time.Time  // the latest one of them
 }
 
 // streamID is a 64-bit hash of the ID of a stream.
@@ -119,6 +132,8 @@
 type recordedOrigin struct {
 	Origin
 	at time.Time // when it was recorded last
+	// handed is the publisher.generation in which a collector got the origin, or 0.
+	handed uint64
 }
 
 // New returns a tracker. It uses the store only while Run runs.
@@ -141,16 +156,20 @@
 	if stream == "" {
 		return
 	}
-	id := idOf(stream)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.remember(idOf(stream), origin, now)
+}
+
+// remember records an origin. t.mu must be held.
+func (t *Tracker) remember(id streamID, origin Origin, now time.Time) {
 	t.version(origin).usedAt = now
 	origins := t.streams[id]
 	if i := slices.IndexFunc(origins, func(o recordedOrigin) bool { return o.Origin == origin }); i >= 0 {
 		origins[i].at = now
 		return
 	}
-	t.streams[id] = append(origins, recordedOrigin{origin, now})
+	t.streams[id] = append(origins, recordedOrigin{Origin: origin, at: now})
 	t.unsaved = true
 }
 
@@ -159,8 +178,8 @@
 // versions may continue it: the stream went to other services only, or each of several
 // services has no more than one version. If the origin is not known for certain, Resolve
 // returns an error of kind failure.NoEndpoint with the outcome failure.NotRun. It may read
-// the store twice and wait for origins that are being written, for less than a second while
-// the store answers.
+// the store twice and wait for origins that are being written, for little more than a second
+// while the store answers.
 func (t *Tracker) Resolve(ctx context.Context, stream string, services []string) (Origin, *failure.Error) {
 	arrival := time.Now()
 	origin, result := t.resolveFromMemory(stream, services, arrival)
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -111,7 +111,7 @@
 	n.buildRights()
 	n.buildCatalog()
 	n.lineage = lineage.New(lineage.Options{Incarnation: n.self.Incarnation, Store: opts.Store, StoreEra: n.storeEra,
-		ListConfirmed: n.replica.Confirmed, Rank: n.leaderRank, Log: n.log, Registerer: opts.Registry})
+		ListConfirmed: n.replica.Confirmed, Rank: n.leaderRank, Peers: n.peers, Collectors: n.originCollectors, Log: n.log, Registerer: opts.Registry})
 	tracker := quarantine.New(quarantine.Options{}, opts.Registry)
 	n.crashes = &crashGuard{Tracker: tracker, culpritFinder: newCulpritFinder(culpritOptions{
 		self: n.self, peers: n.peers, roster: n.roster, store: opts.Store, prober: n.client, storeEra: n.storeEra,
@@ -266,6 +266,35 @@
 	return rank
 }
 
+// originCollectorCount is the number of instances that write the origins of streams to the
+// store for all. Each write is a call of the store, whose rate the whole fleet shares.
+const originCollectorCount = 3
+
+// originCollectors is Collectors of package lineage: the first leaders, those of this failure
+// domain before others.
+func (n *Node) originCollectors() (addresses []string, self bool) {
+	leaders, _ := n.roster.Leaders(targetLeaders)
+	candidates := slices.DeleteFunc(append(n.roster.Others(), n.self), func(id peer.Identity) bool { return !leaders[id.Incarnation] })
+	slices.SortFunc(candidates, func(a, b peer.Identity) int {
+		return cmp.Or(cmp.Compare(rendezvous.Hash(a.Incarnation), rendezvous.Hash(b.Incarnation)), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	candidates = candidates[:min(originCollectorCount, len(candidates))]
+	slices.SortStableFunc(candidates, func(a, b peer.Identity) int {
+		distance := func(id peer.Identity) int {
+			if id.Domain == n.self.Domain {
+				return 0
+			}
+			return 1
+		}
+		return distance(a) - distance(b)
+	})
+	for _, id := range candidates {
+		addresses = append(addresses, id.Address)
+		self = self || id.Incarnation == n.self.Incarnation
+	}
+	return addresses, self
+}
+
 // witnessAddresses returns the addresses of all instances that may know the sums of rights:
 // also those that a restored list of instances lacks.
 func (n *Node) witnessAddresses() []string {
@@ -389,6 +418,7 @@
 	n.witnesses.RegisterPeer(transport)
 	n.crashes.registerPeer(transport)
 	n.limits.registerPeer(transport)
+	n.lineage.RegisterPeer(transport)
 	listener, err := n.opts.Listen(n.opts.PeerAddress)
 	if err != nil {
 		n.log.WithError(err).Error("cannot open the listener for other instances")
