--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -272,10 +272,15 @@
 const originCollectorCount = 3
 
 // originCollectors is Collectors of package lineage: the first leaders, those of this failure
-// domain before others.
+// domain before others. In a small fleet each instance writes its own origins, which saves the
+// time of the transfer.
 func (n *Node) originCollectors() (addresses []string, self bool) {
+	others := n.roster.Others()
+	if len(others) < targetLeaders {
+		return nil, true
+	}
 	leaders, _ := n.roster.Leaders(targetLeaders)
-	candidates := slices.DeleteFunc(append(n.roster.Others(), n.self), func(id peer.Identity) bool { return !leaders[id.Incarnation] })
+	candidates := slices.DeleteFunc(append(others, n.self), func(id peer.Identity) bool { return !leaders[id.Incarnation] })
 	slices.SortFunc(candidates, func(a, b peer.Identity) int {
 		return cmp.Or(cmp.Compare(rendezvous.Hash(a.Incarnation), rendezvous.Hash(b.Incarnation)), cmp.Compare(a.Incarnation, b.Incarnation))
 	})
