Begin no streams at a version that returned and whose removal went unnoticed

Instances other than the first one kept a version marked as recorded after the first one had removed it, so that MayBegin was true as soon as it was listed again.

--- a/pkg/lineage/record.go
+++ b/pkg/lineage/record.go
@@ -23,6 +23,9 @@
 	// incompleteReadInterval is the delay between two reads of a record that another instance
 	// may complete.
 	incompleteReadInterval = 2 * time.Second
+	// maxDelayedRank is the rank from which all instances have the same delay, so that none
+	// learns later of a version than its streams may begin.
+	maxDelayedRank = 14
 )
 
 // storedVersions is the durable record: the possible versions by service.
@@ -41,7 +44,7 @@
 	era      uint64    // of the store at readAt
 	savedEra uint64    // storedVersions.Era
 	complete bool      // it lacks no version that may have begun a stream
-	unsure   bool      // a write may have taken effect since
+	unsure   bool      // it may have changed since
 }
 
 // isCertainAt reports whether the record had all versions at a time at or after at.
@@ -158,7 +161,7 @@
 		keep.due = time.Time{}
 		return keep.due
 	case keep.due.IsZero() && t.hasReadRecord():
-		keep.due = now.Add(time.Duration(rank)*t.opts.Timing.RankDelay + rand.N(3*t.opts.Timing.RankDelay))
+		keep.due = now.Add(time.Duration(min(rank, maxDelayedRank))*t.opts.Timing.RankDelay + rand.N(3*t.opts.Timing.RankDelay))
 	}
 	if now.Before(keep.due) {
 		return keep.due
--- a/pkg/lineage/tracker_test.go
+++ b/pkg/lineage/tracker_test.go
@@ -213,6 +213,33 @@
 	})
 }
 
+// Guards against an instance that has not noticed that a version was removed from the record, and begins streams at it when it is back.
+func TestVersionThatComesBackIsRecordedAgain(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.list(v1, v2)
+		x := w.start(3)
+		time.Sleep(settled)
+		w.list(v2)
+		for removed := func() bool { return slices.Equal(w.storedVersions(), []string{"v2"}) }; !removed(); time.Sleep(callDelay) {
+		}
+		w.store.set(func(s *memoryStore) { s.unavailable = true })
+		w.list(v1, v2)
+		time.Sleep(settled)
+		for _, y := range x {
+			if y.MayBegin("s", "v1", time.Now()) {
+				t.Errorf("instance %s begins streams at a version that the record lacks", y.opts.Incarnation)
+			}
+		}
+		w.store.set(func(s *memoryStore) { s.unavailable = false })
+		time.Sleep(settled)
+		for _, y := range x {
+			if !y.MayBegin("s", "v1", time.Now()) {
+				t.Errorf("instance %s begins no streams", y.opts.Incarnation)
+			}
+		}
+	})
+}
+
 // Guards against versions and keys that stay in the store, so that origins are published for ever.
 func TestVersionThatLeftIsForgotten(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
--- a/pkg/lineage/versions.go
+++ b/pkg/lineage/versions.go
@@ -92,6 +92,9 @@
 	}
 	for _, e := range list.Endpoints {
 		v := t.version(Origin{e.Service, e.SoftwareVersion})
+		if v.stored && now.Sub(v.usedAt) > t.opts.Timing.Retention {
+			v.stored, t.record.unsure = false, true // the first instance may have removed it
+		}
 		v.listed, v.usedAt = true, now
 	}
 	t.wakeUp()
