Do not repeat a request on the connection of its error in pkg/relay

A caller may repeat a chat under its request ID after an error. pkg/relay sent it again over the kept connection that had carried the error, so that a late copy of that error, which names the same ID, counted as the answer. The engine did not know the stream yet, and a stream that runs was reported as not begun.

The recorder of each connection now remembers the IDs of the requests that were refused on it, as hashes. It closes the connection before such a request is written; net/http sends it on another one. If a copy arrives in between, the answer is not used. A connection with 64 refusals is closed too.

This costs a new connection for a repeat that meets the connection of its error, and one for 64 errors.

--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -49,6 +50,7 @@
 	// unpooled opens a new connection for each request. net/http retries a
 	// request by itself only on a reused connection, so it never does so here.
 	unpooled *http.Transport
+	seed     maphash.Seed // of the hashes of request IDs
 
 	mu           sync.Mutex
 	incarnations map[string]string // by endpoint id
@@ -69,7 +71,8 @@
 	pooled := newTransport(opts)
 	unpooled := newTransport(opts)
 	unpooled.DisableKeepAlives = true
-	return &Client{opts: opts, pooled: pooled, unpooled: unpooled, incarnations: map[string]string{}, naming: map[string]bool{}}
+	return &Client{opts: opts, pooled: pooled, unpooled: unpooled, seed: maphash.MakeSeed(),
+		incarnations: map[string]string{}, naming: map[string]bool{}}
 }
 
 func newTransport(opts Options) *http.Transport {
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"hash/maphash"
 	"net/http"
 
 	"github.com/clementinerack/clementinerack/pkg/splice"
@@ -18,17 +19,22 @@
 	if !newConn && c.namesRequests(endpointID) {
 		transport = c.pooled
 	}
-	ctx, usedRecorder := withRecorder(req.Context())
+	requestID := req.Header.Get(requestIDHeader)
+	hash := maphash.String(c.seed, requestID)
+	ctx, usedRecorder := withRecorder(req.Context(), hash)
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
+	r := usedRecorder()
+	if r != nil {
+		defer r.release()
+	}
 	if err != nil {
 		return nil, err
 	}
 	c.reportDraining(endpointID, resp.Header) // whatever request the answer belongs to
-	names, foreign := identify(resp.Header, req.Header.Get(requestIDHeader))
+	names, foreign := identify(resp.Header, requestID)
 	c.recordNamesRequests(endpointID, names)
-	r := usedRecorder()
 	switch {
-	case foreign || transport == c.pooled && !names:
+	case foreign || transport == c.pooled && !names || r != nil && r.declined:
 		err = errForeignAnswer
 	case r != nil:
 		err = r.checkHead()
@@ -37,6 +43,9 @@
 		_ = resp.Body.Close() // closes the connection
 		return nil, err
 	}
+	if r != nil && resp.StatusCode >= http.StatusBadRequest {
+		r.recordRefusal(hash)
+	}
 	if r != nil && resp.ContentLength > 0 {
 		resp.Body = splice.NewBody(resp.Body, func() []byte { return r.after(resp.ContentLength) })
 	}
--- a/pkg/relay/recorder.go
+++ b/pkg/relay/recorder.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http/httptrace"
+	"slices"
 	"sync"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
@@ -14,8 +15,13 @@
 // what was read into the buffer can exceed a body.
 const maxLatestBytes = 4 << 10
 
+// maxRefusedRequests bounds the IDs of refused requests that a connection remembers. After
+// as many refusals it is closed.
+const maxRefusedRequests = 64
+
 // recorder is a connection to an endpoint that records what net/http does not show of a
 // response: the bytes of its head, of which some fields are deleted, and those after its body.
+// It carries no request again that was refused on it.
 type recorder struct {
 	net.Conn
 
@@ -24,6 +30,12 @@
 	complete  bool   // received contains a final head, or is too long for one
 	bodyBytes int64  // received after the head
 	latest    []byte // of the latest read, if it has at most maxLatestBytes
+
+	// inUse is held from start to release. net/http may hand the connection to the next
+	// request before the caller has received the answer to the previous one.
+	inUse    sync.Mutex
+	refused  []uint64 // hashes of the IDs of the requests that were refused on this connection
+	declined bool     // the latest request was not sent on this connection
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -39,25 +51,43 @@
 	}
 }
 
-// withRecorder returns a context whose request starts the recorder of its connection. used
-// returns that recorder once the request has a connection.
-func withRecorder(ctx context.Context) (_ context.Context, used func() *recorder) {
+// withRecorder returns a context whose request, with the ID of the given hash, starts the
+// recorder of its connection. used returns that recorder, which the caller must release,
+// once the request was sent, or nil.
+func withRecorder(ctx context.Context, id uint64) (_ context.Context, used func() *recorder) {
 	var r *recorder
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
+		if r != nil {
+			r.release() // net/http could not write to it
+		}
 		if r, _ = info.Conn.(*recorder); r != nil {
-			r.start()
+			r.start(id)
 		}
 	}}
 	return httptrace.WithClientTrace(ctx, trace), func() *recorder { return r }
 }
 
-// start forgets what was received for earlier requests.
-func (r *recorder) start() {
+// start forgets what was received for earlier requests. If the request was refused on this
+// connection before, it closes the connection: a copy of the refusal would look like the
+// new answer. net/http then sends the request, of which no byte was written, on another
+// connection.
+func (r *recorder) start(id uint64) {
+	r.inUse.Lock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.received, r.complete, r.bodyBytes = nil, false, 0
+	if r.declined = len(r.refused) >= maxRefusedRequests || slices.Contains(r.refused, id); r.declined {
+		_ = r.Close()
+	}
 }
 
+// recordRefusal records that the request with the ID of the given hash was refused. It must
+// be called between start and release.
+func (r *recorder) recordRefusal(id uint64) { r.refused = append(r.refused, id) }
+
+// release ends the use by the request of the latest start, whose answer has arrived.
+func (r *recorder) release() { r.inUse.Unlock() }
+
 // Read implements net.Conn.
 func (r *recorder) Read(p []byte) (int, error) {
 	n, err := r.Conn.Read(p)
