Report a stream as not started only if it was refused

A stream whose attempt failed counted as not started, without a charge, as soon as the engine did not know it when it was cancelled. But the engine may start it later if it was sent on an earlier connection that got no answer, and it has started it if it answered with 200.

The 404 of the cancel now counts only if the request was sent once and answered with an error. Otherwise the outcome is unknown and the whole reservation is charged.

--- a/pkg/relay/cancel.go
+++ b/pkg/relay/cancel.go
@@ -43,9 +43,8 @@
 	switch {
 	case err == nil:
 		a.result.Outcome, a.result.Usage = Partial, usage
-	case endpointErr != nil && !a.result.Delivered && errors.As(err, &status) && status == http.StatusNotFound:
-		// The engine answered the request with an error and does not know the
-		// stream, so it did not start it.
+	case endpointErr != nil && endpointErr.refused && errors.As(err, &status) && status == http.StatusNotFound:
+		// The engine does not know the stream, so it did not start it.
 		a.result.Outcome = Partial
 	}
 }
--- a/pkg/relay/chunk.go
+++ b/pkg/relay/chunk.go
@@ -97,7 +97,7 @@
 // responseError returns the error of an answer with a status other than 200.
 func (a *modelAttempt) responseError(resp *http.Response) error {
 	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBytes)) // an incomplete text is acceptable
-	e := &endpointError{streamLost: resp.StatusCode == http.StatusNotFound && a.result.Reconnects > 0}
+	e := &endpointError{streamLost: resp.StatusCode == http.StatusNotFound && a.result.Reconnects > 0, refused: !a.sentEarlier}
 	switch resp.StatusCode {
 	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusUnprocessableEntity:
 		e.err = failure.New(failure.Invalid, "correct the request", "the engine refused the request: %s", truncateText(string(text)))
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -61,6 +61,7 @@
 type endpointError struct {
 	err        *failure.Error
 	streamLost bool // the engine no longer has the stream
+	refused    bool // the engine answered the only request with an error
 }
 
 func (e *endpointError) Error() string { return e.err.Error() }
@@ -70,6 +71,7 @@
 	client        *Client
 	call          *ModelCall
 	sent          atomic.Bool // a byte of the request may have been written
+	sentEarlier   bool        // sent was set before the latest connection
 	startedAt     time.Time
 	buffer        reorderBuffer
 	usage         *Usage
@@ -184,6 +186,7 @@
 		return nil, &endpointError{err: failure.New(failure.EndpointFailed, "correct the endpoint's address in the configuration",
 			"endpoint %q has a malformed address", a.call.Endpoint.ID)}
 	}
+	a.sentEarlier = a.sent.Load()
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set("Accept", "text/event-stream")
 	req.Header.Set(clientHeader, a.client.opts.Instance)
--- a/pkg/relay/relay_test.go
+++ b/pkg/relay/relay_test.go
@@ -185,6 +185,10 @@
 			outcome: Unknown, events: "1", kind: failure.Truncated, endpointAtFault: true, reconnects: 2, cancels: 1},
 		{desc: "busy engine did not start the stream", script: script{respondStatus(503)},
 			outcome: Partial, kind: failure.EndpointFailed, endpointAtFault: true, cancels: 1},
+		{desc: "busy engine may still start the stream of an unanswered connection", script: script{silentAfter(), respondStatus(503)},
+			outcome: Unknown, kind: failure.EndpointFailed, endpointAtFault: true, reconnects: 1, cancels: 1},
+		{desc: "stream that began is unknown", script: script{func(w http.ResponseWriter, _ int) { _, _ = io.WriteString(w, "data: {}\n\n") }},
+			outcome: Unknown, kind: failure.EndpointFailed, endpointAtFault: true, cancels: 1},
 		{desc: "engine refuses the request", script: script{respondStatus(400)}, outcome: Partial, kind: failure.Invalid, cancels: 1},
 		{desc: "events without numbers", script: script{func(w http.ResponseWriter, _ int) {
 			_, _ = io.WriteString(w, "data: {}\n\n")
