Tell the copy of a report from the report of a probe

Probes carried no ID and reused their connection, so that a late copy of an earlier report counted as the next one, and hid for example that the endpoint drains.

Each probe now has an X-Request-Id, and a connection is kept only to an endpoint that repeats it, as pkg/relay does. A report on a kept connection that does not repeat it is discarded, and the probe goes out again on a new connection.

TestCopiedReportIsNotTheAnswerToTheNextProbe failed in both cases and passes, also 20 times in a row. TestConnectionIsKeptForReportsWithID is new: at most 2 connections for 10 probes. go test -race ./pkg/probe passes.

--- a/pkg/probe/client.go
+++ b/pkg/probe/client.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -16,29 +19,73 @@
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
-const maxReportBytes = 64 << 10 // a report has about 100 bytes
+const (
+	maxReportBytes  = 64 << 10 // a report has about 100 bytes
+	requestIDHeader = "X-Request-Id"
+)
 
 // client reads the load reports of endpoints. It does not follow redirects, which no
 // endpoint sends according to docs/protocols.md.
 type client struct {
 	instanceID string
-	http       *http.Client
+	pooled     *http.Client
+	unpooled   *http.Client  // opens a new connection for each probe
+	sent       atomic.Uint64 // probes, of which it numbers the IDs
+	naming     sync.Map      // addresses of the endpoints that repeat request IDs in their reports
 }
 
 func newClient(o Options) *client {
-	transport := o.Transport
+	return &client{instanceID: o.Instance, pooled: newHTTPClient(o.Transport, false), unpooled: newHTTPClient(o.Transport, true)}
+}
+
+// newHTTPClient returns a client that uses transport, or a new one if it is nil.
+func newHTTPClient(transport http.RoundTripper, disableKeepAlives bool) *http.Client {
 	if transport == nil {
-		transport = &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, MaxResponseHeaderBytes: limits.ResponseHeadBytes}
+		transport = &http.Transport{
+			MaxIdleConnsPerHost: 1, IdleConnTimeout: time.Minute, DisableKeepAlives: disableKeepAlives, MaxResponseHeaderBytes: limits.ResponseHeadBytes,
+		}
 	}
-	return &client{o.Instance, &http.Client{
+	return &http.Client{
 		Transport: transport,
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
-	}}
+	}
+}
+
+func (c *client) close() {
+	c.pooled.CloseIdleConnections()
+	c.unpooled.CloseIdleConnections()
 }
 
-func (c *client) close() { c.http.CloseIdleConnections() }
+// send sends a probe to an address and returns the response to it. It uses a kept
+// connection only if the endpoint repeats request IDs: otherwise the late copy of an
+// earlier report could not be told from the new one.
+func (c *client) send(req *http.Request, address string) (*http.Response, error) {
+	id := fmt.Sprintf("probe-%d", c.sent.Add(1))
+	req.Header.Set(requestIDHeader, id)
+	if _, ok := c.naming.LoadAndDelete(address); ok {
+		resp, err := c.pooled.Do(req)
+		if err != nil || c.recordNaming(address, id, resp.Header) {
+			return resp, err
+		}
+		_ = resp.Body.Close()
+	}
+	resp, err := c.unpooled.Do(req)
+	if err == nil {
+		c.recordNaming(address, id, resp.Header)
+	}
+	return resp, err
+}
+
+// recordNaming records and reports whether a report repeats the ID of its probe.
+func (c *client) recordNaming(address, id string, report http.Header) bool {
+	names := report.Get(requestIDHeader) == id
+	if names {
+		c.naming.Store(address, nil)
+	}
+	return names
+}
 
 // report is the response to a probe. An app sends only some of the fields.
 type report struct {
@@ -60,7 +107,7 @@
 		return routing.Load{}, errors.Wrapf(err, "create probe of endpoint %q", endpoint.ID)
 	}
 	req.Header.Set("X-Client", c.instanceID)
-	resp, err := c.http.Do(req)
+	resp, err := c.send(req, endpoint.Address)
 	if err != nil {
 		return routing.Load{}, errors.Wrapf(err, "probe endpoint %q", endpoint.ID)
 	}
