Use no connection to the store again after a refusal

Both clients of the store kept the connection of a 503 or 429 and took the next response on it for that to the next write. A late copy of the refusal then made a write that took effect count as one without effect (failure.Unavailable), on which the rights ledger relies. No report names such copies from a store, so that this is a precaution.

pkg/keepalive closes a connection after a refusal, before net/http writes the next request to it; net/http then sends that on another connection. It waits until the previous caller has its response, which was lost otherwise in trials.

TestCopiedRefusalIsNotTheAnswerToAWrite and TestCopiedRefusalIsNotTheAnswerToATransaction (429, 503) failed and pass, also 20 times in a row. go test -race passes for pkg/kvstore, platform and pkg/keepalive.

--- a/pkg/kvstore/http.go
+++ b/pkg/kvstore/http.go
@@ -15,6 +15,7 @@
 	"github.com/sony/gobreaker/v2"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/keepalive"
 	"github.com/clementinerack/clementinerack/pkg/limits"
 )
 
@@ -70,7 +71,7 @@
 		c.transport.TLSClientConfig = opts.TLS.Clone()
 	}
 	c.http = &http.Client{
-		Transport:     c.transport,
+		Transport:     keepalive.New(c.transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 	c.ctx, c.cancel = context.WithCancel(context.Background())
