Remember refusals with any status in pkg/relay

The recorder remembered only answers from status 400 on, while an attempt at a model counts every status but 200 as an error of the engine, so that the copy of a 202 or 302 still counted as the answer to a repeat.

Every status but 200 now counts.

The cases 202 and 302 of TestCopiedErrorIsNotTheAnswerToARepeat failed and pass. go test -race ./pkg/relay passes.

--- a/pkg/relay/copiedanswers_test.go
+++ b/pkg/relay/copiedanswers_test.go
@@ -16,7 +16,7 @@
 
 // Guards against the copy of an error that is taken for the answer to the same request when it is sent again over a kept connection.
 func TestCopiedErrorIsNotTheAnswerToARepeat(t *testing.T) {
-	for _, status := range []int{429, 503, 500, 400} {
+	for _, status := range []int{202, 302, 400, 429, 500, 503} {
 		var mu sync.Mutex
 		var runs atomic.Int64
 		sent := map[net.Conn]int{}
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -43,7 +43,7 @@
 		_ = resp.Body.Close() // closes the connection
 		return nil, err
 	}
-	if r != nil && resp.StatusCode >= http.StatusBadRequest {
+	if r != nil && resp.StatusCode != http.StatusOK { // engines accept a request with 200 only
 		r.recordRefusal(hash)
 	}
 	if r != nil && resp.ContentLength > 0 {
