Close the connection of a foreign answer without a body

An answer that does not name its request ends the connection, because the right answer may still come. But net/http had put the connection back already if the body was empty, so that a repeat under the same ID could get the answer to the first sending.

roundTrip closes the connection itself.

TestConnectionOfForeignAnswerIsClosed failed (another request on the connection) and passes. go test -race ./pkg/relay passes.

--- a/pkg/relay/copiedanswers_test.go
+++ b/pkg/relay/copiedanswers_test.go
@@ -96,3 +96,31 @@
 	}
 	t.Logf("%d connections for %d requests", connections.Load(), callers*requests)
 }
+
+// Guards against a repeat on a connection on which the answer to its first sending is still due, behind an empty one to another request.
+func TestConnectionOfForeignAnswerIsClosed(t *testing.T) {
+	var mu sync.Mutex
+	sent := map[net.Conn]int{}
+	address := startRawEndpoint(t, func(q *http.Request, c net.Conn) bool {
+		id := q.Header.Get(requestIDHeader)
+		mu.Lock()
+		defer mu.Unlock()
+		switch sent[c]++; sent[c] {
+		case 2:
+			id = "former"
+		case 3:
+			t.Error("another request on the connection")
+		}
+		_, err := io.WriteString(c, rawAnswer(http.StatusOK, id, ""))
+		return err == nil
+	})
+	client := New(Options{Instance: "test"})
+	defer client.Close()
+	for i, want := range []Outcome{Complete, Complete, Unknown, Complete, Complete} {
+		res := client.SendApp(context.Background(), AppCall{Endpoint: config.Endpoint{ID: "e", Address: address}, Method: http.MethodGet, Path: "/x",
+			RequestID: "r", Repeatable: true, Sink: &recordingSink{}})
+		if res.Outcome != want {
+			t.Errorf("request %d: %v, %v", i, res.Outcome, res.Err)
+		}
+	}
+}
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -40,7 +40,10 @@
 		err = r.checkHead()
 	}
 	if err != nil {
-		_ = resp.Body.Close() // closes the connection
+		_ = resp.Body.Close()
+		if r != nil {
+			_ = r.Close() // net/http keeps the connection if the body is empty
+		}
 		return nil, err
 	}
 	if r != nil && resp.StatusCode != http.StatusOK { // engines accept a request with 200 only
