Return io.EOF again after the end of a response

Response.Read passed a read after the end of the body on to splice.Body, which looks into the buffer of a connection that another request may use by then.

Read returns io.EOF once the connection is released.

--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -54,6 +54,9 @@
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a
 // complete body. The connection can then be reused.
 func (r *Response) Read(p []byte) (int, error) {
+	if r.released {
+		return 0, io.EOF // another request may use the connection
+	}
 	n, err := r.resp.Body.Read(p)
 	if err == io.EOF {
 		r.releaseConn()
@@ -65,9 +68,6 @@
 // if the end of the body did not depend on the end of the connection, if the
 // endpoint allows it, and if it has not refused too many requests on it.
 func (r *Response) releaseConn() {
-	if r.released {
-		return // another request may use the connection
-	}
 	r.released = true
 	timeout := idleTimeout(r.Header)
 	x := r.exchange
