--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -294,6 +294,7 @@
 // unless another attempt may replace it.
 func (q *request) handleResponse(ctx context.Context, c *placement.Choice, s *streamState, resp *upstream.Response) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
 	if rejected, moved := q.g.opts.Codec.IsRejected(resp.Status, resp.Header); rejected {
+		resp.MarkRefused()
 		if !resp.EndsWithConnection {
 			_ = resp.Discard() // makes the connection reusable, or fails and has it closed
 		}
--- a/pkg/gateway/copiedrefusals_test.go
+++ b/pkg/gateway/copiedrefusals_test.go
@@ -65,7 +65,7 @@
 
 // Guards against the copy of a refusal that is taken for the answer to the same request at an endpoint with the same address.
 func TestCopiedRefusalAtSharedAddressIsNotTheAnswer(t *testing.T) {
-	for _, status := range []int{421, 429, 503} {
+	for _, status := range []int{200, 302, 400, 421, 429, 503} {
 		for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
 			for _, others := range []int{0, 1} {
 				t.Run(fmt.Sprintf("%d%s/%d others", status, path, others), func(t *testing.T) {
@@ -103,7 +103,7 @@
 
 // Guards against the copy of a refusal that is taken for the answer to the same request when its caller repeats it.
 func TestCopiedRefusalIsNotTheAnswerToARepeat(t *testing.T) {
-	for _, status := range []int{421, 429, 503} {
+	for _, status := range []int{200, 302, 400, 421, 429, 503} {
 		for _, path := range []string{"/book/1", "/once/1", "/look/1", "/chat/1"} {
 			t.Run(fmt.Sprintf("%d%s", status, path), func(t *testing.T) {
 				t.Parallel()
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -40,6 +40,7 @@
 
 	resp     *http.Response
 	exchange *exchange
+	refused  bool // set by MarkRefused
 	released bool // by releaseConn
 }
 
@@ -61,6 +62,10 @@
 	return n, err
 }
 
+// MarkRefused records that the endpoint refused the request, whatever the status: the request
+// is not sent again on this connection. It must be called before the end of the body is read.
+func (r *Response) MarkRefused() { r.refused = true }
+
 // releaseConn ends the exchange after the end of the body. The connection is reused
 // if the end of the body did not depend on the end of the connection, if the
 // endpoint allows it, and if it has not refused too many requests on it.
@@ -72,7 +77,7 @@
 	timeout := idleTimeout(r.Header)
 	x := r.exchange
 	reuse := !r.EndsWithConnection && !r.resp.Close && timeout > 0
-	if r.Status >= http.StatusBadRequest && x.req.ID != "" {
+	if (r.refused || r.Status >= http.StatusBadRequest) && x.req.ID != "" {
 		x.conn.refused = append(x.conn.refused, x.client.hashID(x.req.ID))
 		reuse = reuse && len(x.conn.refused) < maxRefusedRequests
 	}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -145,8 +145,8 @@
 	reader        *bufio.Reader
 	reused        bool      // an earlier request has used it
 	reusableUntil time.Time // when the endpoint may close it
-	// refused holds the hashes of the IDs of the requests that were answered with an error
-	// on this connection.
+	// refused holds the hashes of the IDs of the requests that were refused or answered with
+	// an error on this connection.
 	refused []uint64
 	// headBytesLeft is how many more bytes may be received for the head that is being
 	// read, or unlimited. headBytes are those received so far.
@@ -203,8 +203,8 @@
 // hashID returns the hash of a request ID. A collision costs only a new connection.
 func (c *Client) hashID(id string) uint64 { return maphash.String(c.seed, id) }
 
-// hasRefused reports whether the request whose ID has the given hash was answered with an
-// error on this connection.
+// hasRefused reports whether the request whose ID has the given hash was refused or answered
+// with an error on this connection.
 func (c *conn) hasRefused(hash uint64) bool { return slices.Contains(c.refused, hash) }
 
 // isReusable reports whether the connection is open and no unread data has arrived
