Bound the memory of responses under way as a whole

Only each response had a bound: 4 MiB for a body, 1 MiB for an event, 64 KiB for a head, which takes 1 MiB once it is parsed if its fields are short. Endpoints that send without end on many requests at once made an instance keep the sum, beyond its memory. A budget of an eighth of the runtime's memory limit now bounds what responses take together beyond their first 8 KiB; the responses of one endpoint may take at most as much as is left. A body that finds nothing left is forwarded as it arrives, as longer ones already were; a stream ends at an event and an attempt at a head that do. Bodies that are forwarded take 8 KiB instead of 32, and idle connections keep no long heads. A gauge shows what is held.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/upstream"
 )
@@ -49,13 +50,18 @@
 )
 
 // maxBufferedResponseBytes bounds the responses that are buffered until they are
-// complete. Larger ones are forwarded as they arrive and cannot be retried.
+// complete. Larger ones, and those for which the memory budget has too little left, are
+// forwarded as they arrive and cannot be retried.
 const maxBufferedResponseBytes = 4 << 20
 
 // errEmptyBody means that an endpoint closed its connection after the head of a response
 // whose body ends with the connection, which a sound endpoint has no reason to do.
 var errEmptyBody = errors.New("the body is empty and ends with the connection")
 
+// copyBufferBytes is the memory that a response takes while it is forwarded as it arrives. It
+// is smaller than the default of net/http, because no budget bounds it.
+const copyBufferBytes = 8 << 10
+
 // maxExtraAttempts bounds the attempts beyond Route.MaxAttempts, which counts only
 // those that may have run. It keeps a request from trying every endpoint of a
 // service in a partitioned failure domain.
@@ -83,6 +89,7 @@
 		s.lastNumber, s.hasLastNumber = n, true
 	}
 	var lastErrorResponse *bufferedResponse // latest 5xx of an endpoint
+	defer func() { lastErrorResponse.free() }()
 	for tries := 0; ; tries++ {
 		if err := q.checkTraits(time.Now()); err != nil {
 			q.giveUp(ctx, s, lastErrorResponse, failure.From(err))
@@ -103,6 +110,7 @@
 			q.reachedAttempts++
 		}
 		if errorResponse != nil {
+			lastErrorResponse.free()
 			lastErrorResponse = errorResponse
 		}
 		if status == attemptDone {
@@ -174,6 +182,14 @@
 	status int
 	header http.Header
 	body   []byte
+	memory *membudget.Account // of header and body, nil if the upstream response holds it
+}
+
+// free returns the memory of a response, which may be nil.
+func (r *bufferedResponse) free() {
+	if r != nil {
+		r.memory.Close()
+	}
 }
 
 // tryEndpoint sends the request to one endpoint, handles the response, and reports
@@ -317,9 +333,11 @@
 	if success {
 		q.recordSurvival(now)
 	}
-	buffered := &bufferedResponse{resp.Status, resp.Header, body}
+	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	result := "answered " + strconv.Itoa(resp.Status)
 	if resp.Status >= 500 {
+		buffered.memory = resp.Memory()
+		resp.KeepMemory()
 		return attemptFailed, placement.Failed, result, buffered
 	}
 	if s.started {
@@ -346,15 +364,16 @@
 	_, _ = q.w.Write(resp.body) // fails only if the caller has disconnected
 }
 
-// forwardLargeResponse forwards a response that exceeds maxBufferedResponseBytes as
-// it arrives. head is the part of the body that was already read. If the response
+// forwardLargeResponse forwards a response that was too large to be buffered as it
+// arrives. head is the part of the body that was already read. If the response
 // is interrupted, the connection to the caller is closed before the end of the body.
 func (q *request) forwardLargeResponse(resp *upstream.Response, head []byte) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
 	q.status = resp.Status
 	q.writeHeader(resp.Status, resp.Header, int(resp.Length))
 	_, err := q.w.Write(head)
+	resp.Memory().Free(head)
 	if err == nil {
-		_, err = io.Copy(q.w, resp)
+		_, err = io.CopyBuffer(struct{ io.Writer }{q.w}, resp, make([]byte, copyBufferBytes))
 	}
 	if err != nil {
 		q.err = failure.New(failure.Truncated, "repeat the request if it may run twice", "the response was interrupted: %v", err)
@@ -380,7 +399,7 @@
 // forwardStream forwards the events of a stream as they arrive and skips those that
 // the caller already has.
 func (q *request) forwardStream(c *placement.Choice, s *streamState, resp *upstream.Response) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
-	events := newEventReader(resp)
+	events := newEventReader(resp, resp.Memory())
 	s.isResuming = s.hasLastNumber
 	control := http.NewResponseController(q.w)
 	survived := false
--- a/pkg/gateway/events.go
+++ b/pkg/gateway/events.go
@@ -7,6 +7,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 )
 
 // maxEventBytes bounds the size of one event of a stream.
@@ -14,6 +16,9 @@
 
 var (
 	errEventTooLarge = errors.New("event of a stream exceeds 1 MiB")
+	// errNoMemoryForEvent means that the responses of the endpoint, or of all endpoints, already
+	// take the memory that they may take.
+	errNoMemoryForEvent = errors.New("no memory is left for an event of a stream")
 	// errIncompleteEvent means that a stream was interrupted. Its framing cannot show
 	// that if the body ends with the connection.
 	errIncompleteEvent = errors.New("the stream ended inside an event")
@@ -28,6 +33,7 @@
 // once.
 type eventReader struct {
 	src       io.Reader
+	memory    *membudget.Account // of buf
 	buf       []byte
 	scanned   int // length of the prefix of buf that scan has read
 	lineStart int // of the line that is not complete in that prefix
@@ -38,8 +44,8 @@
 // initialEventBytes is the first size of the buffer, which most events fit.
 const initialEventBytes = 1024
 
-func newEventReader(src io.Reader) *eventReader {
-	return &eventReader{src: src, buf: make([]byte, 0, initialEventBytes)}
+func newEventReader(src io.Reader, memory *membudget.Account) *eventReader {
+	return &eventReader{src: src, memory: memory, buf: make([]byte, 0, initialEventBytes)}
 }
 
 // next blocks until at least one complete event has arrived and returns all
@@ -70,26 +76,34 @@
 	}
 }
 
-// dropReturned removes what the last call of next returned from the buffer.
+// dropReturned removes what the last call of next returned from the buffer, and replaces a
+// buffer that was only needed for a long event.
 func (r *eventReader) dropReturned() {
-	r.scanned, r.lineStart, r.end = r.scanned-r.returned, r.lineStart-r.returned, 0
-	r.buf = append(r.buf[:0], r.buf[r.returned:]...)
-	r.returned = 0
+	rest := r.buf[r.returned:]
+	r.scanned, r.lineStart, r.end, r.returned = r.scanned-r.returned, r.lineStart-r.returned, 0, 0
+	if cap(r.buf) > membudget.FreeBytes && len(rest) < initialEventBytes {
+		r.memory.Free(r.buf)
+		r.buf = make([]byte, 0, initialEventBytes)
+	}
+	r.buf = append(r.buf[:0], rest...)
 }
 
 // minReadBytes is the space in the buffer below which it grows.
 const minReadBytes = 512
 
 // reserve makes sure that the buffer has space. It fails with errEventTooLarge at a buffer of
-// maxEventBytes.
+// maxEventBytes and with errNoMemoryForEvent if the budget does not allow a larger one.
 func (r *eventReader) reserve() error {
-	if len(r.buf) >= maxEventBytes {
-		return errEventTooLarge
-	}
 	if cap(r.buf)-len(r.buf) < minReadBytes {
-		r.buf = append(make([]byte, 0, 2*cap(r.buf)), r.buf...)
+		r.buf, _ = r.memory.Grow(r.buf, maxEventBytes)
+	}
+	switch {
+	case len(r.buf) < cap(r.buf):
+		return nil
+	case len(r.buf) >= maxEventBytes:
+		return errEventTooLarge
 	}
-	return nil
+	return errNoMemoryForEvent
 }
 
 // scan finds the line ends and the events that are now complete. An event ends with an empty
--- a/pkg/gateway/eventscan_test.go
+++ b/pkg/gateway/eventscan_test.go
@@ -36,7 +36,7 @@
 		b.Run(fmt.Sprintf("%dKiB", (size+1)>>10), func(b *testing.B) {
 			b.SetBytes(int64(size))
 			for b.Loop() {
-				if _, err := newEventReader(&segments{event}).next(); err != nil {
+				if _, err := newEventReader(&segments{event}, nil).next(); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -60,7 +60,7 @@
 
 // New returns a gateway that accepts requests.
 func New(opts Options) *Gateway {
-	g := &Gateway{opts: opts, metrics: newMetrics(opts.Registerer)}
+	g := &Gateway{opts: opts, metrics: newMetrics(opts.Registerer, opts.Client)}
 	g.aborted, g.abort = context.WithCancel(context.Background())
 	return g
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -130,6 +130,7 @@
 	doc     *catalog.Document
 	pool    *placement.Pool
 	retries *gateway.RetryBudget
+	sender  *upstream.Client
 	dial    func(context.Context, string) (net.Conn, error) // nil: the dialer of upstream.New
 	deaths  atomic.Int64
 	traits  *traitLog
@@ -222,6 +223,7 @@
 		client = upstream.NewWithDialer(g.dial)
 	}
 	g.t.Cleanup(client.Close)
+	g.sender = client
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	index := catalog.Index(g.doc)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -6,6 +6,8 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/clementinerack/clementinerack/pkg/upstream"
 )
 
 type metrics struct {
@@ -14,8 +16,10 @@
 	attempts *prometheus.CounterVec
 }
 
-func newMetrics(reg prometheus.Registerer) *metrics {
+func newMetrics(reg prometheus.Registerer, client *upstream.Client) *metrics {
 	f := promauto.With(reg)
+	f.NewGaugeFunc(prometheus.GaugeOpts{Name: "clementinerack_gateway_response_memory_bytes",
+		Help: "Bytes that long responses under way hold of their budget."}, func() float64 { return float64(client.MemoryUsed()) })
 	return &metrics{
 		requests: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_requests_total",
 			Help: "Number of requests, by route kind and result."}, []string{"kind", "result"}),
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -8,12 +8,16 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
 var (
-	// ErrTooLarge means that the body of a response exceeds a limit.
+	// ErrTooLarge means that the body of a response exceeds a limit, or what the budget of
+	// all responses has left for it.
 	ErrTooLarge = errors.New("response body exceeds the limit")
+	// ErrNoMemory means that the budget of all responses has too little left for a head.
+	ErrNoMemory = errors.New("no memory is left for the head of a response")
 	// ErrHeadTooLarge means that the head of a response exceeds
 	// limits.ResponseHeadBytes: the endpoint
 	// sends something else than a response.
@@ -36,13 +40,14 @@
 
 	resp     *http.Response
 	exchange *exchange
+	memory   *membudget.Account
 }
 
 func newResponse(resp *http.Response, x *exchange) *Response {
 	if resp.ContentLength > 0 {
 		resp.Body = splice.NewBody(resp.Body, x.conn.buffered)
 	}
-	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x,
+	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x, memory: x.conn.memory,
 		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody}
 }
 
@@ -66,19 +71,52 @@
 	r.exchange.finish(reuse)
 }
 
-// ReadAll returns the whole body if it has at most limit bytes. Otherwise it returns
-// the first limit+1 bytes and ErrTooLarge; the rest can still be read.
-func (r *Response) ReadAll(limit int64) ([]byte, error) {
-	b, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(b)) > limit {
-		return b, ErrTooLarge
+// initialBodyBytes is the first size of the buffer for a body of unknown length.
+const initialBodyBytes = 512
+
+// ReadAll returns the whole body if it has at most limit bytes and the budget allows it.
+// Otherwise it returns a first part and ErrTooLarge; the rest can still be read. The memory of
+// the result belongs to the response until Memory().Free is called.
+func (r *Response) ReadAll(limit int) ([]byte, error) {
+	size, largest := initialBodyBytes, limit+1
+	if r.Length >= 0 {
+		largest = int(min(r.Length, int64(limit))) + 1 // one more than the body, to read its end
+		size = membudget.FreeBytes
+	}
+	b := make([]byte, 0, min(size, largest))
+	for {
+		if len(b) == cap(b) {
+			grown, ok := r.memory.Grow(b, largest)
+			if !ok {
+				return b, ErrTooLarge
+			}
+			b = grown
+		}
+		n, err := r.Read(b[len(b):cap(b)])
+		b = b[:len(b)+n]
+		switch {
+		case err == io.EOF && len(b) <= limit:
+			return b, nil
+		case err != nil && err != io.EOF:
+			return b, err
+		case len(b) > limit:
+			return b, ErrTooLarge
+		}
 	}
-	return b, err
 }
 
-// Close ends the exchange. If the body was not read to its end, the connection is
-// closed.
-func (r *Response) Close() { r.exchange.finish(false) }
+// Memory returns what the response holds of the budget of all responses.
+func (r *Response) Memory() *membudget.Account { return r.memory }
+
+// KeepMemory makes the caller responsible for closing Memory, which Close then leaves alone.
+func (r *Response) KeepMemory() { r.memory = nil }
+
+// Close ends the exchange and returns Memory. If the body was not read to its end, the
+// connection is closed.
+func (r *Response) Close() {
+	r.exchange.finish(false)
+	r.memory.Close()
+}
 
 // HasContentEncoding reports whether the body has a content encoding other than
 // identity. Requests do not ask for one.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
@@ -44,6 +45,11 @@
 	// maxResponsesRead bounds the responses that are read in search of the one to the
 	// request. Interim responses (1xx) count too.
 	maxResponsesRead = 3
+	// headByteCost and headLineCost estimate, in bytes, the memory that a byte and a line of
+	// a head take once it is parsed.
+	headByteCost, headLineCost = 4, 160
+	// freeHeadCost is the cost of a head up to which it takes nothing from the budget.
+	freeHeadCost = 32 << 10
 )
 
 // Request is a request to an endpoint.
@@ -94,7 +100,8 @@
 // Client sends requests and keeps idle connections to endpoints. It is safe for
 // concurrent use.
 type Client struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	budget *membudget.Budget // of the responses, by address
 	// OnDial is called before each new connection is opened. It may be nil and must
 	// not be changed after the first request.
 	OnDial func()
@@ -123,11 +130,15 @@
 	})
 }
 
-// NewWithDialer returns a client that opens connections with dial.
+// NewWithDialer returns a client that opens connections with dial. The memory of its
+// responses is bounded by membudget.ForProcess.
 func NewWithDialer(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{dial: dial, idle: map[string][]*conn{}}
+	return &Client{dial: dial, budget: membudget.ForProcess(), idle: map[string][]*conn{}}
 }
 
+// MemoryUsed returns how many bytes the responses hold of their budget.
+func (c *Client) MemoryUsed() int64 { return c.budget.Used() }
+
 // conn is a connection to an endpoint. One request uses it at a time.
 type conn struct {
 	net.Conn
@@ -139,6 +150,8 @@
 	// read, or unlimited. headBytes are those received so far.
 	headBytesLeft int
 	headBytes     []byte
+	headCost      int                // of headBytes
+	memory        *membudget.Account // of the request that uses it
 }
 
 // Close closes the idle connections. Connections in use are closed when their
@@ -228,11 +241,13 @@
 	if err != nil {
 		return nil, &Error{NotSent, err}
 	}
+	cn.memory = c.budget.Open(address)
 	x := &exchange{client: c, conn: cn, req: req}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	resp, err := x.roundTrip()
 	if err != nil {
 		x.finish(false)
+		cn.memory.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -342,17 +357,27 @@
 }
 
 // readHead reads the head of a response, of at most limits.ResponseHeadBytes. It fails with
-// splice.ErrHead if the head goes on with other bytes.
+// splice.ErrHead if the head goes on with other bytes, and with ErrNoMemory if the budget does
+// not allow so large a head.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.headBytes = append(c.headBytes[:0], c.buffered()...)
-	c.headBytesLeft = limits.ResponseHeadBytes
+	c.headBytesLeft, c.headCost = limits.ResponseHeadBytes, headCost(c.headBytes)
 	resp, err := http.ReadResponse(c.reader, req)
 	c.headBytesLeft = unlimited
 	if err != nil {
 		return nil, err
 	}
 	// http.ReadResponse deletes some fields, so that the bytes are checked.
-	return resp, splice.CheckHead(c.headBytes[:len(c.headBytes)-c.reader.Buffered()])
+	err = splice.CheckHead(c.headBytes[:len(c.headBytes)-c.reader.Buffered()])
+	if cap(c.headBytes) > readBufferBytes {
+		c.headBytes = nil // the connection may stay idle
+	}
+	return resp, err
+}
+
+// headCost returns the estimated memory in bytes that a part of a head takes.
+func headCost(part []byte) int {
+	return headByteCost*len(part) + headLineCost*bytes.Count(part, []byte("\n"))
 }
 
 // buffered returns the bytes that were received and not read yet. They are valid until the
@@ -371,6 +396,11 @@
 		return 0, ErrHeadTooLarge
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
+	cost := headCost(p[:n])
+	c.headCost += cost
+	if taken := min(cost, c.headCost-freeHeadCost); taken > 0 && !c.memory.Take(taken) {
+		return 0, ErrNoMemory
+	}
 	c.headBytesLeft -= n
 	c.headBytes = append(c.headBytes, p[:n]...)
 	return n, err
