--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -144,7 +144,7 @@
 }
 
 // serveRunner is the machines.Script of the runners. Streams resume after the event
-// that a request names. While runnersFaulty is set, 10 % of the requests are refused, 4 % by
+// that a request names. While runnersFaulty is set, 10 % of the requests are refused, 6 % by
 // all runners and 2 % without the request id; 10 % lose their answers, 20 % of the streams are
 // interrupted and others are garbled.
 func (tc *testCluster) serveRunner(r *http.Request, _ []byte, accepted net.Conn) bool {
@@ -167,7 +167,7 @@
 	if faulty && draw < 0.02 {
 		return machines.Shed(r, nil, c)
 	}
-	if faulty && draw < 0.06 {
+	if faulty && draw < 0.08 {
 		tc.refuser.everywhere.Store(sendKey(r.Header), nil)
 	}
 	if _, ok := tc.refuser.everywhere.Load(sendKey(r.Header)); ok || faulty && draw < 0.1 {
