--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -24,7 +24,7 @@
 	4001, // an empty body that ends with its connection counted as a complete stream
 	4003, // sound requests with equal bodies were blamed for the crashes and refused
 	// The copy of a refusal passed for the answer to the same request on the same connection.
-	50004, 50006,
+	50002, 50004, 50006, 50008,
 }
 
 // binary is the path of the program under test.
