Log and count how far the response to a caller has got

The log could not tell whether a request that was given up had an untouched, begun or whole response: status 0 was logged for a caller that got an empty 200, status 200 for whole and for cut streams. abort.Writer knows the state; the request log names it (response), and clementinerack_gateway_responses_total counts it. No response changes.

--- /dev/null
+++ b/pkg/abort/writer.go
@@ -0,0 +1,66 @@
+package abort
+
+import "net/http"
+
+// State says how far a response has got.
+type State string
+
+// Values of State.
+const (
+	// Untouched means that nothing was written.
+	Untouched State = "untouched"
+	// Partial means that the response was begun and is not known to be whole.
+	Partial State = "partial"
+	// Whole means that the handler has written all of it.
+	Whole State = "whole"
+)
+
+// Writer is the http.ResponseWriter of one request that knows how far its response has got.
+// Only the goroutine of the handler may use it.
+type Writer struct {
+	http.ResponseWriter
+	begun, failed, completed bool
+}
+
+// NewWriter returns a writer of the response w.
+func NewWriter(w http.ResponseWriter) *Writer { return &Writer{ResponseWriter: w} }
+
+// Unwrap returns the original writer for http.ResponseController.
+func (w *Writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *Writer) WriteHeader(status int) {
+	w.begun = w.begun || status >= http.StatusOK
+	w.ResponseWriter.WriteHeader(status)
+}
+
+// Write implements http.ResponseWriter. After an error the response cannot become whole.
+func (w *Writer) Write(p []byte) (int, error) {
+	w.begun = true
+	n, err := w.ResponseWriter.Write(p)
+	w.failed = w.failed || err != nil
+	return n, err
+}
+
+// FlushError sends what was written, for http.ResponseController. After an error the
+// response cannot become whole.
+func (w *Writer) FlushError() error {
+	w.begun = true
+	err := http.NewResponseController(w.ResponseWriter).Flush()
+	w.failed = w.failed || err != nil
+	return err
+}
+
+// Complete declares that all of the response was written.
+func (w *Writer) Complete() { w.completed = true }
+
+// State returns how far the response has got.
+func (w *Writer) State() State {
+	switch {
+	case !w.begun:
+		return Untouched
+	case w.completed && !w.failed:
+		return Whole
+	}
+	return Partial
+}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -344,6 +344,7 @@
 	}
 	q.writeHeader(resp.status, resp.header, len(resp.body))
 	_, _ = q.w.Write(resp.body) // fails only if the caller has disconnected
+	q.w.Complete()
 }
 
 // forwardLargeResponse forwards a response that exceeds maxBufferedResponseBytes as
@@ -361,6 +362,7 @@
 		q.responseBroken = true
 		return attemptDone, placement.Failed, "broke off: " + err.Error(), nil
 	}
+	q.w.Complete()
 	return attemptDone, placement.Served, "answered " + strconv.Itoa(resp.Status), nil
 }
 
@@ -428,6 +430,7 @@
 			if !s.firstEvent.IsZero() {
 				q.recordSurvival(time.Now())
 			}
+			q.w.Complete()
 			return attemptDone, placement.Served, "streamed" + streamEnd(resp, events), nil
 		case err != nil && !s.started:
 			return attemptLost, placement.Failed, "broke off: " + err.Error() + streamEnd(resp, events), nil
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
@@ -161,7 +162,7 @@
 	if keepAlivesDisabled {
 		w.Header().Set("Connection", "close")
 	}
-	q := &request{g: g, w: w, r: r, arrived: time.Now()}
+	q := &request{g: g, w: abort.NewWriter(w), r: r, arrived: time.Now()}
 	defer q.recordResult()
 	if err, retryAfter := q.prepare(); err != nil {
 		q.refuse(err, retryAfter)
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -9,9 +9,10 @@
 )
 
 type metrics struct {
-	requests *prometheus.CounterVec
-	duration *prometheus.HistogramVec
-	attempts *prometheus.CounterVec
+	requests  *prometheus.CounterVec
+	responses *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -19,6 +20,8 @@
 	return &metrics{
 		requests: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_requests_total",
 			Help: "Number of requests, by route kind and result."}, []string{"kind", "result"}),
+		responses: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_responses_total",
+			Help: "Number of responses to callers, by how far they had got when their request ended: untouched, partial or whole."}, []string{"state"}),
 		duration: f.NewHistogramVec(prometheus.HistogramOpts{Name: "clementinerack_gateway_request_seconds",
 			Help: "Duration of requests in seconds, by route kind.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"kind"}),
 		attempts: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_attempts_total",
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
@@ -24,7 +25,7 @@
 // uses it.
 type request struct {
 	g       *Gateway
-	w       http.ResponseWriter
+	w       *abort.Writer
 	r       *http.Request
 	arrived time.Time
 
@@ -244,6 +245,7 @@
 		return
 	}
 	q.status = q.g.opts.Codec.WriteError(q.w, err, retryAfter)
+	q.w.Complete()
 }
 
 // jitter returns a random duration between half of d and one and a half of d, so
@@ -260,7 +262,7 @@
 func (q *request) recordResult() {
 	duration := time.Since(q.arrived)
 	result := "served"
-	f := logrus.Fields{"request": q.envelope.ID, "status": q.status, "ms": duration.Milliseconds()}
+	f := logrus.Fields{"request": q.envelope.ID, "status": q.status, "ms": duration.Milliseconds(), "response": q.w.State()}
 	if q.catalog != nil {
 		f["version"] = q.catalog.Version
 	}
@@ -293,6 +295,7 @@
 		f["caller"] = "left"
 	}
 	q.g.metrics.observeRequest(q.routeKind(), result, duration)
+	q.g.metrics.responses.WithLabelValues(string(q.w.State())).Inc()
 	q.g.opts.Log.WithFields(f).Info("request " + result)
 }
 
