Abort every response that its handler does not complete

Cause: net/http ends a response as a whole one whenever its handler returns. It cancels the request's context when it reads the end of the caller's side, also of a half-closed connection; giveUp and refuse then returned without an answer and without an abort, as nobody seemed to read. So the caller got an empty 200, or the last chunk of a cut stream.

Change: the handlers of pkg/gateway and pkg/entry declare a response whole after its last byte (abort.Writer.Complete); at the end of the handler any other one is aborted, whatever the reason, a panic and a failed write included. Before the head of a response, a request that is given up is always answered with an error, also if its caller seems to have left (502 with the outcome). The work at the endpoint still ends at once when the caller's side ends: a half-close cannot be told from a close by reading, and the endpoint must be free within half a second.

The test of package abort replaces the one of abort.Response, which is gone, and asks the same of more endings. With net/http's own handling of panics, two of its cases fail: HTTP/1.0 callers took the body of a handler that panicked for a complete one.

--- a/pkg/abort/abort.go
+++ b/pkg/abort/abort.go
@@ -1,4 +1,4 @@
-// Package abort ends responses that were begun and cannot be completed.
+// Package abort makes responses that cannot be completed recognizable as such.
 package abort
 
 import (
@@ -6,15 +6,6 @@
 	"net/http"
 )
 
-// Response closes the connection of a request such that the caller can tell the
-// response from a complete one. It panics with http.ErrAbortHandler.
-func Response(w http.ResponseWriter, r *http.Request) {
-	if !r.ProtoAtLeast(1, 1) {
-		reset(w)
-	}
-	panic(http.ErrAbortHandler)
-}
-
 // reset resets the connection of an HTTP/1.0 request: a body without a length ends
 // there when the connection is closed.
 func reset(w http.ResponseWriter) {
--- a/pkg/abort/writer.go
+++ b/pkg/abort/writer.go
@@ -16,14 +16,36 @@
 )
 
 // Writer is the http.ResponseWriter of one request that knows how far its response has got.
-// Only the goroutine of the handler may use it.
+// Without it, net/http ends a response as a whole one whenever its handler returns: untouched,
+// it becomes an empty success. Only the goroutine of the handler may use it.
 type Writer struct {
 	http.ResponseWriter
+	request                  *http.Request
 	begun, failed, completed bool
 }
 
-// NewWriter returns a writer of the response w.
-func NewWriter(w http.ResponseWriter) *Writer { return &Writer{ResponseWriter: w} }
+// NewWriter returns a writer of the response w to r. The handler must defer End before
+// anything else.
+func NewWriter(w http.ResponseWriter, r *http.Request) *Writer {
+	return &Writer{ResponseWriter: w, request: r}
+}
+
+// End ends the response when the handler returns or panics. One that is not whole is aborted
+// by a panic with http.ErrAbortHandler, or that of the handler, such that the caller can tell
+// it from a complete one. It must be deferred itself, not be called by a deferred function.
+func (w *Writer) End() {
+	cause := recover()
+	if cause == nil && w.State() == Whole {
+		return
+	}
+	if !w.request.ProtoAtLeast(1, 1) {
+		reset(w)
+	}
+	if cause == nil {
+		cause = http.ErrAbortHandler
+	}
+	panic(cause)
+}
 
 // Unwrap returns the original writer for http.ResponseController.
 func (w *Writer) Unwrap() http.ResponseWriter { return w.ResponseWriter }
@@ -51,7 +73,7 @@
 	return err
 }
 
-// Complete declares that all of the response was written.
+// Complete declares that all of the response was written. Without it the response is aborted.
 func (w *Writer) Complete() { w.completed = true }
 
 // State returns how far the response has got.
--- a/pkg/entry/responder.go
+++ b/pkg/entry/responder.go
@@ -71,18 +71,18 @@
 	return n, err
 }
 
-// writeError sends an error to the caller. It reports whether the connection must
-// be aborted because the error cannot be sent in any other way.
-func (o *responder) writeError(err *failure.Error) (abort bool) {
+// writeError sends an error to the caller. It reports whether the response is whole with it:
+// after the header only an event stream has room for an error.
+func (o *responder) writeError(err *failure.Error) (whole bool) {
 	switch {
 	case !o.headerSent:
 		o.setIDHeader()
 		failure.Write(o.w, err)
-		return false
-	case !o.isEventStream:
 		return true
+	case !o.isEventStream:
+		return false
 	}
 	problem, _ := json.Marshal(failure.ProblemOf(err)) // a struct of strings cannot fail to encode
 	_, werr := o.Write(fmt.Appendf(nil, "event: error\ndata: %s\n\n", problem))
-	return werr != nil
+	return werr == nil
 }
--- a/pkg/entry/serve.go
+++ b/pkg/entry/serve.go
@@ -9,14 +9,18 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 )
 
-// serve handles a model or app request from its arrival to its end.
+// serve handles a model or app request from its arrival to its end. A response that is not
+// completed is aborted at the end.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, parse parseFunc) {
+	response := abort.NewWriter(w, r)
+	defer response.End()
 	accepting := s.inFlight.begin()
 	defer s.inFlight.end()
-	j := &job{arrivedAt: s.now(), responder: newResponder(w)}
+	j := &job{arrivedAt: s.now(), responder: newResponder(response)}
 	j.timing.arrivedAt = j.arrivedAt
 	if err := s.parseRequest(r, j, parse); err != nil {
 		s.refuseUnparsed(j, r, failure.From(err))
+		response.Complete()
 		return
 	}
 	j.responder.requestID = j.id
@@ -31,13 +35,14 @@
 	s.metrics.countRequest(j.service.Name, err)
 	s.recordSample(r, j, err)
 	if err == nil {
+		response.Complete()
 		return
 	}
 	if j.responder.headerSent && r.Context().Err() == nil {
 		s.metrics.truncated.WithLabelValues(j.service.Name).Inc()
 	}
 	if j.responder.writeError(err) {
-		abort.Response(w, r) // after the deferred calls
+		response.Complete()
 	}
 }
 
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -12,7 +12,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
@@ -106,9 +105,6 @@
 			lastErrorResponse = errorResponse
 		}
 		if status == attemptDone {
-			if q.responseBroken {
-				abort.Response(q.w, q.r)
-			}
 			return
 		}
 		q.excluded[choice.ID] = true
@@ -132,21 +128,23 @@
 }
 
 // giveUp ends a request after its last attempt. It forwards the latest error
-// response of an endpoint, or answers with an error. cause is used if no endpoint
-// may have run the request; it may be nil.
+// response of an endpoint, or answers with an error, or leaves a stream that has begun
+// incomplete. cause is used if no endpoint may have run the request; it may be nil.
 func (q *request) giveUp(ctx context.Context, s *streamState, lastErrorResponse *bufferedResponse, cause *failure.Error) {
-	isAborted := q.g.aborted.Err() != nil && q.r.Context().Err() == nil
+	isAborted := q.g.aborted.Err() != nil
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled) && !isAborted:
-		q.err = failure.New(failure.Truncated, "repeat the request", "the caller disconnected")
 	case s.started:
 		q.err = failure.New(failure.Truncated, "resume after the last event", "the stream broke off")
-		q.status = 0 // the caller got no complete response
-		abort.Response(q.w, q.r)
+		if q.r.Context().Err() != nil {
+			q.err = newCallerLeftError()
+		}
+		q.status = 0 // the caller gets no complete response
 	case isAborted && !q.mayHaveRun:
 		q.refuse(newNotRunError(failure.NotReady, "send it to another instance", "the instance is stopping"), otherInstanceRetryDelay)
 	case isAborted:
 		q.refuse(failure.New(failure.Timeout, "check whether the request ran before repeating it", "the instance is stopping").WithOutcome(failure.Unknown), 0)
+	case errors.Is(ctx.Err(), context.Canceled):
+		q.refuse(newCallerLeftError().WithOutcome(q.outcome()), 0)
 	case ctx.Err() != nil:
 		q.refuse(failure.New(failure.Timeout, "set a longer timeout", "the deadline of the request has passed").WithOutcome(q.outcome()), 0)
 	case lastErrorResponse != nil:
@@ -161,6 +159,12 @@
 	}
 }
 
+// newCallerLeftError returns the error of a request whose caller has closed its connection, or
+// only its sending side, which cannot be told apart.
+func newCallerLeftError() *failure.Error {
+	return failure.New(failure.Truncated, "keep both sides of the connection open until the response is complete", "the caller disconnected")
+}
+
 // outcome returns the outcome to report for a request without a response.
 func (q *request) outcome() failure.Outcome {
 	if q.mayHaveRun {
@@ -349,7 +353,7 @@
 
 // forwardLargeResponse forwards a response that exceeds maxBufferedResponseBytes as
 // it arrives. head is the part of the body that was already read. If the response
-// is interrupted, the connection to the caller is closed before the end of the body.
+// is interrupted, the one to the caller is not completed.
 func (q *request) forwardLargeResponse(resp *upstream.Response, head []byte) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
 	q.status = resp.Status
 	q.writeHeader(resp.Status, resp.Header, int(resp.Length))
@@ -359,7 +363,6 @@
 	}
 	if err != nil {
 		q.err = failure.New(failure.Truncated, "repeat the request if it may run twice", "the response was interrupted: %v", err)
-		q.responseBroken = true
 		return attemptDone, placement.Failed, "broke off: " + err.Error(), nil
 	}
 	q.w.Complete()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -155,14 +155,16 @@
 	}
 }
 
-// ServeHTTP implements http.Handler.
+// ServeHTTP implements http.Handler. A response that is not completed is aborted at the end.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	response := abort.NewWriter(w, r)
+	defer response.End()
 	keepAlivesDisabled := g.beginRequest()
 	defer g.endRequest()
 	if keepAlivesDisabled {
-		w.Header().Set("Connection", "close")
+		response.Header().Set("Connection", "close")
 	}
-	q := &request{g: g, w: abort.NewWriter(w), r: r, arrived: time.Now()}
+	q := &request{g: g, w: response, r: r, arrived: time.Now()}
 	defer q.recordResult()
 	if err, retryAfter := q.prepare(); err != nil {
 		q.refuse(err, retryAfter)
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/abort"
@@ -46,7 +45,6 @@
 	reachedAttempts int             // attempts that reached an endpoint
 	possibleRuns    int             // attempts in which an endpoint may have run the request
 	mayHaveRun      bool            // possibleRuns is not 0
-	responseBroken  bool            // the response to the caller was started and cannot be completed
 	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
@@ -236,14 +234,10 @@
 	return q.envelope.MaxOutput
 }
 
-// refuse answers with an error of this instance, unless the caller has
-// disconnected.
+// refuse answers with an error of this instance, also if the caller has disconnected: one that
+// has closed only its sending side still reads.
 func (q *request) refuse(err *failure.Error, retryAfter time.Duration) {
 	q.err, q.retryAfter = err, retryAfter
-	q.status = failure.Status(err.Kind)
-	if errors.Is(q.r.Context().Err(), context.Canceled) {
-		return
-	}
 	q.status = q.g.opts.Codec.WriteError(q.w, err, retryAfter)
 	q.w.Complete()
 }
