Reset HTTP/1.0 connections that end before their response is whole

Cause: a body without a length ends for a caller with HTTP/1.0 with the connection. Only the end of the handler reset it; a server that is closed under the handler, at the end of the stop while the handler is blocked in a write, or a process that ends, finished the connection properly.

Change: abort.Writer makes any end of such a connection a reset from the first byte of the response until it is whole. It takes the connection from abort.ConnContext, which all servers of both programs set, instead of hijacking it.

The tests of the wiring in pkg/node and pkg/daemon fail without ConnContext in the servers. The servers of the tests of pkg/gateway and pkg/entry set it too.

--- a/pkg/abort/abort.go
+++ b/pkg/abort/abort.go
@@ -1,25 +1,34 @@
-// Package abort makes responses that cannot be completed recognizable as such.
+// Package abort makes responses that are not completed recognizable as such.
 package abort
 
 import (
+	"context"
 	"net"
 	"net/http"
 )
 
-// reset resets the connection of an HTTP/1.0 request: a body without a length ends
-// there when the connection is closed.
-func reset(w http.ResponseWriter) {
-	conn, _, err := http.NewResponseController(w).Hijack()
-	if err != nil {
-		return // the connection is closed already
-	}
-	defer func() { _ = conn.Close() }()
-	raw := conn
+// connKey is the key of the connection in the contexts of its requests.
+type connKey struct{}
+
+// ConnContext makes the connection known to the writers of its requests. It is for
+// http.Server.ConnContext of every server whose handlers use a Writer.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// tcpConn returns the TCP connection of a request, nil if it is not known.
+func tcpConn(r *http.Request) *net.TCPConn {
+	conn, _ := r.Context().Value(connKey{}).(net.Conn)
 	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok { // *tls.Conn
-		raw = wrapped.NetConn()
+		conn = wrapped.NetConn()
 	}
-	if tcp, ok := raw.(*net.TCPConn); ok {
-		_ = tcp.SetLinger(0) // fails only on a closed connection
-	}
-	_ = raw.Close()
+	tcp, _ := conn.(*net.TCPConn)
+	return tcp
 }
+
+const (
+	// resetOnClose makes the end of a connection a reset, by whomever it is closed.
+	resetOnClose = 0
+	// finishOnClose is the default: what was written is sent, and then the end.
+	finishOnClose = -1
+)
--- a/pkg/abort/abort_test.go
+++ b/pkg/abort/abort_test.go
@@ -13,6 +13,38 @@
 	"github.com/clementinerack/clementinerack/pkg/abort"
 )
 
+// newServer starts a server with one handler.
+func newServer(handle func(*abort.Writer)) *httptest.Server {
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response := abort.NewWriter(w, r)
+		defer response.End()
+		handle(response)
+	}))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Config.ConnContext = abort.ConnContext
+	server.Start()
+	return server
+}
+
+// isComplete sends a request and reports whether its response has no error to its end.
+func isComplete(t *testing.T, server *httptest.Server, proto string) bool {
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	if err != nil {
+		t.Error(err)
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprintf(conn, "GET / %s\r\nHost: h\r\n\r\n", proto); err != nil {
+		t.Error(err)
+		return false
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err == nil {
+		_, err = io.ReadAll(resp.Body)
+	}
+	return err == nil
+}
+
 // Guards against a response without its end that its caller takes for a complete one, and
 // against a complete one that is cut.
 func TestOnlyCompletedResponseIsComplete(t *testing.T) {
@@ -33,30 +65,37 @@
 	} {
 		for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
 			t.Run(tc.desc+"/"+proto, func(t *testing.T) {
-				server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-					response := abort.NewWriter(w, r)
-					defer response.End()
-					tc.handle(response)
-				}))
-				server.Config.ErrorLog = log.New(io.Discard, "", 0)
-				server.Start()
+				server := newServer(tc.handle)
 				defer server.Close()
-				conn, err := net.Dial("tcp", server.Listener.Addr().String())
-				if err != nil {
-					t.Fatal(err)
-				}
-				defer func() { _ = conn.Close() }()
-				if _, err := fmt.Fprintf(conn, "GET / %s\r\nHost: h\r\n\r\n", proto); err != nil {
-					t.Fatal(err)
-				}
-				resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-				if err == nil {
-					_, err = io.ReadAll(resp.Body)
-				}
-				if (err == nil) != tc.complete {
-					t.Errorf("complete: %t, %v", err == nil, err)
+				if got := isComplete(t, server, proto); got != tc.complete {
+					t.Errorf("complete: %t", got)
 				}
 			})
 		}
 	}
 }
+
+// Guards against a response that is cut by the end of its server and whose caller takes it for
+// a complete one.
+func TestResponseCutByItsServerIsNotComplete(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
+		t.Run(proto, func(t *testing.T) {
+			begun, closed := make(chan struct{}), make(chan struct{})
+			server := newServer(func(w *abort.Writer) {
+				_, _ = io.WriteString(w, "part")
+				_ = http.NewResponseController(w).Flush()
+				close(begun)
+				<-closed
+			})
+			defer server.Close()
+			complete := make(chan bool)
+			go func() { complete <- isComplete(t, server, proto) }()
+			<-begun
+			_ = server.Config.Close() // fails only if the listener is closed already
+			close(closed)
+			if <-complete {
+				t.Error("the response looks complete")
+			}
+		})
+	}
+}
--- a/pkg/abort/writer.go
+++ b/pkg/abort/writer.go
@@ -1,6 +1,9 @@
 package abort
 
-import "net/http"
+import (
+	"net"
+	"net/http"
+)
 
 // State says how far a response has got.
 type State string
@@ -20,14 +23,29 @@
 // it becomes an empty success. Only the goroutine of the handler may use it.
 type Writer struct {
 	http.ResponseWriter
-	request                  *http.Request
+	// conn is the connection of an HTTP/1.0 request, else nil: a body without a length ends
+	// there when the connection is closed.
+	conn                     *net.TCPConn
 	begun, failed, completed bool
 }
 
 // NewWriter returns a writer of the response w to r. The handler must defer End before
-// anything else.
+// anything else, and its server must have ConnContext.
 func NewWriter(w http.ResponseWriter, r *http.Request) *Writer {
-	return &Writer{ResponseWriter: w, request: r}
+	response := &Writer{ResponseWriter: w}
+	if !r.ProtoAtLeast(1, 1) {
+		response.conn = tcpConn(r)
+	}
+	return response
+}
+
+// begin records that the response has begun. Until it is whole, any end of an HTTP/1.0
+// connection is a reset, also that by the end of the server or of the process.
+func (w *Writer) begin() {
+	if !w.begun && w.conn != nil {
+		_ = w.conn.SetLinger(resetOnClose) // fails only on a closed connection
+	}
+	w.begun = true
 }
 
 // End ends the response when the handler returns or panics. One that is not whole is aborted
@@ -36,10 +54,13 @@
 func (w *Writer) End() {
 	cause := recover()
 	if cause == nil && w.State() == Whole {
+		if w.conn != nil {
+			_ = w.conn.SetLinger(finishOnClose) // fails only on a closed connection
+		}
 		return
 	}
-	if !w.request.ProtoAtLeast(1, 1) {
-		reset(w)
+	if w.conn != nil {
+		_ = w.conn.Close() // before TLS can end properly
 	}
 	if cause == nil {
 		cause = http.ErrAbortHandler
@@ -52,13 +73,15 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w *Writer) WriteHeader(status int) {
-	w.begun = w.begun || status >= http.StatusOK
+	if status >= http.StatusOK {
+		w.begin()
+	}
 	w.ResponseWriter.WriteHeader(status)
 }
 
 // Write implements http.ResponseWriter. After an error the response cannot become whole.
 func (w *Writer) Write(p []byte) (int, error) {
-	w.begun = true
+	w.begin()
 	n, err := w.ResponseWriter.Write(p)
 	w.failed = w.failed || err != nil
 	return n, err
@@ -67,7 +90,7 @@
 // FlushError sends what was written, for http.ResponseController. After an error the
 // response cannot become whole.
 func (w *Writer) FlushError() error {
-	w.begun = true
+	w.begin()
 	err := http.NewResponseController(w.ResponseWriter).Flush()
 	w.failed = w.failed || err != nil
 	return err
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -11,6 +11,7 @@
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/operator"
@@ -48,7 +49,7 @@
 
 // newServer returns a server for h with the timeouts.
 func (t serverTimeouts) newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: h, ReadHeaderTimeout: t.header, IdleTimeout: t.idle, WriteTimeout: t.write, MaxHeaderBytes: maxHeaderBytes}
+	return &http.Server{Handler: h, ConnContext: abort.ConnContext, ReadHeaderTimeout: t.header, IdleTimeout: t.idle, WriteTimeout: t.write, MaxHeaderBytes: maxHeaderBytes}
 }
 
 // Run serves until ctx ends or an operator stops the instance, and then stops
--- a/pkg/daemon/wiring_test.go
+++ b/pkg/daemon/wiring_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"fmt"
+	"io"
+	"net"
+	"net/http"
 	"os"
 	"regexp"
 	"strings"
@@ -10,6 +13,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/routing"
 	"github.com/clementinerack/clementinerack/standins/engine"
 )
@@ -46,6 +50,33 @@
 	}
 }
 
+// Guards against servers whose callers with HTTP/1.0 take a response that is given up for a
+// complete one.
+func TestGivenUpResponseIsNotCompleteForHTTP10(t *testing.T) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := defaultServerTimeouts().newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		response := abort.NewWriter(w, r)
+		defer response.End()
+		_, _ = io.WriteString(response, "part")
+	}))
+	defer func() { _ = server.Close() }()
+	go func() { _ = server.Serve(listener) }() // returns when the server is closed
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := io.WriteString(conn, "GET / HTTP/1.0\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(conn); err == nil {
+		t.Errorf("the connection ended properly after %q", answer)
+	}
+}
+
 // Guards against runbooks and alerts that refer to metrics that do not exist.
 func TestManualNamesRealMetrics(t *testing.T) {
 	page, err := os.ReadFile("../../docs/operators.md")
--- a/pkg/entry/fakes_test.go
+++ b/pkg/entry/fakes_test.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
@@ -206,7 +207,9 @@
 	h := &peerHandlers{}
 	f.RegisterPeer(h)
 	f.peers[incarnation] = h
-	f.http = httptest.NewServer(f.Server)
+	f.http = httptest.NewUnstartedServer(f.Server)
+	f.http.Config.ConnContext = abort.ConnContext
+	f.http.Start()
 	f.client = &http.Client{Transport: &http.Transport{}}
 	server, callers, callersHTTP := f.Server, f.client, f.http
 	f.t.Cleanup(func() {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
@@ -227,7 +228,9 @@
 	index := catalog.Index(g.doc)
 	g.gateway = gateway.New(gateway.Options{Codec: platform.Codec{}, Catalog: func() *catalog.Catalog { return index }, Pool: g.pool, Client: client,
 		Rights: g.rights, CrashGuard: countingGuard{quarantine.New(quarantine.Options{}, nil), &g.deaths, g.traits}, Log: log, RetryBudget: g.retries})
-	g.server = httptest.NewServer(g.gateway)
+	g.server = httptest.NewUnstartedServer(g.gateway)
+	g.server.Config.ConnContext = abort.ConnContext
+	g.server.Start()
 	g.t.Cleanup(g.server.Close)
 }
 
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -19,6 +19,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
@@ -351,7 +352,8 @@
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: served.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes}
+		server := &http.Server{Handler: served.handler, ConnContext: abort.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHeaderBytes}
 		servers = append(servers, server)
 		n.goroutines.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
 	}
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -267,6 +268,26 @@
 	f.waitUntil("rights of the stopped instance", func() bool { status, _ := other.send("/chat/1", "95000,0"); return status == 200 })
 }
 
+// Guards against an instance whose callers with HTTP/1.0 take a stream that breaks off for a
+// complete one.
+func TestBrokenStreamIsNotCompleteForHTTP10(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := f.start("n1")
+	f.runner.SetScript(machines.UnframedStream(1, 3, false))
+	conn, err := net.Dial("tcp", m.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprintf(conn, "GET /chat/1 HTTP/1.0\r\nHost: %s\r\nAuthorization: %skey1\r\n%s: id1\r\n\r\n", machines.Host, machines.KeyScheme, machines.HeaderRequestID); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(conn); err == nil {
+		t.Errorf("the connection ended properly after %q", answer)
+	}
+}
+
 // Guards against an instance that accepts requests before it has any declarations.
 func TestNotReadyWithoutStore(t *testing.T) {
 	t.Parallel()
