Close idle connections of callers after the time of the configuration

Cause: the server had a fixed idle timeout of a minute; idle_timeout_ms of the declarations was decoded and used nowhere.

Change: the node tracks the idle connections of callers and closes those that exceed the current limit, also after a change, for connections that were idle already; without a limit it stays a minute.

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -82,6 +82,7 @@
 	crashes    *crashGuard
 	limits     *limitSpreader
 	gateway    *gateway.Gateway
+	idleConns  *idleConns // of callers
 	stopping   atomic.Bool
 	goroutines sync.WaitGroup
 }
@@ -121,9 +122,18 @@
 		RetryBudget: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
 		Log:         n.log, Registerer: opts.Registry,
 	})
+	n.idleConns = newIdleConns(n.idleLimit)
 	return n
 }
 
+// idleLimit returns how long a connection of a caller may be idle, 0 if nothing is declared.
+func (n *Node) idleLimit() time.Duration {
+	if c := n.replica.Current(); c != nil {
+		return c.Limits.IdleTimeout
+	}
+	return 0
+}
+
 // buildRights creates the parts that hold and exchange rights. The syncer and the
 // exchange refer to each other, so the syncer gets methods that look up the exchange.
 func (n *Node) buildRights() {
@@ -328,8 +338,6 @@
 const (
 	// headerTimeout bounds the time that a client takes to send its request header.
 	headerTimeout = 10 * time.Second
-	// idleTimeout is how long an unused client connection stays open.
-	idleTimeout = time.Minute
 	// maxHeaderBytes leaves ample room for the headers of callers.
 	maxHeaderBytes = 64 << 10
 )
@@ -352,8 +360,12 @@
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: served.handler, ConnContext: abort.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes}
+		server := &http.Server{Handler: served.handler, ConnContext: abort.ConnContext, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+		if served.address == n.opts.CallerAddress {
+			server.ConnState = n.idleConns.observe
+		} else {
+			server.IdleTimeout = idleTimeout
+		}
 		servers = append(servers, server)
 		n.goroutines.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
 	}
