Close idle connections to endpoints that have left

Cause: idle connections are checked and closed when they are reused, which those to an endpoint that has left are not; they stayed open until the instance ended.

Change: every second the node closes the idle connections to addresses of which no listed endpoint accepts requests, and counts them (clementinerack_upstream_departed_closed_total).

--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -83,6 +83,7 @@
 	limits     *limitSpreader
 	gateway    *gateway.Gateway
 	idleConns  *idleConns // of callers
+	departed   *departedCloser
 	stopping   atomic.Bool
 	goroutines sync.WaitGroup
 }
@@ -123,6 +124,7 @@
 		Log:         n.log, Registerer: opts.Registry,
 	})
 	n.idleConns = newIdleConns(n.idleLimit)
+	n.departed = newDepartedCloser(n.pool, n.client, opts.Registry)
 	return n
 }
 
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -93,6 +93,7 @@
 type member struct {
 	f              *fleet
 	callers, ready string
+	metrics        string
 	store          *cuttableStore
 	stop           context.CancelFunc
 	done           chan error
@@ -141,10 +142,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	opened := listeners{}
-	m := &member{f: f, callers: opened.address(f.t), ready: opened.address(f.t), done: make(chan error, 1),
+	m := &member{f: f, callers: opened.address(f.t), ready: opened.address(f.t), metrics: opened.address(f.t), done: make(chan error, 1),
 		store: &cuttableStore{Store: platform.NewStore(strings.TrimPrefix(f.server.URL, "http://"), registry)}}
 	n := node.New(node.Options{
-		Name: name, Domain: "z", CallerAddress: m.callers, ReadyAddress: m.ready, PeerAddress: opened.address(f.t), MetricsAddress: opened.address(f.t), Listen: opened.open,
+		Name: name, Domain: "z", CallerAddress: m.callers, ReadyAddress: m.ready, PeerAddress: opened.address(f.t), MetricsAddress: m.metrics, Listen: opened.open,
 		ReadyPath: "/ready", MetricsPath: "/metrics", Store: m.store, Source: platform.NewSource(m.store, log), Codec: platform.Codec{},
 		Retry: node.RetryLimit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ShutdownTimeout: 9 * time.Second, Log: log, Registry: registry,
 	})
--- a/pkg/placement/restrictions.go
+++ b/pkg/placement/restrictions.go
@@ -97,3 +97,17 @@
 	}
 	return end
 }
+
+// ServingAddresses returns the addresses of the listed endpoints that have not said that they
+// leave.
+func (p *Pool) ServingAddresses() map[string]bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	addresses := make(map[string]bool, len(p.endpoints))
+	for _, e := range p.endpoints {
+		if !e.restriction.isLeaving {
+			addresses[e.Address] = true
+		}
+	}
+	return addresses
+}
