Keep the ports of TestSignals until the end of the test

Change: each port stays bound by a socket of the test that does not listen. The daemon can listen beside it, as both allow the reuse of the address; nobody else is given the port. What the test checks is unchanged.

--- a/cmd/clementinerackd/signals_test.go
+++ b/cmd/clementinerackd/signals_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -45,10 +44,10 @@
 	if err := os.WriteFile(secret, []byte("0123456789abcdef0123456789abcdef\n"), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	metrics := freeAddress(t)
+	metrics := reserveAddress(t)
 	settings := fmt.Sprintf("[instance]\nid = a\ndomain = d\nregion = r\n[listen]\ncallers = %s\noperators = %s\npeers = %s\nmetrics = %s\n"+
 		"[platform]\naddress = http://%s\n[peers]\ncredential-file = %s\n[operators]\ntoken-file = %s\n",
-		freeAddress(t), freeAddress(t), freeAddress(t), metrics, freeAddress(t), secret, secret)
+		reserveAddress(t), reserveAddress(t), reserveAddress(t), metrics, reserveAddress(t), secret, secret)
 	path := filepath.Join(dir, "settings.ini")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
@@ -70,14 +69,24 @@
 	}
 }
 
-// freeAddress returns a loopback address with a port that was free. No other test of this
-// package listens.
-func freeAddress(t *testing.T) string {
+// reserveAddress returns a loopback address that no other process gets until the end of the test:
+// its port is bound by a socket that does not listen, beside which the daemon can listen.
+func reserveAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
 	if err != nil {
 		t.Fatal(err)
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
 }
