--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -10,9 +10,9 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
@@ -24,7 +24,7 @@
 // uses it.
 type request struct {
 	g       *Gateway
-	w       http.ResponseWriter
+	w       *abort.Writer
 	r       *http.Request
 	arrived time.Time
 
@@ -46,7 +46,6 @@
 	reachedAttempts int             // attempts that reached an endpoint
 	possibleRuns    int             // attempts in which an endpoint may have run the request
 	mayHaveRun      bool            // possibleRuns is not 0
-	responseBroken  bool            // the response to the caller was started and cannot be completed
 	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
@@ -241,15 +240,12 @@
 	return q.envelope.MaxOutput
 }
 
-// refuse answers with an error of this instance, unless the caller has
-// disconnected.
+// refuse answers with an error of this instance, also if the caller has disconnected: one that
+// has closed only its sending side still reads.
 func (q *request) refuse(err *failure.Error, retryAfter time.Duration) {
 	q.err, q.retryAfter = err, retryAfter
-	q.status = failure.Status(err.Kind)
-	if errors.Is(q.r.Context().Err(), context.Canceled) {
-		return
-	}
 	q.status = q.g.opts.Codec.WriteError(q.w, err, retryAfter)
+	q.w.Complete()
 }
 
 // jitter returns a random duration between half of d and one and a half of d, so
@@ -267,7 +263,7 @@
 func (q *request) recordResult() {
 	duration := time.Since(q.arrived)
 	result := "served"
-	f := logrus.Fields{"request": q.envelope.ID, "status": q.status, "ms": duration.Milliseconds()}
+	f := logrus.Fields{"request": q.envelope.ID, "status": q.status, "ms": duration.Milliseconds(), "response": q.w.State()}
 	if q.catalog != nil {
 		f["version"] = q.catalog.Version
 	}
@@ -303,6 +299,7 @@
 		f["caller"] = "left"
 	}
 	q.g.metrics.observeRequest(q.routeKind(), result, duration)
+	q.g.metrics.responses.WithLabelValues(string(q.w.State())).Inc()
 	q.g.opts.Log.WithFields(f).Info("request " + result)
 }
 
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -92,6 +93,7 @@
 type member struct {
 	f              *fleet
 	callers, ready string
+	metrics        string
 	store          *cuttableStore
 	stop           context.CancelFunc
 	done           chan error
@@ -140,10 +142,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	opened := listeners{}
-	m := &member{f: f, callers: opened.address(f.t), ready: opened.address(f.t), done: make(chan error, 1),
+	m := &member{f: f, callers: opened.address(f.t), ready: opened.address(f.t), metrics: opened.address(f.t), done: make(chan error, 1),
 		store: &cuttableStore{Store: platform.NewStore(strings.TrimPrefix(f.server.URL, "http://"), registry)}}
 	n := node.New(node.Options{
-		Name: name, Domain: "z", CallerAddress: m.callers, ReadyAddress: m.ready, PeerAddress: opened.address(f.t), MetricsAddress: opened.address(f.t), Listen: opened.open,
+		Name: name, Domain: "z", CallerAddress: m.callers, ReadyAddress: m.ready, PeerAddress: opened.address(f.t), MetricsAddress: m.metrics, Listen: opened.open,
 		ReadyPath: "/ready", MetricsPath: "/metrics", Store: m.store, Source: platform.NewSource(m.store, log), Codec: platform.Codec{},
 		Retry: node.RetryLimit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ShutdownTimeout: 9 * time.Second, Log: log, Registry: registry,
 	})
@@ -276,6 +278,26 @@
 	f.waitUntil("rights of the stopped instance", func() bool { status, _ := other.send("/chat/1", "95000,0"); return status == 200 })
 }
 
+// Guards against an instance whose callers with HTTP/1.0 take a stream that breaks off for a
+// complete one.
+func TestBrokenStreamIsNotCompleteForHTTP10(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t)
+	m := f.start("n1")
+	f.runner.SetScript(machines.UnframedStream(1, 3, false))
+	conn, err := net.Dial("tcp", m.callers)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	if _, err := fmt.Fprintf(conn, "GET /chat/1 HTTP/1.0\r\nHost: %s\r\nAuthorization: %skey1\r\n%s: id1\r\n\r\n", machines.Host, machines.KeyScheme, machines.HeaderRequestID); err != nil {
+		t.Fatal(err)
+	}
+	if answer, err := io.ReadAll(conn); err == nil {
+		t.Errorf("the connection ended properly after %q", answer)
+	}
+}
+
 // Guards against an instance that accepts requests before it has any declarations.
 func TestNotReadyWithoutStore(t *testing.T) {
 	t.Parallel()
