Bound the memory of answers under way in the daemon too

In clementinerackd each answer had bounds as well, 1 MiB for an event and for each of 16 events that wait for a missing one, 1 MiB that is kept for repeats, 64 KiB held back, and the sum had none: up to 64 requests to each endpoint of each service. The content of an answer that is not streamed had only the bound of an event for each token. They now take their memory from a budget as in clementinerack-entry. Without memory an app's answer is passed on earlier, an answer that is too long to be stored is not kept for repeats, and an event or a head is a failure of its endpoint. The lines of a stream are read into one buffer.

--- a/pkg/entry/answer.go
+++ b/pkg/entry/answer.go
@@ -7,10 +7,12 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 )
 
 // maxAnswerBytes bounds the body that is kept of a running answer for repeats
-// that attach to it. A longer body is dropped entirely.
+// that attach to it. A longer body is dropped entirely, and so is one that is too long to be
+// stored if the memory budget does not allow it.
 const maxAnswerBytes = 1 << 20
 
 // answerBuffer holds the answer to a request whose id the caller knows, so that
@@ -21,30 +23,46 @@
 	contentType string
 	body        []byte
 	dropped     bool
+	memory      *membudget.Account // of a body beyond ledger.MaxStoredAnswerBytes
 	done        bool
 	err         *failure.Error
 	lastReadAt  time.Time
 	changed     chan struct{} // closed at the next change; nil without a waiting reader
 }
 
-func (a *answerBuffer) setHeader(status int, contentType string) {
+func (a *answerBuffer) setHeader(status int, contentType string, memory *membudget.Account) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.status, a.contentType = status, contentType
+	a.memory.Close()
+	a.status, a.contentType, a.memory = status, contentType, memory
 	a.notifyReaders()
 }
 
 func (a *answerBuffer) append(part []byte) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if a.dropped = a.dropped || len(a.body)+len(part) > maxAnswerBytes; a.dropped {
+	if a.dropped = a.dropped || len(a.body)+len(part) > maxAnswerBytes || !a.takeMemory(len(part)); a.dropped {
 		a.body = nil
+		a.memory.Close()
 		return
 	}
 	a.body = append(a.body, part...)
 	a.notifyReaders()
 }
 
+// takeMemory takes the memory of the body and n more bytes if they are too many to be stored. It
+// reports false if the budget does not allow it.
+func (a *answerBuffer) takeMemory(n int) bool {
+	size := len(a.body) + n
+	switch {
+	case size <= ledger.MaxStoredAnswerBytes:
+		return true
+	case len(a.body) <= ledger.MaxStoredAnswerBytes:
+		return a.memory.Take(size)
+	}
+	return a.memory.Take(n)
+}
+
 func (a *answerBuffer) finish(err *failure.Error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -60,6 +78,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.body, a.dropped = nil, true
+	a.memory.Close()
 }
 
 func (a *answerBuffer) notifyReaders() {
--- a/pkg/entry/deliver.go
+++ b/pkg/entry/deliver.go
@@ -15,10 +15,11 @@
 // sendModel makes one attempt of a model request.
 func (d *dispatch) sendModel(ctx context.Context, ep config.Endpoint) relay.Result {
 	var builder completionBuilder
+	d.endpointID = ep.ID
 	res := d.server.opts.Relay.SendModel(ctx, relay.ModelCall{
 		Service: d.job.service, Endpoint: ep, RequestID: d.job.id,
 		StreamID: fmt.Sprintf("%s-%d-%d", d.job.id, d.entry.attempt, d.attemptCount),
-		Priority: int(d.job.priority), Body: d.job.body, MaxTokens: d.job.maxTokens,
+		Priority: int(d.job.priority), Body: d.job.body, MaxTokens: d.job.maxTokens, KeepsContent: !d.job.stream,
 		OnEvent: func(seq uint64, data []byte) error {
 			d.job.timing.recordPart(d.server.now())
 			if !d.job.stream {
@@ -51,7 +52,7 @@
 
 func (d *dispatch) writeHeader(status int, header http.Header, length int) {
 	if d.job.callerKnowsID {
-		d.entry.answer.setHeader(status, header.Get("Content-Type"))
+		d.entry.answer.setHeader(status, header.Get("Content-Type"), d.server.opts.Relay.Budget().Open(d.endpointID))
 	}
 	d.job.responder.writeHeader(status, header, length)
 }
@@ -81,6 +82,7 @@
 			return relay.Result{Outcome: relay.NotSent, Err: callerLeftError()}
 		}
 	}
+	d.endpointID = ep.ID
 	res := d.server.opts.Relay.SendApp(ctx, relay.AppCall{
 		Service: d.job.service, Endpoint: ep, RequestID: d.job.id, Repeatable: d.job.repeatable,
 		Method: d.job.method, Path: d.job.path, Header: d.job.header, Body: d.job.body,
--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -35,6 +35,7 @@
 	maySend            atomic.Bool
 	callerDisconnected bool // the caller has disconnected, but the attempt goes on
 	attemptCount       int
+	endpointID         string          // of the latest attempt
 	exclude            map[string]bool // ids of the endpoints that were tried
 	// lastSent is the result of the latest attempt of which bytes may have been
 	// written, or nil.
--- a/pkg/gateway/endless_test.go
+++ b/pkg/gateway/endless_test.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/http"
 	"runtime/debug"
-	"runtime/metrics"
 	"slices"
 	"strings"
 	"sync"
@@ -22,69 +21,15 @@
 	// goMemoryBytes is the part of it that platform.Run gives to the Go runtime.
 	goMemoryBytes   = statedMemoryBytes * 6 / 10
 	endlessRequests = 200
-	pieceBytes      = 32 << 10
-	pieceInterval   = 5 * time.Millisecond
 )
 
-// endlessly returns a script that sends begin and then next again and again, until the
-// connection is closed.
-func endlessly(begin func(*http.Request) string, next string) machines.Script {
-	return func(q *http.Request, _ []byte, c net.Conn) bool {
-		_, err := io.WriteString(c, begin(q))
-		for ; err == nil; time.Sleep(pieceInterval) {
-			_, err = io.WriteString(c, next)
-		}
-		return false
-	}
-}
-
-// endlessAnswers returns scripts of answers without end.
-func endlessAnswers() map[string]machines.Script {
-	const almostAHead = 60 << 10
-	none := func(*http.Request) string { return "" }
-	open := func(lines ...string) func(*http.Request) string { // a head without its last line end
-		return func(q *http.Request) string {
-			return strings.TrimSuffix(machines.ResponseHead(q, 200, lines...), "\r\n\r\n")
-		}
-	}
-	body := func(lines ...string) func(*http.Request) string { return open(append(lines, "\r\n")...) }
-	const json, events, chunked, closes = "Content-Type: application/json", "Content-Type: text/event-stream", "Transfer-Encoding: chunked", "Connection: close"
-	var fields strings.Builder
-	for i := 0; fields.Len() < almostAHead; i++ {
-		fmt.Fprintf(&fields, "\r\nF%x:", i)
-	}
-	piece := strings.Repeat("x", pieceBytes)
-	chunk := fmt.Sprintf("%x\r\n%s\r\n", pieceBytes, piece)
-	return map[string]machines.Script{
-		"status line":     endlessly(func(*http.Request) string { return "HTTP/1.1 200 " + strings.Repeat("x", almostAHead) }, "x"),
-		"field":           endlessly(open("X: "+strings.Repeat("x", almostAHead)), "x"),
-		"fields":          endlessly(open("X: "+fields.String()), "\r\nf:"),
-		"interim answers": endlessly(none, "HTTP/1.1 103 Early Hints\r\nLink: "+strings.Repeat("x", almostAHead)+"\r\n\r\n"),
-		"no HTTP":         endlessly(none, piece),
-		"chunks":          endlessly(body(json, chunked), chunk),
-		"tiny chunks":     endlessly(body(json, chunked), strings.Repeat("1\r\nx\r\n", pieceBytes/6)),
-		"chunk extension": endlessly(open(json, chunked, "\r\n5;x="), piece),
-		"trailer":         endlessly(open(json, chunked, "\r\n0\r\nx: "), piece),
-		"length":          endlessly(body(json, "Content-Length: 9000000000"), piece),
-		"no framing":      endlessly(body(json, closes), piece),
-		"error":           endlessly(func(q *http.Request) string { return machines.ResponseHead(q, 500, chunked) }, chunk),
-		"refusal": endlessly(func(*http.Request) string {
-			return "HTTP/1.1 503 Busy\r\n" + machines.HeaderNotExecuted + ": 1\r\n" + chunked + "\r\n\r\n"
-		}, chunk),
-		"event":          endlessly(body(events, closes), piece),
-		"event of lines": endlessly(body(events, closes), strings.Repeat("data:\n", pieceBytes/6)),
-		"comments":       endlessly(body(events, closes), strings.Repeat(": x\n", pieceBytes/4)),
-		"comment events": endlessly(body(events, closes), strings.Repeat(": x\n\n", pieceBytes/5)),
-	}
-}
-
 // Guards against endpoints that send without end and use up the memory of the instance, and with it the requests of others.
 func TestEndlessAnswersLeaveMemoryForOthers(t *testing.T) {
 	defer debug.SetMemoryLimit(debug.SetMemoryLimit(goMemoryBytes))
 	defer debug.SetGCPercent(debug.SetGCPercent(50))
 	longBody, longEvent := strings.Repeat("sound ", 20_000), "id: 1\ndata: "+strings.Repeat("x", 40_000)+"\n\n"
 	faulty := map[string][]machines.Script{"all kinds": nil}
-	for desc, script := range endlessAnswers() {
+	for desc, script := range machines.EndlessAnswers() {
 		faulty[desc] = slices.Repeat([]machines.Script{script}, 4)
 		faulty["all kinds"] = append(faulty["all kinds"], script)
 	}
@@ -98,7 +43,7 @@
 				return machines.Answer(200, longBody)(q, b, c)
 			})
 			g.addFaultyEndpoints(scripts)
-			usage := watchMemory()
+			usage := machines.WatchMemory()
 			var callers sync.WaitGroup
 			for i := range endlessRequests {
 				path := []string{"/faulty-book/", "/faulty-look/", "/faulty-once/", "/faulty-chat/"}[i%4]
@@ -119,7 +64,7 @@
 				if got.status != 200 || got.body != want || got.err != nil {
 					t.Errorf("sound request %d: status %d, %d bytes, %v", sent, got.status, len(got.body), got.err)
 				}
-				time.Sleep(pieceInterval)
+				time.Sleep(5 * time.Millisecond)
 			}
 			callers.Wait()
 			for g.gateway.InFlight() > 0 {
@@ -171,26 +116,3 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	return resp.StatusCode, err
 }
-
-// watchMemory measures the memory of the Go runtime until the returned function is called,
-// which returns the largest value in bytes.
-func watchMemory() func() uint64 {
-	debug.FreeOSMemory()
-	stop, peak := make(chan struct{}), make(chan uint64)
-	go func() {
-		samples := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
-		highest := uint64(0)
-		for ticker := time.NewTicker(2 * time.Millisecond); ; {
-			metrics.Read(samples)
-			highest = max(highest, samples[0].Value.Uint64()-samples[1].Value.Uint64())
-			select {
-			case <-stop:
-				ticker.Stop()
-				peak <- highest
-				return
-			case <-ticker.C:
-			}
-		}
-	}()
-	return func() uint64 { close(stop); return <-peak }
-}
--- a/pkg/membudget/membudget.go
+++ b/pkg/membudget/membudget.go
@@ -3,6 +3,7 @@
 package membudget
 
 import (
+	"bytes"
 	"math"
 	"runtime/debug"
 	"sync"
@@ -50,65 +51,67 @@
 // Open returns an account of an owner that holds nothing.
 func (b *Budget) Open(owner string) *Account { return &Account{budget: b, owner: owner} }
 
-// take takes n bytes for an owner, or none if the owner would then hold more than is left.
-func (b *Budget) take(owner string, n int64) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.held[owner]+n > b.left-n {
-		return false
-	}
-	b.left -= n
-	b.held[owner] += n
-	return true
-}
-
-// giveBack returns n bytes of an owner.
-func (b *Budget) giveBack(owner string, n int64) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.left += n
-	if b.held[owner] -= n; b.held[owner] == 0 {
-		delete(b.held, owner)
-	}
-}
-
-// Account is what one response holds of a budget. One goroutine uses it at a time. A nil
-// account has no limit.
+// Account is what one response holds of a budget. It is safe for concurrent use. A nil account
+// has no limit.
 type Account struct {
 	budget *Budget
 	owner  string
+
+	// Guarded by budget.mu.
 	held   int64
+	closed bool
 }
 
-// Take takes n more bytes. It reports false, and takes none, if the budget does not allow it.
+// Take takes n more bytes. It reports false, and takes none, if the budget does not allow it
+// or the account is closed.
 func (a *Account) Take(n int) bool {
 	if a == nil {
 		return true
 	}
-	if !a.budget.take(a.owner, int64(n)) {
+	b, size := a.budget, int64(n)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if a.closed || b.held[a.owner]+size > b.left-size {
 		return false
 	}
-	a.held += int64(n)
+	b.left -= size
+	b.held[a.owner] += size
+	a.held += size
 	return true
 }
 
-// GiveBack returns n bytes.
+// GiveBack returns n bytes, or fewer if the account holds fewer.
 func (a *Account) GiveBack(n int) {
-	if a == nil || n == 0 {
+	if a == nil || n <= 0 {
 		return
 	}
-	a.budget.giveBack(a.owner, int64(n))
-	a.held -= int64(n)
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.giveBack(min(int64(n), a.held))
+}
+
+// giveBack returns n bytes. The budget must be locked.
+func (a *Account) giveBack(n int64) {
+	b := a.budget
+	b.left += n
+	a.held -= n
+	if b.held[a.owner] -= n; b.held[a.owner] == 0 {
+		delete(b.held, a.owner)
+	}
 }
 
 // Close returns all bytes. It may be called more than once.
 func (a *Account) Close() {
-	if a != nil {
-		a.GiveBack(int(a.held))
+	if a == nil {
+		return
 	}
+	a.budget.mu.Lock()
+	defer a.budget.mu.Unlock()
+	a.closed = true
+	a.giveBack(a.held)
 }
 
-// FreeBytes is the capacity up to which Grow takes nothing, so that short responses are
+// FreeBytes is the capacity up to which buffers take nothing, so that short responses are
 // received even when the budget is spent.
 const FreeBytes = 8 << 10
 
@@ -116,7 +119,26 @@
 // FreeBytes it takes the capacity from the account. It reports false, and returns buf
 // unchanged, if the budget does not allow it or if buf already has limit bytes.
 func (a *Account) Grow(buf []byte, limit int) ([]byte, bool) {
-	size := min(2*cap(buf), limit)
+	return a.resize(buf, min(2*cap(buf), limit))
+}
+
+// Append appends part to buf, which it makes larger like Grow if need be.
+func (a *Account) Append(buf, part []byte, limit int) ([]byte, bool) {
+	if need := len(buf) + len(part); need > cap(buf) {
+		if need > limit {
+			return buf, false
+		}
+		grown, ok := a.resize(buf, min(max(need, 2*cap(buf)), limit))
+		if !ok {
+			return buf, false
+		}
+		buf = grown
+	}
+	return append(buf, part...), true
+}
+
+// resize returns buf with a larger capacity.
+func (a *Account) resize(buf []byte, size int) ([]byte, bool) {
 	if size <= cap(buf) || size > FreeBytes && !a.Take(size) {
 		return buf, false
 	}
@@ -125,9 +147,25 @@
 	return grown, true
 }
 
-// Free returns what Grow took for buf.
+// Free returns what Grow and Append took for buf.
 func (a *Account) Free(buf []byte) {
 	if cap(buf) > FreeBytes {
 		a.GiveBack(cap(buf))
 	}
 }
+
+// headByteCost and headLineCost estimate, in bytes, the memory that a byte and a line of a head
+// take once it is parsed. freeHeadCost is the cost up to which a head takes nothing.
+const headByteCost, headLineCost, freeHeadCost = 4, 160, 32 << 10
+
+// Head takes what the head of a response costs while it is received.
+type Head struct{ cost int }
+
+// Receive takes the cost of the next part of the head from the account. It reports false if the
+// budget does not allow it.
+func (h *Head) Receive(part []byte, a *Account) bool {
+	cost := headByteCost*len(part) + headLineCost*bytes.Count(part, []byte("\n"))
+	h.cost += cost
+	taken := min(cost, h.cost-freeHeadCost)
+	return taken <= 0 || a.Take(taken)
+}
--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -12,6 +12,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
@@ -19,9 +20,8 @@
 	// maxHeldBytes is how much of an answer is held back before it is passed on, so
 	// that a short answer that ends early can still be replaced by an error or by
 	// another attempt.
-	maxHeldBytes   = 64 << 10
-	copyBufferSize = 16 << 10
-	maxStatusCode  = 599 // RFC 9110, section 15
+	maxHeldBytes  = 64 << 10
+	maxStatusCode = 599 // RFC 9110, section 15
 )
 
 // AppSink receives the answer of an app.
@@ -62,12 +62,14 @@
 	sent      atomic.Bool // a byte of the request may have been written
 	startedAt time.Time
 	result    Result
+	memory    *membudget.Account
 }
 
 // SendApp makes one attempt of an app request. ctx must end with the deadline of
 // the request or when its caller disconnects.
 func (c *Client) SendApp(ctx context.Context, call AppCall) Result {
-	a := &appAttempt{client: c, call: &call, startedAt: time.Now()}
+	a := &appAttempt{client: c, call: &call, startedAt: time.Now(), memory: c.budget.Open(call.Endpoint.ID)}
+	defer a.memory.Close()
 	err := a.tryConnection(ctx, !call.Repeatable)
 	if a.shouldReconnect(ctx, err) {
 		a.result.Reconnects++
@@ -119,10 +121,11 @@
 	if req.Header.Get("User-Agent") == "" {
 		req.Header.Set("User-Agent", "") // keeps net/http from adding its own
 	}
-	return a.client.roundTrip(a.call.Endpoint.ID, req, newConn)
+	return a.client.roundTrip(a.call.Endpoint.ID, req, newConn, a.memory)
 }
 
-// receive passes the answer to the sink. It first holds back up to maxHeldBytes.
+// receive passes the answer to the sink. It first holds back up to maxHeldBytes, or less if the
+// memory budget does not allow it.
 func (a *appAttempt) receive(resp *http.Response, wd *watchdog) error {
 	wd.pause()
 	if a.result.FirstByte == 0 {
@@ -136,11 +139,11 @@
 		return &endpointError{err: failure.New(failure.EndpointFailed, "make the app send Content-Length or chunks",
 			"endpoint %q sent an answer whose end cannot be distinguished from a broken connection", a.call.Endpoint.ID)}
 	}
-	var held []byte
-	buf := make([]byte, copyBufferSize)
+	held := make([]byte, 0, membudget.FreeBytes)
+	defer func() { a.memory.Free(held) }()
 	for total, begun := int64(0), false; ; {
 		wd.reset(orDefault(a.call.Service.IdleTimeout, defaultIdleTimeout))
-		n, err := resp.Body.Read(buf)
+		n, err := resp.Body.Read(held[len(held):cap(held)])
 		wd.pause()
 		if total += int64(n); total > a.client.opts.MaxResponse {
 			return &endpointError{err: failure.New(failure.EndpointFailed, "ask for less at once",
@@ -150,9 +153,12 @@
 		if err != nil && !end {
 			return fmt.Errorf("read answer: %w", err)
 		}
-		held = append(held, buf[:n]...)
-		if !end && !begun && len(held) <= maxHeldBytes {
-			continue
+		held = held[:len(held)+n]
+		if !end && !begun {
+			var ok bool
+			if held, ok = a.makeRoom(held); ok {
+				continue
+			}
 		}
 		if err := a.writePart(resp, held, begun, end); err != nil {
 			return err
@@ -160,8 +166,20 @@
 		if end {
 			return nil
 		}
-		begun, held = true, held[:0]
+		if !begun {
+			a.memory.Free(held)
+			begun, held = true, make([]byte, 0, membudget.FreeBytes)
+		}
+		held = held[:0]
+	}
+}
+
+// makeRoom returns held with room for more, and whether more may be held back.
+func (a *appAttempt) makeRoom(held []byte) ([]byte, bool) {
+	if len(held) < cap(held) {
+		return held, true
 	}
+	return a.memory.Grow(held, maxHeldBytes+1)
 }
 
 func (a *appAttempt) writePart(resp *http.Response, part []byte, begun, end bool) error {
--- a/pkg/relay/chunk.go
+++ b/pkg/relay/chunk.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 )
 
 // maxErrorBytes bounds the endpoint's error text that is quoted in a message.
@@ -24,13 +25,13 @@
 	Error json.RawMessage `json:"error"`
 }
 
-func (c chunk) hasContent() bool {
+// contentBytes returns the length of the content.
+func (c chunk) contentBytes() int {
+	n := 0
 	for _, choice := range c.Choices {
-		if choice.Delta.Content != "" {
-			return true
-		}
+		n += len(choice.Delta.Content)
 	}
-	return false
+	return n
 }
 
 // handleEvent adds an event and delivers those that are now in order. It reports
@@ -43,6 +44,10 @@
 	if e.seq == 0 && !e.isTerminal() {
 		return false, a.invalidEventError("an event without a sequence number")
 	}
+	if !e.isTerminal() && !a.buffer.isNew(e) {
+		a.memory.Free(e.data)
+		return false, nil
+	}
 	if err := a.buffer.add(e); err != nil {
 		return false, err
 	}
@@ -65,6 +70,7 @@
 // deliver passes an event on. It fails if the event is invalid, if the stream has
 // more events with content than MaxTokens, or if the caller has disconnected.
 func (a *modelAttempt) deliver(e event) error {
+	defer a.memory.Free(e.data)
 	var c chunk
 	if err := json.Unmarshal(e.data, &c); err != nil {
 		return a.invalidEventError("an event that is not JSON")
@@ -75,8 +81,11 @@
 	if c.Usage != nil {
 		a.usage = c.Usage
 	}
-	if c.hasContent() {
+	if n := c.contentBytes(); n > 0 {
 		a.contentEvents++
+		if a.contentBytes += n; a.call.KeepsContent && a.contentBytes > membudget.FreeBytes && !a.memory.Take(n) {
+			return a.invalidEventError("more content than there is memory for")
+		}
 	}
 	if a.contentEvents > a.call.MaxTokens {
 		return &stopError{failure.New(failure.EndpointFailed, "repeat the request or report the engine to the operators",
--- a/pkg/relay/client.go
+++ b/pkg/relay/client.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 )
 
 const (
@@ -45,6 +46,7 @@
 // Client sends attempts to endpoints. It is safe for concurrent use.
 type Client struct {
 	opts   Options
+	budget *membudget.Budget // of the answers, by endpoint id
 	pooled *http.Transport
 	// unpooled opens a new connection for each request. net/http retries a
 	// request by itself only on a reused connection, so it never does so here.
@@ -69,7 +71,7 @@
 	pooled := newTransport(opts)
 	unpooled := newTransport(opts)
 	unpooled.DisableKeepAlives = true
-	return &Client{opts: opts, pooled: pooled, unpooled: unpooled, incarnations: map[string]string{}, naming: map[string]bool{}}
+	return &Client{opts: opts, budget: membudget.ForProcess(), pooled: pooled, unpooled: unpooled, incarnations: map[string]string{}, naming: map[string]bool{}}
 }
 
 func newTransport(opts Options) *http.Transport {
@@ -91,6 +93,9 @@
 	return p
 }
 
+// Budget returns the budget that bounds the memory of the answers, by endpoint id.
+func (c *Client) Budget() *membudget.Budget { return c.budget }
+
 // Close closes idle connections.
 func (c *Client) Close() {
 	c.pooled.CloseIdleConnections()
--- a/pkg/relay/identity.go
+++ b/pkg/relay/identity.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net/http"
 
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
@@ -13,12 +14,13 @@
 // roundTrip sends a request to an endpoint and returns the answer to it. It uses a kept
 // connection only if newConn is false and the endpoint repeats request IDs in its answers:
 // otherwise the late copy of an earlier answer could not be told from the one to this request.
-func (c *Client) roundTrip(endpointID string, req *http.Request, newConn bool) (*http.Response, error) {
+// The head of the answer takes its memory from the account.
+func (c *Client) roundTrip(endpointID string, req *http.Request, newConn bool, memory *membudget.Account) (*http.Response, error) {
 	transport := c.unpooled
 	if !newConn && c.namesRequests(endpointID) {
 		transport = c.pooled
 	}
-	ctx, usedRecorder := withRecorder(req.Context())
+	ctx, usedRecorder := withRecorder(req.Context(), memory)
 	resp, err := transport.RoundTrip(req.WithContext(ctx))
 	if err != nil {
 		return nil, err
--- a/pkg/relay/model.go
+++ b/pkg/relay/model.go
@@ -11,6 +11,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 )
 
 const (
@@ -42,6 +43,8 @@
 	Priority int
 	// Body is the JSON request with "stream": true.
 	Body []byte
+	// KeepsContent means that OnEvent keeps the content of the events until the end.
+	KeepsContent bool
 	// MaxTokens is the number of output tokens after which the stream is
 	// cancelled.
 	MaxTokens int64
@@ -74,14 +77,17 @@
 	buffer        reorderBuffer
 	usage         *Usage
 	contentEvents int64 // events with content, each of which is at least one token
+	contentBytes  int
 	result        Result
+	memory        *membudget.Account
 }
 
 // SendModel makes one attempt of a model request. ctx must end with the deadline
 // of the request or when its caller disconnects; the stream is then cancelled at
 // the engine.
 func (c *Client) SendModel(ctx context.Context, call ModelCall) Result {
-	a := &modelAttempt{client: c, call: &call, startedAt: time.Now()}
+	a := &modelAttempt{client: c, call: &call, startedAt: time.Now(), memory: c.budget.Open(call.Endpoint.ID)}
+	defer a.memory.Close()
 	cause := a.run(ctx)
 	if cause == nil {
 		a.result.Outcome, a.result.Usage = Complete, *a.usage
@@ -155,7 +161,8 @@
 	if resp.StatusCode != http.StatusOK {
 		return a.responseError(resp)
 	}
-	reader := newEventReader(resp.Body)
+	reader := newEventReader(resp.Body, a.memory)
+	defer reader.close()
 	for {
 		e, err := reader.next()
 		if err != nil {
@@ -193,5 +200,5 @@
 	if a.buffer.lastSeq > 0 {
 		req.Header.Set(resumeHeader, strconv.FormatUint(a.buffer.lastSeq, 10))
 	}
-	return a.client.roundTrip(a.call.Endpoint.ID, req, a.result.Reconnects > 0)
+	return a.client.roundTrip(a.call.Endpoint.ID, req, a.result.Reconnects > 0, a.memory)
 }
--- a/pkg/relay/probe.go
+++ b/pkg/relay/probe.go
@@ -58,6 +58,9 @@
 func (e statusError) Error() string { return http.StatusText(int(e)) }
 
 func (c *Client) getJSON(ctx context.Context, method string, ep config.Endpoint, path string, v any) error {
+	memory := c.budget.Open(ep.ID)
+	defer memory.Close()
+	ctx, _ = withRecorder(ctx, memory)
 	req, err := http.NewRequestWithContext(ctx, method, baseURL(ep.Address)+path, nil)
 	if err != nil {
 		return err
--- a/pkg/relay/recorder.go
+++ b/pkg/relay/recorder.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"sync"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
@@ -14,6 +16,10 @@
 // what was read into the buffer can exceed a body.
 const maxLatestBytes = 4 << 10
 
+// errNoMemory means that the answers of an endpoint, or of all endpoints, already take the
+// memory that they may take.
+var errNoMemory = errors.New("no memory is left for the answer")
+
 // recorder is a connection to an endpoint that records what net/http does not show of a
 // response: the bytes of its head, of which some fields are deleted, and those after its body.
 type recorder struct {
@@ -24,6 +30,8 @@
 	complete  bool   // received contains a final head, or is too long for one
 	bodyBytes int64  // received after the head
 	latest    []byte // of the latest read, if it has at most maxLatestBytes
+	head      membudget.Head
+	memory    *membudget.Account // of the request
 }
 
 type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -39,23 +47,23 @@
 	}
 }
 
-// withRecorder returns a context whose request starts the recorder of its connection. used
-// returns that recorder once the request has a connection.
-func withRecorder(ctx context.Context) (_ context.Context, used func() *recorder) {
+// withRecorder returns a context whose request starts the recorder of its connection; heads take
+// their memory from the account. used returns that recorder once the request has a connection.
+func withRecorder(ctx context.Context, memory *membudget.Account) (_ context.Context, used func() *recorder) {
 	var r *recorder
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if r, _ = info.Conn.(*recorder); r != nil {
-			r.start()
+			r.start(memory)
 		}
 	}}
 	return httptrace.WithClientTrace(ctx, trace), func() *recorder { return r }
 }
 
 // start forgets what was received for earlier requests.
-func (r *recorder) start() {
+func (r *recorder) start(memory *membudget.Account) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.received, r.complete, r.bodyBytes = nil, false, 0
+	r.received, r.complete, r.bodyBytes, r.head, r.memory = nil, false, 0, membudget.Head{}, memory
 }
 
 // Read implements net.Conn.
@@ -70,6 +78,9 @@
 		r.bodyBytes += int64(n)
 		return n, err
 	}
+	if !r.head.Receive(p[:n], r.memory) {
+		return 0, errNoMemory
+	}
 	r.received = append(r.received, p[:n]...)
 	head, rest, ok := splice.FinalHead(r.received)
 	r.complete = ok || len(r.received) > limits.ResponseHeadBytes
@@ -77,11 +88,14 @@
 	return n, err
 }
 
-// checkHead fails with splice.ErrHead if the head received since start goes on with other bytes.
+// checkHead fails with splice.ErrHead if the head received since start goes on with other bytes,
+// and forgets the head.
 func (r *recorder) checkHead() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return splice.CheckHead(r.received)
+	err := splice.CheckHead(r.received)
+	r.received = nil
+	return err
 }
 
 // after returns the latest bytes that were received after a body of the given length.
--- a/pkg/relay/sequence.go
+++ b/pkg/relay/sequence.go
@@ -14,6 +14,12 @@
 	terminated bool
 }
 
+// isNew reports whether an event is neither delivered nor held back.
+func (b *reorderBuffer) isNew(e event) bool {
+	_, held := b.held[e.seq]
+	return e.seq > b.lastSeq && !held
+}
+
 // add adds an event. It returns errMissingEvents if maxReorderedEvents are already
 // held back and e is not the next one in order.
 func (b *reorderBuffer) add(e event) error {
@@ -21,7 +27,7 @@
 		b.terminated = true
 		return nil
 	}
-	if e.seq <= b.lastSeq {
+	if !b.isNew(e) {
 		return nil
 	}
 	if b.held == nil {
--- a/pkg/relay/sse.go
+++ b/pkg/relay/sse.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"strconv"
+
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 )
 
 const (
@@ -23,10 +25,23 @@
 
 func (e event) isTerminal() bool { return string(e.data) == terminalMarker }
 
-// eventReader parses a stream of server-sent events.
-type eventReader struct{ r *bufio.Reader }
+// eventReader parses a stream of server-sent events. The data of an event belongs to the
+// account until it is freed.
+type eventReader struct {
+	r      *bufio.Reader
+	memory *membudget.Account
+	line   []byte // the latest line
+}
 
-func newEventReader(r io.Reader) *eventReader { return &eventReader{bufio.NewReader(r)} }
+func newEventReader(r io.Reader, memory *membudget.Account) *eventReader {
+	return &eventReader{r: bufio.NewReader(r), memory: memory}
+}
+
+// close frees the memory of the reader.
+func (r *eventReader) close() {
+	r.memory.Free(r.line)
+	r.line = nil
+}
 
 // next returns the next event that was received including its closing blank line.
 func (r *eventReader) next() (event, error) {
@@ -53,25 +68,38 @@
 				return event{}, fmt.Errorf("event id %q is not a sequence number", value)
 			}
 		case "data":
+			ok := true
 			if hasData {
-				e.data = append(e.data, '\n')
+				e.data, ok = r.memory.Append(e.data, []byte("\n"), maxEventBytes)
+			}
+			if ok {
+				e.data, ok = r.memory.Append(e.data, value, maxEventBytes)
+			}
+			if !ok {
+				return event{}, errNoMemory
 			}
-			e.data = append(e.data, value...)
 			hasData = true
 		}
 	}
 }
 
+// readLine returns the next line without its end. It is valid until the next call.
 func (r *eventReader) readLine(limit int) ([]byte, error) {
-	var line []byte
+	if cap(r.line) > membudget.FreeBytes {
+		r.close()
+	}
+	r.line = r.line[:0]
 	for {
 		part, err := r.r.ReadSlice('\n')
-		line = append(line, part...)
-		if len(line) > limit {
+		if len(r.line)+len(part) > limit {
 			return nil, fmt.Errorf("event exceeds %d bytes", maxEventBytes)
 		}
+		var ok bool
+		if r.line, ok = r.memory.Append(r.line, part, maxEventBytes); !ok {
+			return nil, errNoMemory
+		}
 		if err == nil {
-			return bytes.TrimRight(line, "\r\n"), nil
+			return bytes.TrimRight(r.line, "\r\n"), nil
 		}
 		if err != bufio.ErrBufferFull {
 			return nil, err
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -45,11 +45,6 @@
 	// maxResponsesRead bounds the responses that are read in search of the one to the
 	// request. Interim responses (1xx) count too.
 	maxResponsesRead = 3
-	// headByteCost and headLineCost estimate, in bytes, the memory that a byte and a line of
-	// a head take once it is parsed.
-	headByteCost, headLineCost = 4, 160
-	// freeHeadCost is the cost of a head up to which it takes nothing from the budget.
-	freeHeadCost = 32 << 10
 )
 
 // Request is a request to an endpoint.
@@ -150,7 +145,7 @@
 	// read, or unlimited. headBytes are those received so far.
 	headBytesLeft int
 	headBytes     []byte
-	headCost      int                // of headBytes
+	head          membudget.Head     // of headBytes
 	memory        *membudget.Account // of the request that uses it
 }
 
@@ -361,7 +356,10 @@
 // not allow so large a head.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.headBytes = append(c.headBytes[:0], c.buffered()...)
-	c.headBytesLeft, c.headCost = limits.ResponseHeadBytes, headCost(c.headBytes)
+	c.headBytesLeft, c.head = limits.ResponseHeadBytes, membudget.Head{}
+	if !c.head.Receive(c.headBytes, c.memory) {
+		return nil, ErrNoMemory
+	}
 	resp, err := http.ReadResponse(c.reader, req)
 	c.headBytesLeft = unlimited
 	if err != nil {
@@ -375,11 +373,6 @@
 	return resp, err
 }
 
-// headCost returns the estimated memory in bytes that a part of a head takes.
-func headCost(part []byte) int {
-	return headByteCost*len(part) + headLineCost*bytes.Count(part, []byte("\n"))
-}
-
 // buffered returns the bytes that were received and not read yet. They are valid until the
 // next read.
 func (c *conn) buffered() []byte {
@@ -396,9 +389,7 @@
 		return 0, ErrHeadTooLarge
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
-	cost := headCost(p[:n])
-	c.headCost += cost
-	if taken := min(cost, c.headCost-freeHeadCost); taken > 0 && !c.memory.Take(taken) {
+	if !c.head.Receive(p[:n], c.memory) {
 		return 0, ErrNoMemory
 	}
 	c.headBytesLeft -= n
