--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -55,10 +55,10 @@
 		for begun := time.Now(); time.Since(begun) < endlessDeadline; sent++ {
 			route := []string{"book", "look"}[sent%2] // which need no rights
 			id := fmt.Sprintf("sound-%d-%s", sent, n.name)
-			tc.sendRequest(context.Background(), client, s, n, route, id)
-			if s.served == sent && (route == "look" || s.refused[id]) { // callers repeat what did not run
+			refused := tc.sendRequest(context.Background(), client, s, n, route, id, 0)
+			if s.served == sent && (route == "look" || refused) { // callers repeat what did not run
 				repeated++
-				tc.sendRequest(context.Background(), client, s, n, route, "again-"+id)
+				tc.sendRequest(context.Background(), client, s, n, route, "again-"+id, 0)
 			}
 			time.Sleep(5 * time.Millisecond)
 		}
