Let callers of the soak take streams up among runners of several versions

Cause: no soak had runners of several software versions, resumable streams or callers that take up a stream that broke off. Change: releases replace some or all runners by those of a new version, one after another, again and again; events say which version wrote them. Streams may be resumed. Eight more callers have slow streams, paid by a workspace of their own, and all callers take a broken stream up at other instances, with Resumes. Events must be in order, none missing or repeated, and of one version over all tries; the budget is checked for each workspace.

--- a/test/soak/doc.go
+++ b/test/soak/doc.go
@@ -7,7 +7,8 @@
 // killed, paused, stopped and restarted by signals; the store refuses, loses and delays
 // calls; runners refuse requests, send copies of refusals and interrupt answers. The
 // sequence of faults is derived from a seed; their exact effect also depends on the
-// scheduling of the processes.
+// scheduling of the processes. Runners are replaced by those of other versions, and callers
+// take up streams that break off.
 //
 // `go test ./test/soak` runs one short seed; `make soak` runs many.
 package soak
