--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -12,9 +12,9 @@
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/upstream"
 )
@@ -49,13 +49,18 @@
 )
 
 // maxBufferedResponseBytes bounds the responses that are buffered until they are
-// complete. Larger ones are forwarded as they arrive and cannot be retried.
+// complete. Larger ones, and those for which the memory budget has too little left, are
+// forwarded as they arrive and cannot be retried.
 const maxBufferedResponseBytes = 4 << 20
 
 // errEmptyBody means that an endpoint closed its connection after the head of a response
 // whose body ends with the connection, which a sound endpoint has no reason to do.
 var errEmptyBody = errors.New("the body is empty and ends with the connection")
 
+// copyBufferBytes is the memory that a response takes while it is forwarded as it arrives. It
+// is smaller than the default of net/http, because no budget bounds it.
+const copyBufferBytes = 8 << 10
+
 // maxExtraAttempts bounds the attempts beyond Route.MaxAttempts, which counts only
 // those that may have run. It keeps a request from trying every endpoint of a
 // service in a partitioned failure domain.
@@ -83,6 +88,7 @@
 		s.lastNumber, s.hasLastNumber = n, true
 	}
 	var lastErrorResponse *bufferedResponse // latest 5xx of an endpoint
+	defer func() { lastErrorResponse.free() }()
 	for tries := 0; ; tries++ {
 		if err := q.checkTraits(time.Now()); err != nil {
 			q.giveUp(ctx, s, lastErrorResponse, failure.From(err))
@@ -103,12 +109,10 @@
 			q.reachedAttempts++
 		}
 		if errorResponse != nil {
+			lastErrorResponse.free()
 			lastErrorResponse = errorResponse
 		}
 		if status == attemptDone {
-			if q.responseBroken {
-				abort.Response(q.w, q.r)
-			}
 			return
 		}
 		q.excluded[choice.ID] = true
@@ -132,21 +136,23 @@
 }
 
 // giveUp ends a request after its last attempt. It forwards the latest error
-// response of an endpoint, or answers with an error. cause is used if no endpoint
-// may have run the request; it may be nil.
+// response of an endpoint, or answers with an error, or leaves a stream that has begun
+// incomplete. cause is used if no endpoint may have run the request; it may be nil.
 func (q *request) giveUp(ctx context.Context, s *streamState, lastErrorResponse *bufferedResponse, cause *failure.Error) {
-	isAborted := q.g.aborted.Err() != nil && q.r.Context().Err() == nil
+	isAborted := q.g.aborted.Err() != nil
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled) && !isAborted:
-		q.err = failure.New(failure.Truncated, "repeat the request", "the caller disconnected")
 	case s.started:
 		q.err = failure.New(failure.Truncated, "resume after the last event", "the stream broke off")
-		q.status = 0 // the caller got no complete response
-		abort.Response(q.w, q.r)
+		if q.r.Context().Err() != nil {
+			q.err = newCallerLeftError()
+		}
+		q.status = 0 // the caller gets no complete response
 	case isAborted && !q.mayHaveRun:
 		q.refuse(newNotRunError(failure.NotReady, "send it to another instance", "the instance is stopping"), otherInstanceRetryDelay)
 	case isAborted:
 		q.refuse(failure.New(failure.Timeout, "check whether the request ran before repeating it", "the instance is stopping").WithOutcome(failure.Unknown), 0)
+	case errors.Is(ctx.Err(), context.Canceled):
+		q.refuse(newCallerLeftError().WithOutcome(q.outcome()), 0)
 	case ctx.Err() != nil:
 		q.refuse(failure.New(failure.Timeout, "set a longer timeout", "the deadline of the request has passed").WithOutcome(q.outcome()), 0)
 	case lastErrorResponse != nil:
@@ -161,6 +167,12 @@
 	}
 }
 
+// newCallerLeftError returns the error of a request whose caller has closed its connection, or
+// only its sending side, which cannot be told apart.
+func newCallerLeftError() *failure.Error {
+	return failure.New(failure.Truncated, "keep both sides of the connection open until the response is complete", "the caller disconnected")
+}
+
 // outcome returns the outcome to report for a request without a response.
 func (q *request) outcome() failure.Outcome {
 	if q.mayHaveRun {
@@ -174,6 +186,14 @@
 	status int
 	header http.Header
 	body   []byte
+	memory *membudget.Account // of header and body, nil if the upstream response holds it
+}
+
+// free returns the memory of a response, which may be nil.
+func (r *bufferedResponse) free() {
+	if r != nil {
+		r.memory.Close()
+	}
 }
 
 // tryEndpoint sends the request to one endpoint, handles the response, and reports
@@ -294,6 +314,7 @@
 // unless another attempt may replace it.
 func (q *request) handleResponse(ctx context.Context, c *placement.Choice, s *streamState, resp *upstream.Response) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
 	if rejected, moved := q.g.opts.Codec.IsRejected(resp.Status, resp.Header); rejected {
+		resp.MarkRefused()
 		if !resp.EndsWithConnection {
 			_ = resp.Discard() // makes the connection reusable, or fails and has it closed
 		}
@@ -332,9 +353,11 @@
 	if success {
 		q.recordSurvival(now)
 	}
-	buffered := &bufferedResponse{resp.Status, resp.Header, body}
+	buffered := &bufferedResponse{status: resp.Status, header: resp.Header, body: body}
 	result := "answered " + strconv.Itoa(resp.Status)
 	if resp.Status >= 500 {
+		buffered.memory = resp.Memory()
+		resp.KeepMemory()
 		return attemptFailed, placement.Failed, result, buffered
 	}
 	if s.started {
@@ -359,23 +382,25 @@
 	}
 	q.writeHeader(resp.status, resp.header, len(resp.body))
 	_, _ = q.w.Write(resp.body) // fails only if the caller has disconnected
+	q.w.Complete()
 }
 
-// forwardLargeResponse forwards a response that exceeds maxBufferedResponseBytes as
-// it arrives. head is the part of the body that was already read. If the response
-// is interrupted, the connection to the caller is closed before the end of the body.
+// forwardLargeResponse forwards a response that was too large to be buffered as it
+// arrives. head is the part of the body that was already read. If the response
+// is interrupted, the one to the caller is not completed.
 func (q *request) forwardLargeResponse(resp *upstream.Response, head []byte) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
 	q.status = resp.Status
 	q.writeHeader(resp.Status, resp.Header, int(resp.Length))
 	_, err := q.w.Write(head)
+	resp.Memory().Free(head)
 	if err == nil {
-		_, err = io.Copy(q.w, resp)
+		_, err = io.CopyBuffer(struct{ io.Writer }{q.w}, resp, make([]byte, copyBufferBytes))
 	}
 	if err != nil {
 		q.err = failure.New(failure.Truncated, "repeat the request if it may run twice", "the response was interrupted: %v", err)
-		q.responseBroken = true
 		return attemptDone, placement.Failed, "broke off: " + err.Error(), nil
 	}
+	q.w.Complete()
 	return attemptDone, placement.Served, "answered " + strconv.Itoa(resp.Status), nil
 }
 
@@ -395,7 +420,7 @@
 // forwardStream forwards the events of a stream as they arrive and skips those that
 // the caller already has.
 func (q *request) forwardStream(c *placement.Choice, s *streamState, resp *upstream.Response) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
-	events := newEventReader(resp)
+	events := newEventReader(resp, resp.Memory())
 	s.isResuming = s.hasLastNumber
 	control := http.NewResponseController(q.w)
 	survived, recorded := false, false
@@ -447,6 +472,7 @@
 			if !s.firstEvent.IsZero() {
 				q.recordSurvival(time.Now())
 			}
+			q.w.Complete()
 			return attemptDone, placement.Served, "streamed" + streamEnd(resp, events), nil
 		case err != nil && !s.started:
 			return attemptLost, placement.Failed, "broke off: " + err.Error() + streamEnd(resp, events), nil
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -19,6 +19,7 @@
 	"github.com/sirupsen/logrus"
 	"go.uber.org/goleak"
 
+	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
@@ -157,6 +158,7 @@
 	doc     *catalog.Document
 	pool    *placement.Pool
 	retries *gateway.RetryBudget
+	sender  *upstream.Client
 	dial    func(context.Context, string) (net.Conn, error) // nil: the dialer of upstream.New
 	deaths  atomic.Int64
 	traits  *traitLog
@@ -250,12 +252,15 @@
 		client = upstream.NewWithDialer(g.dial)
 	}
 	g.t.Cleanup(client.Close)
+	g.sender = client
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	index := catalog.Index(g.doc)
 	g.gateway = gateway.New(gateway.Options{Codec: platform.Codec{}, Catalog: func() *catalog.Catalog { return index }, Pool: g.pool, Client: client,
 		Rights: g.rights, CrashGuard: countingGuard{quarantine.New(quarantine.Options{}, nil), &g.deaths, g.traits}, Log: log, RetryBudget: g.retries, Lineage: g.lineage})
-	g.server = httptest.NewServer(g.gateway)
+	g.server = httptest.NewUnstartedServer(g.gateway)
+	g.server.Config.ConnContext = abort.ConnContext
+	g.server.Start()
 	g.t.Cleanup(g.server.Close)
 }
 
--- a/pkg/relay/recorder.go
+++ b/pkg/relay/recorder.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http/httptrace"
 	"slices"
 	"sync"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
@@ -19,6 +21,10 @@
 // as many refusals it is closed.
 const maxRefusedRequests = 64
 
+// errNoMemory means that the answers of an endpoint, or of all endpoints, already take the
+// memory that they may take.
+var errNoMemory = errors.New("no memory is left for the answer")
+
 // recorder is a connection to an endpoint that records what net/http does not show of a
 // response: the bytes of its head, of which some fields are deleted, and those after its body.
 // It carries no request again that was refused on it.
@@ -30,6 +36,8 @@
 	complete  bool   // received contains a final head, or is too long for one
 	bodyBytes int64  // received after the head
 	latest    []byte // of the latest read, if it has at most maxLatestBytes
+	head      membudget.Head
+	memory    *membudget.Account // of the request
 
 	// inUse is held from start to release. net/http may hand the connection to the next
 	// request before the caller has received the answer to the previous one.
@@ -52,16 +60,17 @@
 }
 
 // withRecorder returns a context whose request, with the ID of the given hash, starts the
-// recorder of its connection. used returns that recorder, which the caller must release,
-// once the request was sent, or nil.
-func withRecorder(ctx context.Context, id uint64) (_ context.Context, used func() *recorder) {
+// recorder of its connection; heads take their memory from the account. used returns that
+// recorder, or nil, once the request was sent. Unless the recorder is released, its connection
+// must not be used again.
+func withRecorder(ctx context.Context, id uint64, memory *membudget.Account) (_ context.Context, used func() *recorder) {
 	var r *recorder
 	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
 		if r != nil {
 			r.release() // net/http could not write to it
 		}
 		if r, _ = info.Conn.(*recorder); r != nil {
-			r.start(id)
+			r.start(id, memory)
 		}
 	}}
 	return httptrace.WithClientTrace(ctx, trace), func() *recorder { return r }
@@ -71,11 +80,11 @@
 // connection before, it closes the connection: a copy of the refusal would look like the
 // new answer. net/http then sends the request, of which no byte was written, on another
 // connection.
-func (r *recorder) start(id uint64) {
+func (r *recorder) start(id uint64, memory *membudget.Account) {
 	r.inUse.Lock()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.received, r.complete, r.bodyBytes = nil, false, 0
+	r.received, r.complete, r.bodyBytes, r.head, r.memory = nil, false, 0, membudget.Head{}, memory
 	if r.declined = len(r.refused) >= maxRefusedRequests || slices.Contains(r.refused, id); r.declined {
 		_ = r.Close()
 	}
@@ -100,6 +109,9 @@
 		r.bodyBytes += int64(n)
 		return n, err
 	}
+	if !r.head.Receive(p[:n], r.memory) {
+		return 0, errNoMemory
+	}
 	r.received = append(r.received, p[:n]...)
 	head, rest, ok := splice.FinalHead(r.received)
 	r.complete = ok || len(r.received) > limits.ResponseHeadBytes
@@ -107,11 +119,14 @@
 	return n, err
 }
 
-// checkHead fails with splice.ErrHead if the head received since start goes on with other bytes.
+// checkHead fails with splice.ErrHead if the head received since start goes on with other bytes,
+// and forgets the head.
 func (r *recorder) checkHead() error {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return splice.CheckHead(r.received)
+	err := splice.CheckHead(r.received)
+	r.received = nil
+	return err
 }
 
 // after returns the latest bytes that were received after a body of the given length.
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/clementinerack/clementinerack/pkg/limits"
+	"github.com/clementinerack/clementinerack/pkg/membudget"
 	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
@@ -103,7 +104,8 @@
 // Client sends requests and keeps idle connections to endpoints. It is safe for
 // concurrent use.
 type Client struct {
-	dial func(ctx context.Context, address string) (net.Conn, error)
+	dial   func(ctx context.Context, address string) (net.Conn, error)
+	budget *membudget.Budget // of the responses, by address
 	// OnDial is called before each new connection is opened. It may be nil and must
 	// not be changed after the first request.
 	OnDial func()
@@ -133,11 +135,15 @@
 	})
 }
 
-// NewWithDialer returns a client that opens connections with dial.
+// NewWithDialer returns a client that opens connections with dial. The memory of its
+// responses is bounded by membudget.ForProcess.
 func NewWithDialer(dial func(ctx context.Context, address string) (net.Conn, error)) *Client {
-	return &Client{dial: dial, seed: maphash.MakeSeed(), idle: map[string][]*conn{}}
+	return &Client{dial: dial, seed: maphash.MakeSeed(), budget: membudget.ForProcess(), idle: map[string][]*conn{}}
 }
 
+// MemoryUsed returns how many bytes the responses hold of their budget.
+func (c *Client) MemoryUsed() int64 { return c.budget.Used() }
+
 // conn is a connection to an endpoint. One request uses it at a time.
 type conn struct {
 	net.Conn
@@ -145,13 +151,15 @@
 	reader        *bufio.Reader
 	reused        bool      // an earlier request has used it
 	reusableUntil time.Time // when the endpoint may close it
-	// refused holds the hashes of the IDs of the requests that were answered with an error
-	// on this connection.
+	// refused holds the hashes of the IDs of the requests that were refused or answered with
+	// an error on this connection.
 	refused []uint64
 	// headBytesLeft is how many more bytes may be received for the head that is being
 	// read, or unlimited. headBytes are those received so far.
 	headBytesLeft int
 	headBytes     []byte
+	head          membudget.Head     // of headBytes
+	memory        *membudget.Account // of the request that uses it
 }
 
 // Close closes the idle connections. Connections in use are closed when their
@@ -203,8 +211,8 @@
 // hashID returns the hash of a request ID. A collision costs only a new connection.
 func (c *Client) hashID(id string) uint64 { return maphash.String(c.seed, id) }
 
-// hasRefused reports whether the request whose ID has the given hash was answered with an
-// error on this connection.
+// hasRefused reports whether the request whose ID has the given hash was refused or answered
+// with an error on this connection.
 func (c *conn) hasRefused(hash uint64) bool { return slices.Contains(c.refused, hash) }
 
 // isReusable reports whether the connection is open and no unread data has arrived
@@ -253,11 +261,13 @@
 	if err != nil {
 		return nil, &Error{NotSent, err}
 	}
+	cn.memory = c.budget.Open(address)
 	x := &exchange{client: c, conn: cn, req: req}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	resp, err := x.roundTrip()
 	if err != nil {
 		x.finish(false)
+		cn.memory.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
 		}
@@ -371,17 +381,25 @@
 }
 
 // readHead reads the head of a response, of at most limits.ResponseHeadBytes. It fails with
-// splice.ErrHead if the head goes on with other bytes.
+// splice.ErrHead if the head goes on with other bytes, and with ErrNoMemory if the budget does
+// not allow so large a head.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.headBytes = append(c.headBytes[:0], c.buffered()...)
-	c.headBytesLeft = limits.ResponseHeadBytes
+	c.headBytesLeft, c.head = limits.ResponseHeadBytes, membudget.Head{}
+	if !c.head.Receive(c.headBytes, c.memory) {
+		return nil, ErrNoMemory
+	}
 	resp, err := http.ReadResponse(c.reader, req)
 	c.headBytesLeft = unlimited
 	if err != nil {
 		return nil, err
 	}
 	// http.ReadResponse deletes some fields, so that the bytes are checked.
-	return resp, splice.CheckHead(c.headBytes[:len(c.headBytes)-c.reader.Buffered()])
+	err = splice.CheckHead(c.headBytes[:len(c.headBytes)-c.reader.Buffered()])
+	if cap(c.headBytes) > readBufferBytes {
+		c.headBytes = nil // the connection may stay idle
+	}
+	return resp, err
 }
 
 // buffered returns the bytes that were received and not read yet. They are valid until the
@@ -400,6 +418,9 @@
 		return 0, ErrHeadTooLarge
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
+	if !c.head.Receive(p[:n], c.memory) {
+		return 0, ErrNoMemory
+	}
 	c.headBytesLeft -= n
 	c.headBytes = append(c.headBytes, p[:n]...)
 	return n, err
