Make amounts of tokens a type whose operations stay in their range

Cause: the two numbers of a request were added in 64 bits. With the largest number as the maximum output the sum was negative, the free rights covered it, and reserving it added up to 2^63 of them. The same held for each sum of the book, the policy and the ledger, and for the charge of events (events times tokens per event).

Change: tokens.Count has methods that neither overflow nor go below zero, and no code outside pkg/tokens calculates with amounts by operators, which a test checks with the type checker. A request that states more than its workspace has prepaid is refused at once, without a search that would move the rights of others. A settlement of more than is reserved, and a return of more than is granted, are logged.

TestHugeMaximumLiftsNoBudget, TestNegativeAmountAddsNoRights and TestLargestAmountsDoNotWrap failed before and pass now. One case of the last, a shortfall of 2^63-1 with 1000 tokens left, expected them to be taken. That was wrong: a transaction of less than a tenth of what is needed is not worth it, as before for any large shortfall. Two cases with exact results replace it: nothing is taken or returned, and all that is left is taken if it covers the need.

--- a/pkg/catalog/delta_test.go
+++ b/pkg/catalog/delta_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // drawDocument draws a small document. Names repeat often, so that two documents share
@@ -22,7 +23,7 @@
 		d.Services = append(d.Services, Service{Name: name.Draw(t, "service"), Engine: &Engine{Slots: 1}})
 	}
 	for range rapid.IntRange(0, 4).Draw(t, "workspaces") {
-		prepaid := rapid.Int64Range(0, 2).Draw(t, "prepaid")
+		prepaid := tokens.Count(rapid.Int64Range(0, 2).Draw(t, "prepaid"))
 		d.Workspaces = append(d.Workspaces, Workspace{Name: name.Draw(t, "workspace"), Prepaid: &prepaid})
 	}
 	return d
--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -4,6 +4,8 @@
 	"slices"
 	"strings"
 	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // Kind determines how a route's requests are answered and whether they may run more
@@ -93,9 +95,9 @@
 	// Slots is the batch size. CacheTokens is the number of tokens of running
 	// requests and cached prompts together that fit into memory.
 	Slots       int
-	CacheTokens int64
+	CacheTokens tokens.Count
 	// TokensPerEvent is the maximum number of output tokens in one stream event.
-	TokensPerEvent int64
+	TokensPerEvent tokens.Count
 }
 
 // Workspace is a customer that pays in advance.
@@ -107,7 +109,7 @@
 	Priority *int
 	// Prepaid is the total number of tokens that the workspace may consume; nil
 	// means unlimited.
-	Prepaid *int64
+	Prepaid *tokens.Count
 }
 
 // Limits bounds the requests of callers; a zero field means no limit.
@@ -122,7 +124,7 @@
 	*Document
 	// PrepaidTotals maps the name of each limited workspace to its prepaid tokens.
 	// It must not be modified.
-	PrepaidTotals map[string]int64
+	PrepaidTotals map[string]tokens.Count
 	hosts         map[string][]*Route // by lower-case host, longest prefix first
 	keys          map[string]*Workspace
 	workspaces    map[string]*Workspace
@@ -131,7 +133,7 @@
 
 // Index returns the catalog of d. d must not be modified afterwards.
 func Index(d *Document) *Catalog {
-	c := &Catalog{Document: d, PrepaidTotals: map[string]int64{}, hosts: map[string][]*Route{}, keys: map[string]*Workspace{},
+	c := &Catalog{Document: d, PrepaidTotals: map[string]tokens.Count{}, hosts: map[string][]*Route{}, keys: map[string]*Workspace{},
 		workspaces: map[string]*Workspace{}, services: map[string]*Service{}}
 	for i := range d.Routes {
 		r := &d.Routes[i]
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -175,7 +175,7 @@
 	t.Helper()
 	g := &testGateway{t: t, rights: &fakeRights{free: initialRights}, client: &http.Client{Transport: &http.Transport{}},
 		traits: &traitLog{refusals: quarantine.NewRefusals(nil)}}
-	prepaid := int64(initialRights)
+	prepaid := rights.Tokens(initialRights)
 	base := catalog.Route{Host: "h.example", Timeout: 2 * time.Second, Objective: time.Second, MaxAttempts: 2,
 		Targets: []catalog.Target{{Service: "s", Weight: 1}}}
 	route := func(name string, change func(*catalog.Route)) catalog.Route {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -18,6 +18,7 @@
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/rights"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // request is the state of one request of a caller. Only the goroutine of its handler
@@ -204,7 +205,10 @@
 	if !q.envelope.Metered || q.workspace == nil || q.workspace.Prepaid == nil {
 		return nil
 	}
-	amount := q.envelope.PromptTokens + q.envelope.MaxOutput
+	amount := q.envelope.PromptTokens.Plus(q.envelope.MaxOutput)
+	if amount > *q.workspace.Prepaid || amount == tokens.Max {
+		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid")
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(q.route.Objective)*reserveTimeoutShare))
 	defer cancel()
 	if err := q.g.opts.Rights.Reserve(ctx, q.workspace.Name, amount); err != nil {
@@ -221,7 +225,7 @@
 		return
 	}
 	if q.mayHaveRun {
-		q.used = min(q.reserved, q.envelope.PromptTokens+q.outputTokens())
+		q.used = min(q.reserved, q.envelope.PromptTokens.Plus(q.outputTokens()))
 	}
 	q.g.opts.Rights.Settle(q.workspace.Name, q.reserved, q.used)
 }
@@ -230,7 +234,7 @@
 // the service declares the tokens per event, and the maximum otherwise.
 func (q *request) outputTokens() rights.Tokens {
 	if s := q.catalog.Service(q.service); s != nil && s.Engine != nil && s.Engine.TokensPerEvent > 0 {
-		return min(q.envelope.MaxOutput, q.deliveredEvents*s.Engine.TokensPerEvent)
+		return min(q.envelope.MaxOutput, s.Engine.TokensPerEvent.Times(q.deliveredEvents))
 	}
 	return q.envelope.MaxOutput
 }
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -116,7 +116,7 @@
 	})}
 	n.gateway = gateway.New(gateway.Options{
 		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
-		Rights: newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier), CrashGuard: n.crashes,
+		Rights: newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier, n.log), CrashGuard: n.crashes,
 		RetryBudget: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
 		Log:         n.log, Registerer: opts.Registry,
 	})
@@ -136,7 +136,7 @@
 	n.exchange = rights.NewExchange(n.book, n.peers, n.rightsPeers, n.syncer, n.log)
 }
 
-func (n *Node) refill(ctx context.Context, workspace string, want rights.Tokens) bool {
+func (n *Node) refill(ctx context.Context, workspace string, want rights.Delta) bool {
 	return n.exchange.Refill(ctx, workspace, want)
 }
 
--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sirupsen/logrus"
+
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/rights"
 )
@@ -29,6 +31,7 @@
 	syncer          *rights.Syncer
 	exchange        *rights.Exchange
 	isFirstSupplier func(workspace string) bool // whether this instance is the first supplier
+	log             logrus.FieldLogger
 
 	mu             sync.Mutex
 	failedSearches map[string]failedSearch // latest by workspace
@@ -42,8 +45,8 @@
 }
 
 // newReserver returns a reserver of the rights in book.
-func newReserver(book *rights.Book, syncer *rights.Syncer, exchange *rights.Exchange, isFirstSupplier func(string) bool) *reserver {
-	return &reserver{book: book, syncer: syncer, exchange: exchange, isFirstSupplier: isFirstSupplier, failedSearches: map[string]failedSearch{}}
+func newReserver(book *rights.Book, syncer *rights.Syncer, exchange *rights.Exchange, isFirstSupplier func(string) bool, log logrus.FieldLogger) *reserver {
+	return &reserver{book: book, syncer: syncer, exchange: exchange, isFirstSupplier: isFirstSupplier, log: log, failedSearches: map[string]failedSearch{}}
 }
 
 // Reserve implements gateway.Rights. It waits for rights until ctx ends, but fails at once
@@ -87,7 +90,7 @@
 	switch {
 	case reached:
 	case r.syncer.IsStoreUnreachable() && received >= maxTokens:
-		r.exchange.Ask(ctx, workspace, (outageAskFactor-1)*maxTokens)
+		r.exchange.Ask(ctx, workspace, maxTokens.Times(outageAskFactor-1))
 	case received < maxTokens && !isFirstSupplier:
 		r.syncer.ReportShortfall(workspace, maxTokens)
 	}
@@ -134,5 +137,7 @@
 
 // Settle implements gateway.Rights.
 func (r *reserver) Settle(workspace string, reserved, used rights.Tokens) {
-	r.book.Settle(workspace, reserved, used)
+	if err := r.book.Settle(workspace, reserved, used); err != nil {
+		r.log.WithError(err).Error("reservation cannot be settled")
+	}
 }
--- a/pkg/node/rights_test.go
+++ b/pkg/node/rights_test.go
@@ -79,7 +79,7 @@
 		exchange := rights.NewExchange(book, other, func(string) []rights.Member {
 			return []rights.Member{{Incarnation: "b", Address: "b", IsSupplier: true}}
 		}, syncer, log)
-		r := newReserver(book, syncer, exchange, func(string) bool { return false })
+		r := newReserver(book, syncer, exchange, func(string) bool { return false }, log)
 		r.search(ctx, "w", maxTokens)
 		if !slices.Equal(other.asked, tc.want) {
 			t.Errorf("%s: asked for %v, want %v", tc.desc, other.asked, tc.want)
--- a/pkg/rights/amounts_test.go
+++ b/pkg/rights/amounts_test.go
@@ -4,6 +4,8 @@
 	"math"
 	"testing"
 	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // Guards against an amount below zero that adds rights when it is reserved, settled, removed or reported.
@@ -47,9 +49,10 @@
 	for _, tc := range []struct {
 		desc  string
 		input PolicyInput
-		want  Tokens
+		want  Delta
 	}{
-		{"shortfall", PolicyInput{Prepaid: 1000, BufferHolders: 1, Shortfall: math.MaxInt64}, 1000},
+		{"shortfall that cannot be covered", PolicyInput{Prepaid: 1000, Granted: 500, BufferHolders: 1, Shortfall: math.MaxInt64, Holding: Holding{Free: 500}}, 0},
+		{"shortfall of all that is left", PolicyInput{Prepaid: math.MaxInt64, BufferHolders: 1, Shortfall: math.MaxInt64}, Delta(tokens.Max)},
 		{"sums", PolicyInput{Prepaid: 1000, Granted: 1000, Spent: math.MaxInt64, Lost: math.MaxInt64, BufferHolders: 1}, 0},
 		{"rate", PolicyInput{Prepaid: 1000, Granted: 1000, BufferHolders: 1, FleetRate: math.MaxFloat64, Holding: Holding{Rate: math.MaxFloat64}}, 0},
 		{"infinite rate", PolicyInput{Prepaid: 1000, Granted: 1000, BufferHolders: 1, FleetRate: math.Inf(1), Holding: Holding{Rate: math.Inf(1)}}, 0},
--- a/pkg/rights/book.go
+++ b/pkg/rights/book.go
@@ -3,10 +3,16 @@
 import (
 	"sync"
 	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // Tokens is an amount of prompt and output tokens.
-type Tokens = int64
+type Tokens = tokens.Count
+
+// Delta is a change of an amount of tokens.
+type Delta = tokens.Delta
 
 // Book accounts for the rights that this instance holds. It is safe for concurrent use.
 type Book struct {
@@ -20,7 +26,7 @@
 	reserved Tokens        // held by requests in flight
 	spent    Tokens        // since the start of the process
 	relayed  Tokens        // spent by other instances that report it through this one
-	reported Tokens        // part of spent+relayed that has been reported to the store
+	reported Tokens        // part of the sum of spent and relayed that has been reported to the store
 	frozen   bool          // set while more is granted than prepaid: no reservations
 	demand   rate          // tokens
 	requests rate          // number of requests
@@ -42,16 +48,17 @@
 }
 
 // Reserve reserves the maximum cost of a request. It reports false, and reserves
-// nothing, if the free rights do not cover it or the workspace is frozen.
+// nothing, if the free rights do not cover it, it is no amount that they could cover (see
+// tokens.Count.Take), or the workspace is frozen.
 func (b *Book) Reserve(workspace string, maxCost Tokens) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	if a.frozen || a.free < maxCost {
+	rest, covered := a.free.Take(maxCost)
+	if a.frozen || !covered {
 		return false
 	}
-	a.free -= maxCost
-	a.reserved += maxCost
+	a.free, a.reserved = rest, a.reserved.Plus(maxCost)
 	return true
 }
 
@@ -61,23 +68,28 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	a.demand.add(float64(maxCost), now)
+	a.demand.add(float64(max(0, maxCost)), now)
 	a.requests.add(1, now)
 }
 
-// Settle ends a reservation of which used tokens were spent. The rest becomes free.
-func (b *Book) Settle(workspace string, reserved, used Tokens) {
+// Settle ends a reservation of which used tokens were spent. The rest becomes free. Settle
+// fails with failure.Internal, and changes nothing, if less is reserved.
+func (b *Book) Settle(workspace string, reserved, used Tokens) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	a.reserved -= reserved
-	a.spent += used
-	a.addFree(reserved - used)
+	rest, ok := a.reserved.Take(reserved)
+	if !ok {
+		return failure.New(failure.Internal, "report this message to the maintainers", "workspace %q: %d tokens are settled, %d are reserved", workspace, reserved, a.reserved)
+	}
+	a.reserved, a.spent = rest, a.spent.Plus(used)
+	a.addFree(reserved.Excess(used))
+	return nil
 }
 
 // addFree adds n free rights and wakes the waiters on changed.
 func (a *account) addFree(n Tokens) {
-	a.free += n
+	a.free = a.free.Plus(n)
 	if n > 0 {
 		close(a.changed)
 		a.changed = make(chan struct{})
@@ -98,7 +110,7 @@
 	defer b.mu.Unlock()
 	a := b.account(workspace)
 	n = max(0, min(n, a.free))
-	a.free -= n
+	a.free = a.free.Excess(n)
 	return n
 }
 
@@ -126,7 +138,8 @@
 func (b *Book) AddRelayed(workspace string, n Tokens) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.account(workspace).relayed += n
+	a := b.account(workspace)
+	a.relayed = a.relayed.Plus(n)
 }
 
 // TakeUnreported returns the tokens that were spent or relayed since the last call,
@@ -135,8 +148,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	n := a.spent + a.relayed - a.reported
-	a.reported += n
+	n := a.unreported()
+	a.reported = a.reported.Plus(n)
 	return n
 }
 
@@ -145,9 +158,13 @@
 func (b *Book) RestoreUnreported(workspace string, n Tokens) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.account(workspace).reported -= n
+	a := b.account(workspace)
+	a.reported = a.reported.Excess(n)
 }
 
+// unreported returns the tokens that were spent or relayed and not reported.
+func (a *account) unreported() Tokens { return a.spent.Plus(a.relayed).Excess(a.reported) }
+
 // Holding is a snapshot of the account of one workspace.
 type Holding struct {
 	// Free is available for reservations, Reserved is held by requests in flight, and
@@ -167,9 +184,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	h := Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Unreported: a.spent + a.relayed - a.reported, Rate: a.demand.perSecond(now)}
+	h := Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Unreported: a.unreported(), Rate: a.demand.perSecond(now)}
 	if requests := a.requests.perSecond(now); requests > 0 {
-		h.RequestCost = Tokens(h.Rate / requests)
+		h.RequestCost = tokens.FromFloat(h.Rate / requests)
 	}
 	return h
 }
--- a/pkg/rights/era.go
+++ b/pkg/rights/era.go
@@ -284,8 +284,8 @@
 // addExcess adds to sums, and to based, by how much known exceeds based.
 func addExcess(sums, based, known map[string]Tokens) (changed bool) {
 	for w, n := range known {
-		if excess := n - based[w]; excess > 0 {
-			sums[w] += excess
+		if excess := n.Excess(based[w]); excess > 0 {
+			sums[w] = sums[w].Plus(excess)
 			based[w] = n
 			changed = true
 		}
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -13,6 +13,7 @@
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/rendezvous"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // AskMethod asks another instance to transfer some of its rights.
@@ -199,11 +200,11 @@
 // reports whether this instance can replace from the store what it transfers.
 func (x *Exchange) obtainFromStore(ctx context.Context, requester string, req AskRequest) bool {
 	changed := x.book.Changed(req.Workspace)
-	shortfall := req.Want - x.book.Holding(req.Workspace, time.Now()).Free
-	if !x.source.RequestGrant(req.Workspace, requester, max(0, shortfall)) {
+	shortfall := req.Want.Excess(x.book.Holding(req.Workspace, time.Now()).Free)
+	if !x.source.RequestGrant(req.Workspace, requester, shortfall) {
 		return false
 	}
-	if shortfall <= 0 {
+	if shortfall == 0 {
 		return true
 	}
 	timer := time.NewTimer(x.grantTimeout)
@@ -242,13 +243,13 @@
 	case req.ReplaceableOnly:
 		available = 0
 	case h.Rate > 0:
-		available = Tokens(float64(h.Free) * maxTransferShare)
+		available = tokens.FromFloat(float64(h.Free) * maxTransferShare)
 	}
 	given := x.book.Remove(req.Workspace, min(req.Want, available))
 	reply := AskReply{Given: given, StoreReached: req.UseStore && !x.source.IsStoreUnreachable()}
 	x.replies[key] = recordedReply{req.Sequence, reply}
 	if given > 0 {
-		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": requester, "given": given, "free": h.Free - given, "replaceable": replaceable}).Info("rights given")
+		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "to": requester, "given": given, "free": h.Free.Excess(given), "replaceable": replaceable}).Info("rights given")
 	}
 	return reply, nil
 }
@@ -269,9 +270,9 @@
 			if asked[m.Incarnation] {
 				continue
 			}
-			r := x.askPeer(ctx, m, AskRequest{Workspace: workspace, Want: want - got, UseStore: !storeReached && (storeUnreachable || m.IsSupplier)})
+			r := x.askPeer(ctx, m, AskRequest{Workspace: workspace, Want: want.Excess(got), UseStore: !storeReached && (storeUnreachable || m.IsSupplier)})
 			asked[m.Incarnation] = true
-			got += r.tokens
+			got = got.Plus(r.tokens)
 			storeReached = storeReached || r.storeReached
 		}
 	}
@@ -281,8 +282,8 @@
 // Refill asks the first supplier that reaches the store for want tokens, or returns
 // -want free ones to it if want is negative. It reports false if no supplier that ranks
 // before this instance reached the store.
-func (x *Exchange) Refill(ctx context.Context, workspace string, want Tokens) (storeReached bool) {
-	req := AskRequest{Workspace: workspace, Want: max(0, want), UseStore: true, ReplaceableOnly: true, Returned: max(0, -want)}
+func (x *Exchange) Refill(ctx context.Context, workspace string, want Delta) (storeReached bool) {
+	req := AskRequest{Workspace: workspace, Want: want.Increase(), UseStore: true, ReplaceableOnly: true, Returned: want.Decrease()}
 	for _, m := range x.members(workspace) {
 		if !m.IsSupplier {
 			return false
@@ -382,7 +383,7 @@
 	if ok && req.UseStore && !r.storeReached {
 		x.backOff(m, false)
 	}
-	total.tokens += r.tokens
+	total.tokens = total.tokens.Plus(r.tokens)
 	total.storeReached = r.storeReached
 	return total
 }
--- a/pkg/rights/ledger.go
+++ b/pkg/rights/ledger.go
@@ -60,7 +60,7 @@
 // Change is the change of one workspace's sums in a transaction.
 type Change struct {
 	// Granted is added to the granted sum. It is negative if rights are returned.
-	Granted Tokens
+	Granted Delta
 	// Spent is added to the spent sum.
 	Spent Tokens
 }
@@ -169,8 +169,8 @@
 			rec = shardRecord{Granted: cloneOrEmpty(l.shards[i].Granted), Spent: cloneOrEmpty(l.shards[i].Spent), Bases: l.shards[i].Bases}
 			changed[i] = rec
 		}
-		rec.Granted[w] += c.Granted
-		rec.Spent[w] += c.Spent
+		rec.Granted[w] = rec.Granted[w].Plus(c.Granted.Increase()).Excess(c.Granted.Decrease())
+		rec.Spent[w] = rec.Spent[w].Plus(c.Spent)
 	}
 	l.sequence++
 	t := &transaction{sequence: l.sequence, changes: changes}
--- a/pkg/rights/losses.go
+++ b/pkg/rights/losses.go
@@ -36,6 +36,6 @@
 	if holdsBuffer {
 		holders = max(1, bufferHolders)
 	}
-	held := h.Free*Tokens(holders) + (h.Reserved+h.Unreported)*Tokens(instances)
-	return max(0, granted-spent-held)
+	held := h.Free.Times(int64(holders)).Plus(h.Reserved.Plus(h.Unreported).Times(int64(instances)))
+	return granted.Excess(spent.Plus(held))
 }
--- a/pkg/rights/machine_test.go
+++ b/pkg/rights/machine_test.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -14,6 +15,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // ws is the workspace of the tests.
@@ -38,9 +40,18 @@
 	peers      *fakePeers
 	live       []*modelInstance
 	prepaid    Tokens
-	maxPrepaid Tokens // largest value of prepaid so far
-	spent      Tokens // by all incarnations, including those that were killed
-	started    int    // number of incarnations so far
+	maxPrepaid Tokens   // largest value of prepaid so far
+	spent      Tokens   // by all incarnations, including those that were killed
+	started    int      // number of incarnations so far
+	ends       []Tokens // amounts that are drawn beside ordinary ones
+}
+
+// amount draws an amount from low to high, or one of f.ends.
+func (f *fleet) amount(t *rapid.T, label string, low, high int) Tokens {
+	if f.ends != nil && rapid.Bool().Draw(t, label+" at an end") {
+		return rapid.SampledFrom(f.ends).Draw(t, label)
+	}
+	return Tokens(rapid.IntRange(low, high).Draw(t, label))
 }
 
 // modelRank makes the instance at supplierAddress the first supplier and the others, but
@@ -160,7 +171,7 @@
 			}
 			shortfalls := map[string]Tokens{}
 			if rapid.Bool().Draw(t, "short") {
-				shortfalls[ws] = Tokens(rapid.IntRange(1, 3000).Draw(t, "lack"))
+				shortfalls[ws] = f.amount(t, "lack", 1, 3000)
 			}
 			_, _, _ = inst.syncer.attempt(ctx, shortfalls, allShards()[0]) // errors from the faulty store are expected
 			f.store.fault = noFault
@@ -171,7 +182,7 @@
 		"late": func(*rapid.T) { f.store.applyDelayed() },
 		"reserve": func(t *rapid.T) {
 			inst := f.draw("who")
-			n := Tokens(rapid.IntRange(1, 800).Draw(t, "most"))
+			n := f.amount(t, "most", 1, 800)
 			inst.book.RecordDemand(ws, n, time.Now())
 			if inst.book.Reserve(ws, n) {
 				inst.reserved = append(inst.reserved, n)
@@ -185,18 +196,20 @@
 			n := inst.reserved[0]
 			inst.reserved = inst.reserved[1:]
 			used := Tokens(rapid.IntRange(0, int(n)).Draw(t, "used"))
-			inst.book.Settle(ws, n, used)
+			if err := inst.book.Settle(ws, n, used); err != nil {
+				t.Fatal(err)
+			}
 			f.spent += used
 		},
 		"refill": func(t *rapid.T) {
 			inst := f.draw("who")
 			f.peers.from = peer.Identity{Incarnation: inst.name}
-			inst.exchange.Refill(ctx, ws, Tokens(rapid.IntRange(-2000, 2000).Draw(t, "want")))
+			inst.exchange.Refill(ctx, ws, Delta(f.amount(t, "want", -2000, 2000)))
 		},
 		"ask": func(t *rapid.T) {
 			inst := f.draw("who")
 			f.peers.from = peer.Identity{Incarnation: inst.name}
-			inst.exchange.Ask(ctx, ws, Tokens(rapid.IntRange(1, 2000).Draw(t, "want")))
+			inst.exchange.Ask(ctx, ws, f.amount(t, "want", 1, 2000))
 			clear(inst.exchange.peerStates) // no backoff between steps
 		},
 		"repeat": func(t *rapid.T) {
@@ -212,7 +225,7 @@
 			f.live[i] = f.start(f.live[i].address)
 		},
 		"pay": func(t *rapid.T) {
-			f.prepaid = Tokens(rapid.IntRange(2_000, 20_000).Draw(t, "prepaid"))
+			f.prepaid = f.amount(t, "prepaid", 2_000, 20_000)
 			f.maxPrepaid = max(f.maxPrepaid, f.prepaid)
 		},
 		"return": func(t *rapid.T) {
@@ -230,9 +243,18 @@
 // or took effect late, from a transfer whose reply got lost or whose request arrived
 // twice, or from an instance that died. Invariants: the tokens spent and held never
 // exceed the granted sum, and the granted sum never exceeds the largest prepaid amount.
-func TestRightsMachine(t *testing.T) {
+func TestRightsMachine(t *testing.T) { checkRightsMachine(t, nil) }
+
+// Guards against sums that leave their range in any order of reservations, settlements, moves and reports.
+func TestRightsMachineAtEndsOfRange(t *testing.T) {
+	checkRightsMachine(t, []Tokens{0, 1, tokens.Max / 2, tokens.Max - 1, tokens.Max, tokens.Max + 1, math.MaxInt64, -1, math.MinInt64})
+}
+
+// checkRightsMachine checks the invariants of TestRightsMachine with amounts that include ends.
+func checkRightsMachine(t *testing.T, ends []Tokens) {
 	rapid.Check(t, func(t *rapid.T) {
 		f := newModelFleet(t)
+		f.ends = ends
 		actions := f.actions(context.Background())
 		actions[""] = func(t *rapid.T) {
 			if spentOrHeld, granted := f.spent+f.held(), f.granted(); spentOrHeld > granted {
--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -1,6 +1,10 @@
 package rights
 
-import "time"
+import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/tokens"
+)
 
 // Policy determines how many rights an instance holds. Large holdings let it serve
 // requests while the store is unreachable; small holdings strand fewer rights when
@@ -74,7 +78,7 @@
 // Target returns the number of free rights that the instance should hold.
 func (p Policy) Target(in PolicyInput) Tokens {
 	holders := float64(max(1, in.BufferHolders))
-	left := float64(max(0, in.Prepaid-in.Spent-in.Lost))
+	left := float64(in.Prepaid.Excess(in.Spent.Plus(in.Lost)))
 	// Buffers shrink with what has been lost, so that repeated losses of all instances
 	// leave tokens to the workspace.
 	base := max(0, left-float64(in.Lost))
@@ -89,7 +93,7 @@
 		// each instance gets few requests of a workspace, and asks for the rights of each.
 		own = 0
 	}
-	return Tokens(max(shared, own)) + in.Shortfall
+	return tokens.FromFloat(max(shared, own)).Plus(in.Shortfall)
 }
 
 // demandBuffer returns the tokens that all instances together should hold for a
@@ -103,22 +107,22 @@
 }
 
 // Change returns the number of rights to take, or to return if it is negative.
-func (p Policy) Change(in PolicyInput) Tokens {
+func (p Policy) Change(in PolicyInput) Delta {
 	target := p.Target(in)
-	ungranted := in.Prepaid - in.Granted
+	ungranted := in.Prepaid.Excess(in.Granted)
 	free := in.Holding.Free
-	minChange := Tokens(p.MinChangeShare * float64(target))
+	minChange := tokens.FromFloat(p.MinChangeShare * float64(target))
 	switch {
-	case ungranted < 0:
-		return -min(free, -ungranted)
+	case in.Granted > in.Prepaid:
+		return Tokens(0).Minus(min(free, in.Granted.Excess(in.Prepaid)))
 	case float64(free) > float64(target)*p.ReturnAbove:
-		return target - free
+		return target.Minus(free)
 	case in.Shortfall == 0 && float64(free) >= float64(target)*p.RefillBelow:
 		return 0
 	}
-	share := Tokens(float64(ungranted) * min(1, p.MaxRoundShare/float64(max(1, in.BufferHolders))))
-	if change := min(target-free, max(share, min(in.Shortfall, ungranted))); change > 0 && change >= minChange {
-		return change
+	share := tokens.FromFloat(float64(ungranted) * min(1, p.MaxRoundShare/float64(max(1, in.BufferHolders))))
+	if change := min(target.Excess(free), max(share, min(in.Shortfall, ungranted))); change > 0 && change >= minChange {
+		return change.Minus(0)
 	}
 	return 0
 }
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -168,7 +168,7 @@
 	for _, tc := range []struct {
 		desc  string
 		input PolicyInput
-		want  Tokens
+		want  Delta
 	}{
 		{"standing share without demand", PolicyInput{Prepaid: 1000, BufferHolders: 4}, 50},
 		{"standing share bounded with few instances", PolicyInput{Prepaid: 1000, BufferHolders: 2}, 80},
@@ -217,7 +217,7 @@
 			lost.add(unaccounted(granted, spent, Holding{Free: free[i]}, instances, instances, true), start.Add(time.Duration(second)*time.Second))
 			change := p.Change(PolicyInput{Prepaid: prepaid, Granted: granted, Spent: spent, FleetRate: float64(perSecond), BufferHolders: instances, Lost: lost.tokens(),
 				Holding: Holding{Free: free[i], Rate: float64(perSecond / instances), RequestCost: 10_000}})
-			granted, free[i] = granted+change, free[i]+change
+			granted, free[i] = granted+Tokens(change), free[i]+Tokens(change)
 		}
 		for i := range free {
 			used := min(free[i], perSecond/instances)
@@ -428,8 +428,8 @@
 func TestResolvePending(t *testing.T) {
 	for _, tc := range []struct {
 		desc      string
-		want      Tokens // a return if negative
-		loseReply bool   // the reply is lost, not the request
+		want      Delta // a return if negative
+		loseReply bool  // the reply is lost, not the request
 	}{{"refill, reply lost", 100, true}, {"refill, request lost", 100, false}, {"return, reply lost", -100, true}, {"return, request lost", -100, false}} {
 		giver, requester := NewBook(), NewBook()
 		giver.Add(ws, 1000)
@@ -478,8 +478,8 @@
 		s, book := newSyncer(store, "i1", 100_000, DefaultPolicy())
 		s.opts.SupplierRank = func(string) int { return NoSupplier }
 		s.opts.ResolvePending = func(context.Context) {}
-		var returned Tokens
-		s.opts.Refill = func(_ context.Context, _ string, want Tokens) bool {
+		var returned Delta
+		s.opts.Refill = func(_ context.Context, _ string, want Delta) bool {
 			returned += max(0, -want)
 			return reached
 		}
@@ -520,7 +520,7 @@
 	s, book := newSyncer(store, "i1", 100_000, DefaultPolicy())
 	s.opts.SupplierRank = func(string) int { return NoSupplier }
 	s.opts.ResolvePending = func(context.Context) {}
-	s.opts.Refill = func(context.Context, string, Tokens) bool { return false }
+	s.opts.Refill = func(context.Context, string, Delta) bool { return false }
 	book.Add(ws, 90_000)
 	for range 3 {
 		s.runRound(context.Background())
@@ -539,7 +539,7 @@
 	s.runRound(context.Background())
 	s.opts.SupplierRank = func(string) int { return 1 }
 	s.opts.ResolvePending = func(context.Context) {}
-	s.opts.Refill = func(context.Context, string, Tokens) bool { return false }
+	s.opts.Refill = func(context.Context, string, Delta) bool { return false }
 	target := book.Holding(ws, time.Now()).Free
 	s.opts.Ledger.shards[shardOf(ws)].Granted[ws] += 50_000 // returned by other instances
 	book.Add(ws, 50_000)
@@ -560,7 +560,7 @@
 	s.opts.SupplierRank = func(string) int { return NoSupplier }
 	s.opts.ResolvePending = func(ctx context.Context) { <-ctx.Done() }
 	refilled := false
-	s.opts.Refill = func(ctx context.Context, _ string, _ Tokens) bool {
+	s.opts.Refill = func(ctx context.Context, _ string, _ Delta) bool {
 		refilled = ctx.Err() == nil
 		return refilled
 	}
@@ -596,7 +596,7 @@
 		s.opts.SupplierRank = func(string) int { return NoSupplier }
 		s.opts.BufferHolders = func() (int, bool) { return 12, false }
 		s.opts.ResolvePending = func(context.Context) {}
-		s.opts.Refill = func(context.Context, string, Tokens) bool { return true }
+		s.opts.Refill = func(context.Context, string, Delta) bool { return true }
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { s.Run(ctx); close(done) }()
@@ -675,7 +675,7 @@
 	s, _ := newSyncer(store, "i1", 100_000, DefaultPolicy())
 	s.opts.SupplierRank = func(string) int { return NoSupplier }
 	s.opts.ResolvePending = func(context.Context) {}
-	s.opts.Refill = func(context.Context, string, Tokens) bool { return false }
+	s.opts.Refill = func(context.Context, string, Delta) bool { return false }
 	s.dependency.Record(errors.New("away"))
 	s.plan(time.Now(), nil, false, shardSet{})
 	s.refillFromSuppliers(context.Background())
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -63,7 +63,7 @@
 	// Refill asks a supplier of the workspace for want rights, or returns -want to it if
 	// want is negative, and reports what was spent. It reports false if no supplier
 	// reached the store.
-	Refill func(ctx context.Context, workspace string, want Tokens) bool
+	Refill func(ctx context.Context, workspace string, want Delta) bool
 	// Evidence returns what other instances know of the sums before the store returned from
 	// an older copy. RestoreDelay is how long this instance leaves the restoration of the sums
 	// to others; it reports false while this instance does not know the others.
@@ -86,7 +86,7 @@
 	// The following fields are used by Run only. The maps are keyed by workspace.
 	fleetConsumption     map[string]*consumption // as reported to the store by all instances
 	lost                 map[string]*losses      // estimated
-	supplierRequests     map[string]Tokens       // rights to ask of a supplier, or to return to it if negative
+	supplierRequests     map[string]Delta        // rights to ask of a supplier, or to return to it if negative
 	unsupplied           map[string]bool         // no supplier reached the store in the latest round
 	supplierReachedStore bool                    // a supplier reached the store in the latest round
 	newEra               uint64                  // latest era that the ledger did not use when it was seen
@@ -362,7 +362,7 @@
 	shortfalls := s.shortfalls
 	for w, byRequester := range s.peerShortfalls {
 		for _, n := range byRequester {
-			shortfalls[w] += n
+			shortfalls[w] = shortfalls[w].Plus(n)
 		}
 	}
 	s.shortfalls, s.peerShortfalls = map[string]Tokens{}, map[string]map[string]Tokens{}
@@ -429,7 +429,7 @@
 func (s *Syncer) plan(now time.Time, shortfalls map[string]Tokens, storeReached bool, scope shardSet) map[string]Change {
 	prepaid := s.opts.Prepaid()
 	changes := map[string]Change{}
-	s.supplierRequests = map[string]Tokens{}
+	s.supplierRequests = map[string]Delta{}
 	bufferHolders, holdsBuffer := s.opts.BufferHolders()
 	instances := s.opts.Instances()
 	for w, paid := range prepaid {
@@ -456,7 +456,7 @@
 		case !scope[shardOf(w)]:
 			// Another attempt of the round commits it.
 		case change < 0:
-			changes[w] = Change{Granted: -s.opts.Book.Remove(w, -change)}
+			changes[w] = s.removeForReturn(w, change.Decrease())
 		default:
 			changes[w] = Change{Granted: change}
 		}
@@ -467,6 +467,16 @@
 	return changes
 }
 
+// removeForReturn removes up to n free rights from the book and returns the change that returns
+// them to the store.
+func (s *Syncer) removeForReturn(workspace string, n Tokens) Change {
+	removed := s.opts.Book.Remove(workspace, n)
+	if granted := s.opts.Ledger.Granted(workspace); removed > granted {
+		s.opts.Log.WithFields(logrus.Fields{"workspace": workspace, "returned": removed, "granted": granted}).Warn("more rights are returned than the store has granted")
+	}
+	return Change{Granted: Tokens(0).Minus(removed)}
+}
+
 // actsAsSupplier reports whether this instance is the first supplier of a workspace, or the
 // next one while no supplier before it reaches the store. Only such an instance returns
 // rights to the store: nobody waits for them, and returns of all instances would conflict
@@ -499,7 +509,7 @@
 
 // refill sends requests to the suppliers. previouslyReached is the former
 // refillResult.reachedStore, which stays if there is nothing to ask for.
-func (s *Syncer) refill(ctx context.Context, requests map[string]Tokens, previouslyReached bool) refillResult {
+func (s *Syncer) refill(ctx context.Context, requests map[string]Delta, previouslyReached bool) refillResult {
 	ctx, cancel := context.WithTimeout(ctx, refillTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
@@ -577,7 +587,7 @@
 		return 0
 	}
 	first, last := c.samples[0], c.samples[len(c.samples)-1]
-	return float64(last.tokens-first.tokens) / max(minConsumptionWindow, last.at.Sub(first.at)).Seconds()
+	return float64(last.tokens.Minus(first.tokens)) / max(minConsumptionWindow, last.at.Sub(first.at)).Seconds()
 }
 
 // fleetRate returns the recent consumption of a workspace at all instances, in tokens
@@ -603,7 +613,7 @@
 			continue
 		}
 		if c.Granted > 0 {
-			s.opts.Book.Add(w, c.Granted)
+			s.opts.Book.Add(w, c.Granted.Increase())
 		}
 		h := s.opts.Book.Holding(w, time.Now())
 		s.opts.Log.WithFields(logrus.Fields{"workspace": w, "change": c.Granted, "granted": s.opts.Ledger.Granted(w), "prepaid": prepaid[w],
@@ -611,7 +621,7 @@
 	}
 	for w, c := range rejected {
 		if c.Granted < 0 {
-			s.opts.Book.Add(w, -c.Granted)
+			s.opts.Book.Add(w, c.Granted.Decrease())
 		}
 		s.opts.Book.RestoreUnreported(w, c.Spent)
 	}
@@ -633,8 +643,8 @@
 			changes := map[string]Change{}
 			prepaid := s.opts.Prepaid()
 			for w := range prepaid {
-				if n := s.opts.Book.Remove(w, s.opts.Book.Holding(w, time.Now()).Free); n > 0 {
-					changes[w] = Change{Granted: -n}
+				if free := s.opts.Book.Holding(w, time.Now()).Free; free > 0 {
+					changes[w] = s.removeForReturn(w, free)
 				}
 			}
 			for w := range prepaid {
