Reserve no memory for bodies that have not arrived

Cause: the gateway allocated the announced length of a body at once, up to max_body_bytes, and added 1 to that limit unchecked, so that the largest one made a chunked body an empty one.

Change: a body is read into a buffer that grows with what arrives, from at most 64 KiB.

--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -66,6 +68,10 @@
 // defaultMaxBodyBytes bounds request bodies if the declarations set no limit.
 const defaultMaxBodyBytes = 8 << 20
 
+// maxPreallocatedBytes bounds the memory that is reserved for a body before it arrives. Most
+// bodies are smaller.
+const maxPreallocatedBytes = 64 << 10
+
 // prepare matches the request to a route and a workspace, reads its body, and checks
 // whether it may run. If it is refused, retryAfter is the delay after which the
 // caller may retry, or 0.
@@ -155,21 +161,16 @@
 	if q.r.ContentLength == 0 {
 		return nil
 	}
-	var body []byte
-	var err error
-	if q.r.ContentLength > 0 {
-		body = make([]byte, q.r.ContentLength)
-		_, err = io.ReadFull(q.r.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(q.r.Body, limit+1))
-	}
+	announced := min(max(q.r.ContentLength, 0), maxPreallocatedBytes)
+	body := bytes.NewBuffer(make([]byte, 0, announced+bytes.MinRead))
+	n, err := body.ReadFrom(io.LimitReader(q.r.Body, min(limit, math.MaxInt64-1)+1))
 	switch {
 	case err != nil:
 		return newNotRunError(failure.Invalid, "send the complete body", "the body ended early")
-	case int64(len(body)) > limit:
+	case n > limit:
 		return newNotRunError(failure.Invalid, "send less", "the body exceeds the limit")
 	}
-	q.body = body
+	q.body = body.Bytes()
 	return nil
 }
 
