Bound the lengths of prompt parts

Cause: the lengths that a caller states were added up unchecked to what an endpoint has to do. Below 0, or with a sum that wrapped around, they drew the requests of all callers to an endpoint while the request was in flight.

--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -10,6 +10,7 @@
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/rendezvous"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 const (
@@ -58,7 +59,7 @@
 // leading parts with equal IDs; the last part is specific to one request.
 type Part struct {
 	ID     uint64
-	Tokens int64
+	Tokens tokens.Count
 }
 
 // Request describes a request that needs an endpoint.
@@ -71,10 +72,13 @@
 	Exclude map[string]bool
 }
 
-func (r *Request) promptTokens() int64 {
-	var n int64
-	for _, p := range r.Parts {
-		n += p.Tokens
+func (r *Request) promptTokens() tokens.Count { return sumTokens(r.Parts) }
+
+// sumTokens returns the length of parts together.
+func sumTokens(parts []Part) tokens.Count {
+	var n tokens.Count
+	for _, p := range parts {
+		n = n.Plus(p.Tokens)
 	}
 	return n
 }
@@ -100,7 +104,7 @@
 	listed           bool
 	restriction      *restriction
 	inFlight         int
-	pendingTokens    int64        // prompt tokens of requests without a first byte
+	pendingTokens    tokens.Count // prompt tokens of requests without a first byte
 	lagMs            decayingMean // delay of the first byte beyond the expected prefill time
 	failureRate      decayingMean // fraction of failed requests
 	unreachableCount int          // consecutive failed connections
@@ -207,7 +211,7 @@
 
 	pool              *Pool
 	state             *endpointState
-	promptTokens      int64
+	promptTokens      tokens.Count
 	expectedPrefillMs float64
 	prefixKeys        []uint64
 	chosenAt          time.Time
@@ -250,7 +254,7 @@
 	}
 	best.restriction.limit.take(now)
 	best.inFlight++
-	best.pendingTokens += c.promptTokens
+	best.pendingTokens = best.pendingTokens.Plus(c.promptTokens)
 	return c, nil
 }
 
@@ -282,29 +286,26 @@
 // estimateUncachedTokens estimates how many prompt tokens are missing in the cache
 // of an endpoint. The first-ranked endpoint is assumed to have the whole shared
 // prompt cached.
-func (p *Pool) estimateUncachedTokens(e *endpointState, req *Request, prefixKeys []uint64, isFirst, isSecond bool, now time.Time) int64 {
+func (p *Pool) estimateUncachedTokens(e *endpointState, req *Request, prefixKeys []uint64, isFirst, isSecond bool, now time.Time) tokens.Count {
 	if len(req.Parts) == 0 {
 		return 0
 	}
 	unshared := req.Parts[len(req.Parts)-1].Tokens
-	shared := req.promptTokens() - unshared
+	shared := sumTokens(req.Parts[:len(req.Parts)-1])
 	if isFirst {
 		return unshared
 	}
 	uncached := shared
 	for i := len(prefixKeys) - 1; i >= 0; i-- {
 		if now.Sub(p.cachedAt[cachedPrefix{prefixKeys[i], e.ID}]) < prefixTTL {
-			uncached = 0
-			for _, part := range req.Parts[i+1 : len(req.Parts)-1] {
-				uncached += part.Tokens
-			}
+			uncached = sumTokens(req.Parts[i+1 : len(req.Parts)-1])
 			break
 		}
 	}
 	if isSecond {
-		uncached = int64(float64(uncached) * secondUncachedShare)
+		uncached = tokens.FromFloat(float64(uncached) * secondUncachedShare)
 	}
-	return uncached + unshared
+	return uncached.Plus(unshared)
 }
 
 // unreachableCostMs ranks unreachable endpoints and domains behind all others,
@@ -340,7 +341,7 @@
 	}
 	c.hasFirstByte = true
 	e := c.state
-	e.pendingTokens -= c.promptTokens
+	e.pendingTokens = e.pendingTokens.Excess(c.promptTokens)
 	e.unreachableCount, e.avoidUntil = 0, time.Time{}
 	delete(c.pool.domains, e.Domain)
 	lateMs := float64(now.Sub(c.chosenAt))/float64(time.Millisecond) - c.expectedPrefillMs
@@ -400,7 +401,7 @@
 	e := c.state
 	e.inFlight--
 	if !c.hasFirstByte {
-		e.pendingTokens -= c.promptTokens
+		e.pendingTokens = e.pendingTokens.Excess(c.promptTokens)
 	}
 	switch outcome {
 	case Served:
--- a/standins/engine/play/policies.go
+++ b/standins/engine/play/policies.go
@@ -8,6 +8,7 @@
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/rendezvous"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 	"github.com/clementinerack/clementinerack/standins/engine/emulator"
 )
 
@@ -66,10 +67,10 @@
 func (p *poolPolicy) Place(prompt []emulator.Part, at time.Duration) Placement {
 	req := placement.Request{Service: "llm"}
 	for _, part := range prompt {
-		req.Parts = append(req.Parts, placement.Part{ID: part.ID, Tokens: part.Tokens})
+		req.Parts = append(req.Parts, placement.Part{ID: part.ID, Tokens: tokens.Count(part.Tokens)})
 	}
 	if !p.reportsSharedParts {
-		req.Parts = []placement.Part{{ID: prompt[1].ID, Tokens: prompt[0].Tokens + prompt[1].Tokens}}
+		req.Parts = []placement.Part{{ID: prompt[1].ID, Tokens: tokens.Count(prompt[0].Tokens + prompt[1].Tokens)}}
 	}
 	choice, err := p.pool.Choose(req, toTime(at))
 	if err != nil {
