Bound the timeout that an endpoint states in Keep-Alive

Cause: seconds were multiplied to a duration unchecked. From 2^63 ns on the product wrapped around, so that connections were not kept at all, or for a time that the endpoint had not stated; numbers beyond 64 bits counted as not sent.

Change: limits.Duration bounds the product to ten years.

--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -451,8 +451,9 @@
 	}
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		if s, err := strconv.Atoi(strings.TrimSpace(value)); err == nil && strings.EqualFold(name, "timeout") {
-			return max(0, time.Duration(s)*time.Second-idleTimeoutMargin)
+		s, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
+		if (err == nil || errors.Is(err, strconv.ErrRange)) && strings.EqualFold(strings.TrimSpace(name), "timeout") {
+			return max(0, limits.Duration(float64(s), time.Second)-idleTimeoutMargin)
 		}
 	}
 	return defaultIdleTimeout
