Bound limits of endpoints that other instances or the endpoint state

Cause: a limit was only kept above minLimit. NaN passed this check, and an infinite one, which only another instance can state, made a limiter that allows nothing: the endpoint got no request any more. Large finite ones overflowed the burst.

Change: the one place that sets a limit bounds it from both sides, and takes what is no number for the strictest limit.

--- a/pkg/placement/limits.go
+++ b/pkg/placement/limits.go
@@ -17,6 +17,8 @@
 	// minLimit replaces lower limits, in requests per second. An endpoint that takes nothing
 	// would never be asked again, and only its answers tell that the limit has ended.
 	minLimit = 0.2
+	// maxLimit replaces higher limits, in requests per second. No instance sends as many.
+	maxLimit = 1e6
 	// shareTTL is how long a share is used before it is computed again.
 	shareTTL = 500 * time.Millisecond
 	// burstWindow is the time whose requests may be sent at once.
@@ -36,9 +38,12 @@
 	sharedAt  time.Time // when the share was computed
 }
 
-// set records a limit as of the time at and reports whether that is new.
+// set records a limit, within its bounds, as of the time at and reports whether that is new.
 func (l *limit) set(perSecond float64, at time.Time) (changed bool) {
-	perSecond = max(perSecond, minLimit)
+	perSecond = min(perSecond, maxLimit)
+	if !(perSecond >= minLimit) { // or is no number
+		perSecond = minLimit
+	}
 	changed = !l.isSet || perSecond != l.perSecond
 	l.isSet, l.perSecond, l.learnedAt = true, perSecond, at
 	if changed {
