Bound durations that other instances state

Cause: milliseconds of messages were multiplied to a duration unchecked. An age of 10^13 ms wrapped around to a negative one, so that content as old as that counted as current, and so did the timeout of a call, which was refused as late.

Change: limits.Millis bounds them to 0 and ten years.

--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -7,6 +7,7 @@
 	"slices"
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/limits"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/wait"
 )
@@ -20,7 +21,7 @@
 // waitForChange waits until the content differs from that of the caller or this instance
 // cannot act as a relay, but at most for req.WaitMillis.
 func (r *Replica) waitForChange(ctx context.Context, req PullRequest) {
-	timer := time.NewTimer(time.Duration(req.WaitMillis) * time.Millisecond)
+	timer := time.NewTimer(limits.Millis(req.WaitMillis))
 	defer timer.Stop()
 	for {
 		r.mu.Lock()
@@ -265,7 +266,7 @@
 	if err != nil {
 		return relayUnavailable, err
 	}
-	age := time.Duration(reply.AgeMillis) * time.Millisecond
+	age := limits.Millis(reply.AgeMillis)
 	state := relayUnavailable
 	switch {
 	case !reply.PassesVersions:
--- a/pkg/peer/message.go
+++ b/pkg/peer/message.go
@@ -6,6 +6,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/limits"
 )
 
 // messageType identifies the kind of a message. The values are part of the
@@ -31,7 +32,7 @@
 	Error         *failure.Error  `cbor:"6,keyasint,omitempty"`
 }
 
-func (m *message) timeout() time.Duration { return time.Duration(m.TimeoutMillis) * time.Millisecond }
+func (m *message) timeout() time.Duration { return limits.Millis(m.TimeoutMillis) }
 
 // roundUpMillis returns d in milliseconds, rounded up and at least 1, so that a
 // short timeout is not sent as none.
