--- a/pkg/kvstore/era.go
+++ b/pkg/kvstore/era.go
@@ -8,7 +8,14 @@
 // revisionBits is the number of lower bits that hold the revision within its era.
 const revisionBits = 44
 
-// InEra returns the revision of an era that a store calls raw. Revision 0, of a key that does
+const (
+	// MaxRevision is the largest revision within an era, and MaxEra the largest era.
+	MaxRevision = 1<<revisionBits - 1
+	MaxEra      = 1<<(64-revisionBits) - 1
+)
+
+// InEra returns the revision of an era that a store calls raw, from 0
+// to MaxRevision. Revision 0, of a key that does
 // not exist, has no era.
 func InEra(era, raw uint64) uint64 {
 	if raw == 0 {
