Charge a stream whose stated usage overflows

Cause: clementinerackd added the two counts that an engine reports unchecked. With the largest number the sum was negative, and the charge, which is bounded to 0 from below, was nothing.

Change: each count and the sum are bounded by ledger.MaxTokens; the reservation bounds the charge from above, as before.

TestLargestUsageIsNotFree in pkg/relay failed before in 3 of 7 cases and passes now.

--- a/pkg/relay/result.go
+++ b/pkg/relay/result.go
@@ -44,10 +44,11 @@
 	CompletionTokens int64 `json:"completion_tokens"`
 }
 
-// Total returns the sum of both kinds of tokens. A negative count, which no
-// engine may report, counts as 0.
+// Total returns the sum of both kinds of tokens, at most ledger.MaxTokens. A negative
+// count, which no engine may report, counts as 0.
 func (u Usage) Total() ledger.Tokens {
-	return ledger.Tokens(max(0, u.PromptTokens)) + ledger.Tokens(max(0, u.CompletionTokens))
+	bounded := func(n int64) ledger.Tokens { return min(ledger.Tokens(max(0, n)), ledger.MaxTokens) }
+	return min(bounded(u.PromptTokens)+bounded(u.CompletionTokens), ledger.MaxTokens)
 }
 
 // Result is the result of one attempt.
