Bound the numbers of load reports

Cause: clementinerackd used the counts and the time of an engine's report as they came. Two counts near the largest number added up to a negative load, which counts as none, and a time far ahead outdated all later reports of the engine.

Change: counts are bounded to 0 and 2^24, and a time ahead of this instance's clock counts as now.

--- a/pkg/probe/client.go
+++ b/pkg/probe/client.go
@@ -16,7 +16,11 @@
 	"github.com/clementinerack/clementinerack/pkg/routing"
 )
 
-const maxReportBytes = 64 << 10 // a report has about 100 bytes
+const (
+	maxReportBytes = 64 << 10 // a report has about 100 bytes
+	// maxReportedRequests is more than the requests of any endpoint.
+	maxReportedRequests = 1 << 24
+)
 
 // client reads the load reports of endpoints. It does not follow redirects, which no
 // endpoint sends according to docs/protocols.md.
@@ -77,16 +81,19 @@
 		return routing.Load{}, errors.Wrapf(err, "decode report of endpoint %q", endpoint.ID)
 	}
 	load := routing.Load{
-		Running: rep.Running, Queued: rep.Queued, AsOf: time.UnixMilli(rep.AsOfMS),
+		Running: boundCount(rep.Running), Queued: boundCount(rep.Queued), AsOf: time.UnixMilli(rep.AsOfMS),
 		Draining:    rep.Draining || resp.Header.Get("X-Draining") == "true",
 		Incarnation: rep.Incarnation,
 	}
-	if rep.AsOfMS == 0 {
-		load.AsOf = time.Now() // an app reports no time, but its current state
+	if now := time.Now(); rep.AsOfMS == 0 || load.AsOf.After(now) {
+		load.AsOf = now // an app reports no time, but its current state; a clock may be ahead
 	}
 	return load, nil
 }
 
+// boundCount returns n, or the nearest number that an endpoint can report.
+func boundCount(n int) int { return min(max(n, 0), maxReportedRequests) }
+
 // baseURL returns the URL of an address, which may lack the scheme http.
 func baseURL(address string) string {
 	if strings.Contains(address, "://") {
