Bound the memory of a delta of the declarations

Cause: each segment of a delta, a few bytes, may stand for the whole base, and their number was not bounded.

Change: a delta takes at most twice its base and 1024 elements more; the whole document is read instead.

TestDeltaTakesBoundedMemory failed before (a million routes of a thousand) and passes now.

--- a/pkg/catalog/delta.go
+++ b/pkg/catalog/delta.go
@@ -54,7 +54,7 @@
 	target.Services, servicesFit = d.Services.apply(base.Services)
 	target.Workspaces, workspacesFit = d.Workspaces.apply(base.Workspaces)
 	if !routesFit || !servicesFit || !workspacesFit {
-		return nil, failure.New(failure.Format, "read the whole document", "the delta from version %d to %d refers to elements that do not exist", d.Base, d.Version)
+		return nil, failure.New(failure.Format, "read the whole document", "the delta from version %d to %d refers to elements that do not exist, or repeats too many", d.Base, d.Version)
 	}
 	return target, nil
 }
@@ -92,14 +92,20 @@
 	return delta, nil
 }
 
+// maxRepeatedElements is the number of elements that a delta may take from its base beyond
+// twice the length of the base, so that a small delta does not take much memory.
+const maxRepeatedElements = 1024
+
 // apply returns the list that d makes of base. It reports false if d refers to elements
-// outside base.
+// outside base or takes too many.
 func (d listDelta[T]) apply(base []T) ([]T, bool) {
 	var target []T
+	left := 2*len(base) + maxRepeatedElements
 	for _, s := range d {
-		if s.From < 0 || s.Count < 0 || s.From > len(base) || s.Count > len(base)-s.From {
+		if s.From < 0 || s.Count < 0 || s.From > len(base) || s.Count > min(len(base)-s.From, left) {
 			return nil, false
 		}
+		left -= s.Count
 		target = append(target, base[s.From:s.From+s.Count]...)
 		target = append(target, s.Added...)
 	}
--- a/pkg/catalog/delta_test.go
+++ b/pkg/catalog/delta_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -67,6 +68,14 @@
 	}
 }
 
+// Guards against a small delta that repeats its base until the memory is used up.
+func TestDeltaTakesBoundedMemory(t *testing.T) {
+	delta := DocumentDelta{Base: 5, Version: 6, Routes: slices.Repeat(listDelta[Route]{{Count: 1000}}, 1000)}
+	if d, err := delta.apply(&Document{Version: 5, Routes: make([]Route, 1000)}); !failure.Is(err, failure.Format) {
+		t.Errorf("%d routes, %v", len(d.Routes), err)
+	}
+}
+
 // Guards against changes of the endpoints, applied at another instance, that make a list
 // other than the one of the sender.
 func TestEndpointChanges(t *testing.T) {
