--- a/pkg/tokens/tokens.go
+++ b/pkg/tokens/tokens.go
@@ -5,11 +5,10 @@
 package tokens
 
 import (
-	"math"
-	"strconv"
-
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"github.com/clementinerack/clementinerack/pkg/limits"
 )
 
 // Count is an amount of prompt and output tokens, from 0 to Max. An operation takes an operand
@@ -82,8 +81,8 @@
 // Parse parses a decimal number of tokens. A number above Max yields Max. Parse fails if the
 // text is no whole number or is below 0.
 func Parse(text string) (Count, error) {
-	n, err := strconv.ParseInt(text, 10, 64)
-	if err != nil && !(errors.Is(err, strconv.ErrRange) && n == math.MaxInt64) {
+	n, ok := limits.ParseInt(text)
+	if !ok {
 		return 0, errors.Newf("%.40q is no number of tokens", text)
 	}
 	if n < 0 {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -451,8 +451,8 @@
 	}
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
-		s, err := strconv.ParseInt(strings.TrimSpace(value), 10, 64)
-		if (err == nil || errors.Is(err, strconv.ErrRange)) && strings.EqualFold(strings.TrimSpace(name), "timeout") {
+		s, ok := limits.ParseInt(strings.TrimSpace(value))
+		if ok && strings.EqualFold(strings.TrimSpace(name), "timeout") {
 			return max(0, limits.Duration(float64(s), time.Second)-idleTimeoutMargin)
 		}
 	}
