--- a/pkg/catalog/delta_test.go
+++ b/pkg/catalog/delta_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"reflect"
+	"slices"
 	"testing"
 
 	"pgregory.net/rapid"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // drawDocument draws a small document. Names repeat often, so that two documents share
@@ -22,7 +24,7 @@
 		d.Services = append(d.Services, Service{Name: name.Draw(t, "service"), Engine: &Engine{Slots: 1}})
 	}
 	for range rapid.IntRange(0, 4).Draw(t, "workspaces") {
-		prepaid := rapid.Int64Range(0, 2).Draw(t, "prepaid")
+		prepaid := tokens.Count(rapid.Int64Range(0, 2).Draw(t, "prepaid"))
 		d.Workspaces = append(d.Workspaces, Workspace{Name: name.Draw(t, "workspace"), Prepaid: &prepaid})
 	}
 	return d
@@ -66,6 +68,14 @@
 	}
 }
 
+// Guards against a small delta that repeats its base until the memory is used up.
+func TestDeltaTakesBoundedMemory(t *testing.T) {
+	delta := DocumentDelta{Base: 5, Version: 6, Routes: slices.Repeat(listDelta[Route]{{Count: 1000}}, 1000)}
+	if d, err := delta.apply(&Document{Version: 5, Routes: make([]Route, 1000)}); !failure.Is(err, failure.Format) {
+		t.Errorf("%d routes, %v", len(d.Routes), err)
+	}
+}
+
 // Guards against changes of the endpoints, applied at another instance, that make a list
 // other than the one of the sender.
 func TestEndpointChanges(t *testing.T) {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -1,9 +1,11 @@
 package gateway
 
 import (
+	"bytes"
 	"context"
 	"crypto/sha256"
 	"io"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -18,6 +20,7 @@
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 	"github.com/clementinerack/clementinerack/pkg/rights"
+	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
 
 // request is the state of one request of a caller. Only the goroutine of its handler
@@ -66,6 +69,10 @@
 // defaultMaxBodyBytes bounds request bodies if the declarations set no limit.
 const defaultMaxBodyBytes = 8 << 20
 
+// maxPreallocatedBytes bounds the memory that is reserved for a body before it arrives. Most
+// bodies are smaller.
+const maxPreallocatedBytes = 64 << 10
+
 // prepare matches the request to a route and a workspace, reads its body, and checks
 // whether it may run. If it is refused, retryAfter is the delay after which the
 // caller may retry, or 0.
@@ -155,21 +162,16 @@
 	if q.r.ContentLength == 0 {
 		return nil
 	}
-	var body []byte
-	var err error
-	if q.r.ContentLength > 0 {
-		body = make([]byte, q.r.ContentLength)
-		_, err = io.ReadFull(q.r.Body, body)
-	} else {
-		body, err = io.ReadAll(io.LimitReader(q.r.Body, limit+1))
-	}
+	announced := min(max(q.r.ContentLength, 0), maxPreallocatedBytes)
+	body := bytes.NewBuffer(make([]byte, 0, announced+bytes.MinRead))
+	n, err := body.ReadFrom(io.LimitReader(q.r.Body, min(limit, math.MaxInt64-1)+1))
 	switch {
 	case err != nil:
 		return newNotRunError(failure.Invalid, "send the complete body", "the body ended early")
-	case int64(len(body)) > limit:
+	case n > limit:
 		return newNotRunError(failure.Invalid, "send less", "the body exceeds the limit")
 	}
-	q.body = body
+	q.body = body.Bytes()
 	return nil
 }
 
@@ -209,7 +211,10 @@
 	if !q.envelope.Metered || q.workspace == nil || q.workspace.Prepaid == nil {
 		return nil
 	}
-	amount := q.envelope.PromptTokens + q.envelope.MaxOutput
+	amount := q.envelope.PromptTokens.Plus(q.envelope.MaxOutput)
+	if amount > *q.workspace.Prepaid || amount == tokens.Max {
+		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid")
+	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(q.route.Objective)*reserveTimeoutShare))
 	defer cancel()
 	if err := q.g.opts.Rights.Reserve(ctx, q.workspace.Name, amount); err != nil {
@@ -226,7 +231,7 @@
 		return
 	}
 	if q.mayHaveRun {
-		q.used = min(q.reserved, q.envelope.PromptTokens+q.outputTokens())
+		q.used = min(q.reserved, q.envelope.PromptTokens.Plus(q.outputTokens()))
 	}
 	q.g.opts.Rights.Settle(q.workspace.Name, q.reserved, q.used)
 }
@@ -235,7 +240,7 @@
 // the service declares the tokens per event, and the maximum otherwise.
 func (q *request) outputTokens() rights.Tokens {
 	if s := q.catalog.Service(q.service); s != nil && s.Engine != nil && s.Engine.TokensPerEvent > 0 {
-		return min(q.envelope.MaxOutput, q.deliveredEvents*s.Engine.TokensPerEvent)
+		return min(q.envelope.MaxOutput, s.Engine.TokensPerEvent.Times(q.deliveredEvents))
 	}
 	return q.envelope.MaxOutput
 }
--- a/standins/machines/endless.go
+++ b/standins/machines/endless.go
@@ -12,7 +12,7 @@
 )
 
 const (
-	pieceBytes      = 32 << 10             // of a body without end
+	pieceBytes      = 32 << 10              // of a body without end
 	endlessInterval = 20 * time.Millisecond // between the pieces
 )
 
