--- a/pkg/placement/versions_test.go
+++ b/pkg/placement/versions_test.go
@@ -10,11 +10,11 @@
 
 // newVersionedPool returns a pool whose endpoints e0, e1, ... have the given software versions.
 func newVersionedPool(versions ...string) (*Pool, catalog.EndpointList) {
-	p, list := newPool(make([]string, len(versions))...)
+	_, list := newPool(make([]string, len(versions))...)
 	for i := range versions {
 		list.Endpoints[i].SoftwareVersion = versions[i]
 	}
-	p = New("z", 1, nil)
+	p := New("z", 1, nil)
 	p.Update(list, start)
 	return p, list
 }
