Take no confirmation of the endpoint list from the future

A relay states when its list was confirmed. The number came in unchecked beside the others that are bounded now, so that a wrong one would have counted a list as current for as long as it says.

--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -286,7 +286,7 @@
 	}
 	if list, ok := r.listFromReply(reply, req); ok {
 		r.applyList(list, time.Now(), from)
-		r.confirm(sent.Add(reply.Confirmed))
+		r.confirm(sent.Add(min(reply.Confirmed, time.Since(sent)))) // never later than now
 	}
 	r.applyDelta(reply, address)
 	return state, nil
