--- a/pkg/abort/abort_test.go
+++ b/pkg/abort/abort_test.go
@@ -45,8 +45,7 @@
 	return err == nil
 }
 
-// Guards against a response without its end that its caller takes for a complete one, and
-// against a complete one that is cut.
+// Guards against a response without its end that looks complete, and against a complete one that is cut.
 func TestOnlyCompletedResponseIsComplete(t *testing.T) {
 	write := func(w *abort.Writer) {
 		_, _ = io.WriteString(w, "part")
@@ -75,8 +74,7 @@
 	}
 }
 
-// Guards against a response that is cut by the end of its server and whose caller takes it for
-// a complete one.
+// Guards against a response that is cut by the end of its server and looks complete.
 func TestResponseCutByItsServerIsNotComplete(t *testing.T) {
 	for _, proto := range []string{"HTTP/1.0", "HTTP/1.1"} {
 		t.Run(proto, func(t *testing.T) {
--- a/pkg/daemon/wiring_test.go
+++ b/pkg/daemon/wiring_test.go
@@ -50,8 +50,7 @@
 	}
 }
 
-// Guards against servers whose callers with HTTP/1.0 take a response that is given up for a
-// complete one.
+// Guards against a response that a server gives up and that looks complete to callers with HTTP/1.0.
 func TestGivenUpResponseIsNotCompleteForHTTP10(t *testing.T) {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/pkg/entry/giveup_test.go
+++ b/pkg/entry/giveup_test.go
@@ -11,8 +11,7 @@
 	"time"
 )
 
-// Guards against a response that is given up after its caller has closed its sending side,
-// and that ends like a whole one.
+// Guards against a response that is given up after its caller has closed its sending side, and looks whole.
 func TestGivenUpResponseIsNeverWhole(t *testing.T) {
 	plainChat := strings.Replace(chatBody, `"stream":true`, `"stream":false`, 1)
 	large := strings.Repeat("x", 1<<20) // more than the relay holds back
--- a/pkg/gateway/giveup_test.go
+++ b/pkg/gateway/giveup_test.go
@@ -132,8 +132,7 @@
 	_ = g.gateway.Drain(ctx) // fails if the request is still in flight
 }
 
-// Guards against a caller that closes its sending side and is refused, or gets the answer to
-// a request that must not be repeated, as an empty success.
+// Guards against an empty success, in place of a refusal or an answer, for callers that close their sending side.
 func TestCallerThatClosesItsSendingSideIsAnswered(t *testing.T) {
 	for _, tc := range []struct {
 		desc, path string
--- a/pkg/node/idle_test.go
+++ b/pkg/node/idle_test.go
@@ -61,8 +61,7 @@
 	return errors.Is(err, os.ErrDeadlineExceeded)
 }
 
-// Guards against connections of callers that stay open longer than the configuration says,
-// after a change too, and against one that is closed during a request or before the limit.
+// Guards against connections of callers that are closed later or sooner than the configuration says.
 func TestIdleTimeoutOfConfiguration(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -278,8 +278,7 @@
 	f.waitUntil("rights of the stopped instance", func() bool { status, _ := other.send("/chat/1", "95000,0"); return status == 200 })
 }
 
-// Guards against an instance whose callers with HTTP/1.0 take a stream that breaks off for a
-// complete one.
+// Guards against a stream that breaks off and looks complete to callers with HTTP/1.0.
 func TestBrokenStreamIsNotCompleteForHTTP10(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t)
--- a/test/soak/endless_test.go
+++ b/test/soak/endless_test.go
@@ -36,8 +36,7 @@
 	return ok
 }
 
-// TestEndlessAnswersLeaveMemoryForOthers guards against a process that runners which send without end make larger than its
-// memory, and against the loss of other requests.
+// Guards against a process that outgrows its memory, or loses other requests, because runners send without end.
 func TestEndlessAnswersLeaveMemoryForOthers(t *testing.T) {
 	tc := newTestCluster(t, binary, 1)
 	n := tc.instances[0]
