Check a configuration before it is sent

Cause: operators learn of an entry that can never match, of an undeclared service or of limits that contradict each other only from refused requests.

Change: pkg/configcheck finds errors, entries that no request can match and contradicting limits in a configuration of the users' platform and in INI declarations, and lists what differs from the version in force. The comparison of objects in pkg/declare serves both formats.

--- a/cmd/clementinectl/cli.go
+++ b/cmd/clementinectl/cli.go
@@ -41,9 +41,9 @@
 // cli declares the flags and commands.
 type cli struct {
 	Address   []string `help:"Address of an operators' API (repeatable). If one is unreachable, the next one is tried." default:"127.0.0.1:8081" env:"CLEMENTINERACK_ADDRESS"`
-	TokenFile string   `help:"File with the operators' token, accessible to its owner only." env:"CLEMENTINERACK_TOKEN_FILE" required:""`
+	TokenFile string   `help:"File with the operators' token, accessible to its owner only." env:"CLEMENTINERACK_TOKEN_FILE"`
 	CAFile    string   `name:"ca-file" help:"PEM file of the CA that signed the API's certificate; turns TLS on." env:"CLEMENTINERACK_CA_FILE"`
-	Operator  string   `help:"Name under which commands are recorded." env:"CLEMENTINERACK_OPERATOR,USER" required:""`
+	Operator  string   `help:"Name under which commands are recorded." env:"CLEMENTINERACK_OPERATOR,USER"`
 	Output    string   `help:"Output format: text or json." enum:"text,json" default:"text"`
 	CommandID string   `name:"command-id" help:"Id of the command. Give the printed id to repeat a command whose outcome is uncertain. Default: random."`
 
@@ -59,6 +59,7 @@
 	Stop        stopCmd        `cmd:"" help:"Stop an instance gracefully."`
 	Reconfigure reconfigureCmd `cmd:"" help:"Change the model, version, adapters or role of an engine."`
 	Reclaim     reclaimCmd     `cmd:"" help:"Return a part of a stranded grant to its budget. By running this command, the operator states that the instances of that epoch have ended; the command does not verify it."`
+	Check       checkCmd       `cmd:"" help:"Check a configuration before it is sent: errors, entries that can never match, contradicting limits, and what differs from the version in force. Calls no instance."`
 	Plan        planCmd        `cmd:"" help:"List the steps of an apply."`
 	Diff        diffCmd        `cmd:"" help:"Show the values that an apply would change."`
 	Apply       applyCmd       `cmd:"" help:"Put declarations in force."`
@@ -111,7 +112,14 @@
 		_, _ = fmt.Fprintf(std.err, "usage: %v; see clementinectl --help\n", err)
 		return exitUsage
 	}
-	s, err := flags.newSession(ctx, std, transport)
+	s := &session{ctx: ctx, asJSON: flags.Output == "json", stdStreams: std}
+	if !isOffline(command.Command()) {
+		if flags.TokenFile == "" || flags.Operator == "" {
+			_, _ = fmt.Fprintln(std.err, "usage: --token-file and --operator are required; see clementinectl --help")
+			return exitUsage
+		}
+		s, err = flags.newSession(ctx, std, transport)
+	}
 	if err == nil {
 		err = command.Run(s)
 	}
--- a/pkg/declare/plan.go
+++ b/pkg/declare/plan.go
@@ -59,7 +59,7 @@
 // An apply puts all steps in force at once. current may be nil; budgets are those
 // in the store. Opening amounts are listed only for new budgets.
 func Plan(current *config.Document, budgets Budgets, d *Declarations) []Step {
-	from, to := map[string]objectValues{}, objectsOf(d.Document)
+	from, to := map[string]ObjectValues{}, objectsOf(d.Document)
 	if current != nil {
 		from = objectsOf(current)
 	}
@@ -68,9 +68,14 @@
 	for _, o := range d.Openings {
 		object := "budget " + o.Budget.String()
 		if _, exists := from[object]; !exists {
-			to[object] = objectValues{"opening": strconv.FormatInt(int64(o.Amount), 10)}
+			to[object] = ObjectValues{"opening": strconv.FormatInt(int64(o.Amount), 10)}
 		}
 	}
+	return CompareObjects(from, to)
+}
+
+// CompareObjects returns the steps from one set of objects to another, in the order of Plan.
+func CompareObjects(from, to map[string]ObjectValues) []Step {
 	var steps []Step
 	for _, object := range slices.Sorted(maps.Keys(to)) {
 		before, exists := from[object]
@@ -91,7 +96,7 @@
 }
 
 // compareValues returns the keys with different values, sorted by key.
-func compareValues(from, to objectValues) []ValueChange {
+func compareValues(from, to ObjectValues) []ValueChange {
 	var changes []ValueChange
 	for key, value := range from {
 		if to[key] != value {
@@ -107,49 +112,49 @@
 	return changes
 }
 
-// objectValues are the values of one object by key.
-type objectValues map[string]string
+// ObjectValues are the values of one object by key.
+type ObjectValues map[string]string
 
 // objectsOf returns the values of all objects of a document by the title of their
 // section. Routes have no name in a document, so they are named by method and
 // path.
-func objectsOf(d *config.Document) map[string]objectValues {
-	objects := map[string]objectValues{"deployment": {"domains": strings.Join(d.Domains, ", "), "shards": strconv.Itoa(d.Shards)}}
+func objectsOf(d *config.Document) map[string]ObjectValues {
+	objects := map[string]ObjectValues{"deployment": {"domains": strings.Join(d.Domains, ", "), "shards": strconv.Itoa(d.Shards)}}
 	for _, s := range d.Services {
 		addServiceObjects(objects, s)
 	}
 	for _, w := range d.Workspaces {
-		objects["workspace "+w.Name] = objectValues{"key-sha256": w.KeyHash, "default-budget": w.DefaultBudget, "rate": formatFloat(w.RatePerSecond), "concurrency": strconv.Itoa(w.Concurrency)}
+		objects["workspace "+w.Name] = ObjectValues{"key-sha256": w.KeyHash, "default-budget": w.DefaultBudget, "rate": formatFloat(w.RatePerSecond), "concurrency": strconv.Itoa(w.Concurrency)}
 	}
 	for _, e := range d.Engines {
-		objects["engine "+e.Endpoint] = objectValues{"model": e.Model, "version": e.Version, "adapters": strings.Join(e.Adapters, ", "), "role": e.Role}
+		objects["engine "+e.Endpoint] = ObjectValues{"model": e.Model, "version": e.Version, "adapters": strings.Join(e.Adapters, ", "), "role": e.Role}
 	}
 	for _, o := range d.Objectives {
-		objects["objective "+o.Service] = objectValues{"target": formatFloat(o.Target), "first-token": o.MaxFirstTokenDelay.String(), "between-tokens": o.MaxTokenInterval.String()}
+		objects["objective "+o.Service] = ObjectValues{"target": formatFloat(o.Target), "first-token": o.MaxFirstTokenDelay.String(), "between-tokens": o.MaxTokenInterval.String()}
 	}
 	return objects
 }
 
 // addTo adds an object without values for each budget.
-func (b Budgets) addTo(objects map[string]objectValues) {
+func (b Budgets) addTo(objects map[string]ObjectValues) {
 	for workspace, names := range b {
 		for _, name := range names {
-			objects["budget "+workspace+"/"+name] = objectValues{}
+			objects["budget "+workspace+"/"+name] = ObjectValues{}
 		}
 	}
 }
 
 // addServiceObjects adds a service, its endpoints and its routes.
-func addServiceObjects(objects map[string]objectValues, s config.Service) {
-	objects["service "+s.Name] = objectValues{
+func addServiceObjects(objects map[string]ObjectValues, s config.Service) {
+	objects["service "+s.Name] = ObjectValues{
 		"kind": string(s.Kind), "max-output-tokens": strconv.FormatInt(s.MaxOutputTokens, 10), "timeout": s.Timeout.String(),
 		"first-byte": s.FirstByteTimeout.String(), "idle": s.IdleTimeout.String(), "concurrency": strconv.Itoa(s.Concurrency),
 	}
 	for _, e := range s.Endpoints {
-		objects["endpoint "+e.ID] = objectValues{"service": s.Name, "address": e.Address, "domain": e.Domain, "checks-fencing": strconv.FormatBool(e.ChecksFencing)}
+		objects["endpoint "+e.ID] = ObjectValues{"service": s.Name, "address": e.Address, "domain": e.Domain, "checks-fencing": strconv.FormatBool(e.ChecksFencing)}
 	}
 	for _, r := range s.Routes {
-		objects[config.RouteObject(s.Name, r)] = objectValues{"method": r.Method, "path": r.PathPrefix, "price": strconv.FormatInt(r.Price, 10), "repeatable": strconv.FormatBool(r.Repeatable)}
+		objects[config.RouteObject(s.Name, r)] = ObjectValues{"method": r.Method, "path": r.PathPrefix, "price": strconv.FormatInt(r.Price, 10), "repeatable": strconv.FormatBool(r.Repeatable)}
 	}
 }
 
