Take failure domains out of use, and enforce allowed regions

Nothing read the keys under op/evacuate/, so that requests went on to endpoints of a domain that the operator had taken out of use; allowed regions were not read either. The set of domains has a revision of its own, travels with the endpoints between instances, and is needed before an instance is ready or chooses an endpoint. The pool asks it for each choice, and once more before the first byte is written. Regions of the route and of the workspace bind together.

--- a/pkg/catalog/ages_test.go
+++ b/pkg/catalog/ages_test.go
@@ -16,7 +16,7 @@
 type agedRelay int64
 
 func (a agedRelay) Call(_ context.Context, _ string, _ peer.Method, _, resp any) error {
-	*resp.(*PullReply) = PullReply{AgeMillis: int64(a), PassesVersions: true, PassesSoftwareVersions: true}
+	*resp.(*PullReply) = PullReply{AgeMillis: int64(a), PassesVersions: true, PassesSoftwareVersions: true, PassesRegions: true}
 	return nil
 }
 
--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -63,6 +63,8 @@
 	// Resumable is set if a broken stream may continue at another endpoint after the
 	// last event that the caller received.
 	Resumable bool
+	// Regions are the regions in which endpoints may get the requests, empty if all may.
+	Regions []string `cbor:",omitempty"`
 }
 
 // IsRepeatable reports whether a request that may already have run can be sent
@@ -110,6 +112,9 @@
 	// Prepaid is the total number of tokens that the workspace may consume; nil
 	// means unlimited.
 	Prepaid *tokens.Count
+	// Regions are the regions in which endpoints may get the workspace's requests, empty if
+	// all may. Those of the route bind as well.
+	Regions []string `cbor:",omitempty"`
 }
 
 // Limits bounds the requests of callers; a zero field means no limit.
--- a/pkg/catalog/outage.go
+++ b/pkg/catalog/outage.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/limits"
 	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
@@ -108,7 +109,12 @@
 		}
 		return
 	}
-	r.applyDocument(reply.Document, address)
+	if reply.Domains != nil {
+		r.applyDomains(*reply.Domains, address, limits.Millis(reply.AgeMillis), false)
+	}
+	if reply.PassesRegions {
+		r.applyDocument(reply.Document, address)
+	}
 	if reply.Endpoints != nil && reply.PassesSoftwareVersions {
 		r.applyList(*reply.Endpoints, time.Now(), secondHand)
 	}
--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -26,7 +26,8 @@
 	for {
 		r.mu.Lock()
 		changed := r.changed
-		ready := !r.isRelay() || r.digest != req.Digest || r.version() > max(req.Version, req.Announced)
+		ready := !r.isRelay() || r.digest != req.Digest || r.version() > max(req.Version, req.Announced) ||
+			req.Domains != 0 && req.Domains != r.domains.inForce.digest()
 		r.mu.Unlock()
 		if ready {
 			return
@@ -54,6 +55,10 @@
 	}
 	reply := PullReply{AgeMillis: now.Sub(r.lastListAt).Milliseconds(), SourceUnavailable: !r.isRelay(), Standby: !r.isRelay() && !r.sourceFailed, Version: r.version(), PassesVersions: true,
 		PassesSoftwareVersions: true, Confirmed: r.confirmed.latest.Sub(arrival), Recovering: now.Sub(r.recoveredAt) < r.opts.Timing.RecoveryWindow}
+	reply.PassesRegions = true
+	if r.domains.inForce.Revision > 0 {
+		reply.Domains = &DomainSet{r.domains.inForce.Revision, r.domains.inForce.Out}
+	}
 	if c := r.Current(); c != nil && c.Version > req.Version {
 		if req.WaitMillis == 0 {
 			reply.Document = c.Document
@@ -261,7 +266,7 @@
 // most timeout. pollRelay fails if the relay does not answer in time.
 func (r *Replica) pollRelay(ctx context.Context, address string, timeout time.Duration) (relayState, error) {
 	r.mu.Lock()
-	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.listed.Revision, Digest: r.digest, WaitMillis: timeout.Milliseconds()}
+	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.listed.Revision, Digest: r.digest, WaitMillis: timeout.Milliseconds(), Domains: r.domains.inForce.digest()}
 	r.mu.Unlock()
 	sent := time.Now()
 	reply, err := r.callPull(ctx, address, req, timeout+r.opts.Timing.RelayReplyTimeout)
@@ -271,7 +276,7 @@
 	age := limits.Millis(reply.AgeMillis)
 	state := relayUnavailable
 	switch {
-	case !reply.PassesVersions || !reply.PassesSoftwareVersions:
+	case !reply.PassesVersions || !reply.PassesSoftwareVersions || !reply.PassesRegions || r.opts.TracksDomains && reply.Domains == nil:
 	case !reply.SourceUnavailable && age <= r.opts.Timing.maxListGap():
 		state = relayCurrent
 	case reply.Standby:
@@ -288,6 +293,9 @@
 		r.applyList(list, time.Now(), from)
 		r.confirm(sent.Add(min(reply.Confirmed, time.Since(sent)))) // never later than now
 	}
+	if reply.Domains != nil {
+		r.applyDomains(*reply.Domains, address, age, state == relayCurrent)
+	}
 	r.applyDelta(reply, address)
 	return state, nil
 }
@@ -296,7 +304,7 @@
 // delta to it, the document is fetched.
 func (r *Replica) applyDelta(reply PullReply, address string) {
 	c := r.Current()
-	if reply.Delta != nil && c != nil {
+	if reply.Delta != nil && reply.PassesRegions && c != nil {
 		d, err := reply.Delta.apply(c.Document)
 		if err == nil {
 			r.applyDocument(d, address)
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -27,6 +27,9 @@
 	Endpoints(ctx context.Context, wait time.Duration) (EndpointList, error)
 	// Probe makes a cheap call that fails if the source cannot be reached.
 	Probe(ctx context.Context) error
+	// Domains returns the failure domains out of use as of the latest call of Document, which
+	// also returns when they change. The set is zero if the source does not track them.
+	Domains() DomainSet
 }
 
 // PullMethod requests the declarations and endpoints of another instance that are newer
@@ -48,6 +51,9 @@
 	// Announced is the latest version that the caller knows to exist. The reply waits for
 	// a later one.
 	Announced uint64 `cbor:"5,keyasint,omitempty"`
+	// Domains is the digest of the failure domains out of use that the caller knows, or 0. The
+	// reply waits for others.
+	Domains uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // PullReply carries only the content that is newer than the caller's.
@@ -85,6 +91,12 @@
 	// Confirmed is the time from the arrival of the request to that of Replica.Confirmed. It
 	// is negative if the list was confirmed before.
 	Confirmed time.Duration `cbor:"13,keyasint,omitempty"`
+	// Domains are the failure domains out of use; nil if the replying instance does not know
+	// them.
+	Domains *DomainSet `cbor:"14,keyasint,omitempty"`
+	// PassesRegions is set by releases that pass Route.Regions and Workspace.Regions on.
+	// Documents without them are not used.
+	PassesRegions bool `cbor:"15,keyasint,omitempty"`
 }
 
 // Timing holds the timeouts and intervals of a Replica.
@@ -160,12 +172,18 @@
 	// one, in order of preference. If there are none, the replica reads the source itself.
 	Relays func() []string
 	Timing Timing
-	Log    logrus.FieldLogger
+	// TracksDomains is set if the source has the failure domains out of use. An instance that
+	// does not know them is not followed then.
+	TracksDomains bool
+	Log           logrus.FieldLogger
 	// OnDocument and OnEndpoints are called after each change, one at a time and with
 	// the replica's lock held: they must not call Endpoints. OnEndpoints gets the
 	// endpoints in use.
 	OnDocument  func(*Catalog)
 	OnEndpoints func(EndpointList)
+	// OnDomains is called like them when the failure domains out of use become known and
+	// after each change. It is optional.
+	OnDomains func(DomainSet)
 }
 
 // Replica holds this instance's copy of the declarations and endpoints. It is safe
@@ -183,7 +201,8 @@
 	lapsed       lapsedEndpoints   // in use although listed lacks them
 	departed     departedEndpoints // no longer in use; some may be listed again
 	inUse        EndpointList      // listed and lapsed, without those that had departed
-	lastListAt   time.Time         // when listed was last known to be that of the source
+	domains      domainState
+	lastListAt   time.Time // when listed was last known to be that of the source
 	confirmed    confirmations
 	sourceFailed bool                      // the latest probe or read of the source failed
 	interrupted  bool                      // a probe or read has failed since lastListAt
@@ -262,6 +281,7 @@
 				r.failSession(ctx, s, err)
 				break
 			}
+			r.applyDomains(r.opts.Source.Domains(), "store", 0, true)
 			r.applyDocument(d, "store")
 			if r.Current() == nil {
 				wait.Sleep(s.ctx, r.opts.Timing.RetryDelay)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -208,6 +208,7 @@
 	notice := ""
 	upstreamRequest := q.newUpstreamRequest(c, s, start)
 	upstreamRequest.OnHead = func(status int, header http.Header) { notice += q.applyNotice(c, status, header, time.Now()) }
+	upstreamRequest.MaySend = c.MaySend
 	resp, err := q.g.opts.Client.Do(ctx, c.Address, upstreamRequest)
 	var status attemptStatus
 	var errorResponse *bufferedResponse
@@ -301,6 +302,9 @@
 
 // handleSendError evaluates an attempt that ended without a response header.
 func (q *request) handleSendError(err error) (attemptStatus, placement.Outcome, string) {
+	if errors.Is(err, upstream.ErrWithdrawn) {
+		return attemptNotSent, placement.Inconclusive, "withdrawn"
+	}
 	var sendErr *upstream.Error
 	if errors.As(err, &sendErr) && sendErr.Progress == upstream.NotSent {
 		return attemptNotSent, placement.Unreachable, "unreached"
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -41,6 +41,10 @@
 // back: another instance, or endpoints that start meanwhile, may accept its request.
 const maxRetryDelay = 10 * time.Second
 
+// outOfUseRetryDelay is the mean retry delay for a request whose endpoints are all in failure
+// domains out of use, which only the operator ends.
+const outOfUseRetryDelay = time.Second
+
 // retryDelay returns when the caller of a refused request should come back, or 0 if that
 // is of no use. If all endpoints have turned this instance away for a time, a repeat is
 // refused before the end of the first of these times.
@@ -49,6 +53,9 @@
 	case failure.Quarantined:
 		return 0
 	case failure.NoEndpoint:
+		if q.g.opts.Pool.IsOutOfUse(q.newPlacementRequest()) {
+			return jitter(outOfUseRetryDelay)
+		}
 		if end := q.g.opts.Pool.PauseEnd(q.service, now); !end.IsZero() {
 			return min(end.Sub(now), maxRetryDelay) + jitter(meanRetryDelay)
 		}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -94,6 +94,9 @@
 			return newNotRunError(failure.Unauthorized, "send a valid API key", "the API key is not known"), 0
 		}
 	}
+	if q.workspace != nil && !catalog.HaveCommonRegion(q.route.Regions, q.workspace.Regions) {
+		return newNotRunError(failure.NoEndpoint, "allow a region in common", "the route and the workspace have no allowed region in common"), 0
+	}
 	q.deadline = q.arrived.Add(q.route.Timeout)
 	if p := q.envelope.Timeout; p > 0 && (q.route.Timeout <= 0 || p < q.route.Timeout) {
 		q.deadline = q.arrived.Add(p)
@@ -261,7 +264,15 @@
 
 func (q *request) newPlacementRequest() placement.Request {
 	return placement.Request{Service: q.service, Parts: q.envelope.PromptParts, Exclude: q.excluded,
-		Version: q.version, MayBegin: q.mayBegin()}
+		Version: q.version, MayBegin: q.mayBegin(), Regions: q.regions()}
+}
+
+// regions returns the lists of allowed regions that bind the request.
+func (q *request) regions() [][]string {
+	if q.workspace == nil {
+		return [][]string{q.route.Regions}
+	}
+	return [][]string{q.route.Regions, q.workspace.Regions}
 }
 
 // recordResult logs the result of the request in one line and updates the metrics.
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -50,6 +50,11 @@
 	// WatchTimeout bounds one wait for a change at the source; 0 means the default of
 	// package catalog.
 	WatchTimeout time.Duration
+	// TracksDomains is set if the source has the failure domains out of use. Nothing is sent
+	// to endpoints before they are known.
+	TracksDomains bool
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// ShutdownTimeout is the time from the stop signal until the platform kills the
 	// process.
 	ShutdownTimeout time.Duration
@@ -82,6 +87,7 @@
 	witnesses  *rights.Witnesses
 	crashes    *crashGuard
 	limits     *limitSpreader
+	domains    *domainWatcher
 	lineage    *lineage.Tracker
 	gateway    *gateway.Gateway
 	idleConns  *idleConns // of callers
@@ -109,6 +115,8 @@
 	n.roster = roster.New(n.self, opts.Store, n.log)
 	shares := &limitShares{self: n.self, established: n.roster.Established}
 	n.pool = placement.New(opts.Domain, uint64(nonce[0])|uint64(nonce[1])<<8|uint64(nonce[2])<<16|1, shares.of)
+	n.pool.SetRegions(opts.Regions)
+	n.domains = newDomainWatcher(n.pool, opts)
 	n.limits = &limitSpreader{pool: n.pool, shares: shares, peers: n.peers, others: n.roster.Others, log: n.log}
 	n.client = upstream.New()
 	n.buildRights()
@@ -170,9 +178,14 @@
 			}
 			return addresses
 		},
-		Relays:     n.relays,
-		Timing:     n.catalogTiming(),
-		OnDocument: func(*catalog.Catalog) { n.syncer.TriggerRound() },
+		Relays:        n.relays,
+		Timing:        n.catalogTiming(),
+		TracksDomains: n.opts.TracksDomains,
+		OnDomains:     n.domains.update,
+		OnDocument: func(c *catalog.Catalog) {
+			n.domains.checkRegions(c.Document)
+			n.syncer.TriggerRound()
+		},
 		OnEndpoints: func(list catalog.EndpointList) {
 			now := time.Now()
 			n.lineage.UpdateEndpoints(list, now) // before streams can begin at a new version
@@ -463,7 +476,8 @@
 // isReady reports whether the instance has declarations and endpoints, has synchronized
 // its rights with the store once, and is not stopping.
 func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.replica.Current() != nil && n.replica.Endpoints().Revision > 0 && n.syncer.HasSynced()
+	return !n.stopping.Load() && n.replica.Current() != nil && n.replica.Endpoints().Revision > 0 && n.syncer.HasSynced() &&
+		(!n.opts.TracksDomains || n.replica.Domains().Revision > 0)
 }
 
 // serveReady answers readiness checks with status 200 or 503.
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
-	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
@@ -80,6 +79,11 @@
 	// endpoints, and those of a version that was listed less than newVersionDelay ago, are
 	// chosen only if no other accepts work. It is nil if all versions will do.
 	MayBegin func(version string) bool
+	// Regions are lists of allowed regions. Each one that is not empty must contain the region
+	// of the endpoint's failure domain.
+	Regions [][]string
+
+	returnKey uint64 // see Pool.returnKey
 }
 
 func (r *Request) promptTokens() tokens.Count { return sumTokens(r.Parts) }
@@ -160,6 +164,7 @@
 	cachedAt     map[cachedPrefix]time.Time // time of the latest first byte
 	restrictions map[incarnation]*restriction
 	versions     map[serviceVersion]time.Time // when it was first listed, zero for those of the first list
+	use          domainUse
 }
 
 // serviceVersion is a software version of a service.
@@ -177,7 +182,8 @@
 func New(localDomain string, seed uint64, share Share) *Pool {
 	return &Pool{localDomain: localDomain, share: share, rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{},
 		services: map[string][]*endpointState{}, domains: map[string]*domainState{}, cachedAt: map[cachedPrefix]time.Time{},
-		restrictions: map[incarnation]*restriction{}, versions: map[serviceVersion]time.Time{}}
+		restrictions: map[incarnation]*restriction{}, versions: map[serviceVersion]time.Time{},
+		use: domainUse{backAt: map[string]time.Time{}}}
 }
 
 // Update replaces the list of endpoints at time now. An endpoint whose address or start
@@ -257,11 +263,12 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	prefixKeys := req.prefixKeys()
+	req.returnKey = p.returnKey(prefixKeys)
 	first, second := p.topTwo(&req, prefixKeys, now)
 	var best *endpointState
 	bestCost := math.Inf(1)
 	for _, e := range p.services[req.Service] {
-		if !e.isAvailable(&req, p.share, now) {
+		if !p.accepts(e, &req, now) {
 			continue
 		}
 		// Less than 1 ms of noise spreads requests over endpoints of equal cost.
@@ -269,15 +276,15 @@
 		if !p.mayBegin(&req, e, now) {
 			cost += newVersionCostMs
 		}
+		if p.use.isReturning(e.Domain, req.returnKey, now) {
+			cost += returningCostMs
+		}
 		if cost < bestCost {
 			best, bestCost = e, cost
 		}
 	}
 	if best == nil {
-		if req.Version != nil {
-			return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of software version %q of service %q accepts work", *req.Version, req.Service)
-		}
-		return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepts work", req.Service)
+		return nil, p.noEndpointError(&req)
 	}
 	c := &Choice{Endpoint: best.Endpoint, Cost: bestCost, pool: p, state: best, promptTokens: req.promptTokens(), prefixKeys: prefixKeys, chosenAt: now,
 		// The rank only predicts what other instances have cached there. A prompt that
@@ -322,7 +329,7 @@
 	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
 	for _, e := range p.services[req.Service] {
 		switch {
-		case !e.isAvailable(req, p.share, now):
+		case !p.accepts(e, req, now), p.use.isReturning(e.Domain, req.returnKey, now):
 		case first == nil || weight(e) > weight(first):
 			first, second = e, first
 		case second == nil || weight(e) > weight(second):
--- a/pkg/placement/restrictions.go
+++ b/pkg/placement/restrictions.go
@@ -88,7 +88,7 @@
 	var end time.Time
 	for _, e := range p.services[service] {
 		switch until := e.restriction.pausedUntil; {
-		case e.restriction.isLeaving:
+		case e.restriction.isLeaving, p.use.out[e.Domain]:
 		case !now.Before(until):
 			return time.Time{}
 		case end.IsZero() || until.Before(end):
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -71,8 +71,14 @@
 	// OnHead is called for the head of each final response that arrives in search of the
 	// own one, also if it belongs to another request. It may be nil.
 	OnHead func(status int, header http.Header)
+	// MaySend is called before the first byte of the request is written. If it returns false,
+	// Do fails with ErrWithdrawn. It may be nil.
+	MaySend func() bool
 }
 
+// ErrWithdrawn means that Request.MaySend returned false.
+var ErrWithdrawn = errors.New("the request may no longer be sent to the endpoint")
+
 // Progress says how far a failed request got.
 type Progress int
 
@@ -261,6 +267,10 @@
 	if err != nil {
 		return nil, &Error{NotSent, err}
 	}
+	if req.MaySend != nil && !req.MaySend() {
+		_ = cn.Close()
+		return nil, &Error{NotSent, ErrWithdrawn}
+	}
 	cn.memory = c.budget.Open(address)
 	x := &exchange{client: c, conn: cn, req: req}
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
