--- a/pkg/placement/domains.go
+++ b/pkg/placement/domains.go
@@ -92,6 +92,12 @@
 	return float64(rendezvous.Mix(key^hashID(domain))) >= share*keys
 }
 
+// isReturned reports whether a prompt uses the domain of an endpoint: not if that came back into
+// use a moment ago and gets its prompts step by step. p.mu must be held.
+func (p *Pool) isReturned(e *endpointState, req *Request, now time.Time) bool {
+	return !p.use.isReturning(e.Domain, req.returnKey, now)
+}
+
 // returnKey returns the key of isReturning: that of the shared prompt, so that all instances
 // send it to the same endpoints, or a random one.
 func (p *Pool) returnKey(prefixKeys []uint64) uint64 {
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -276,7 +276,7 @@
 		if !p.mayBegin(&req, e, now) {
 			cost += newVersionCostMs
 		}
-		if p.use.isReturning(e.Domain, req.returnKey, now) {
+		if !p.isReturned(e, &req, now) {
 			cost += returningCostMs
 		}
 		if cost < bestCost {
@@ -320,16 +320,24 @@
 }
 
 // topTwo returns the two endpoints with the highest rendezvous weight for the
-// longest shared prefix.
+// longest shared prefix. Those of domains that return rank only if there is no other.
 func (p *Pool) topTwo(req *Request, prefixKeys []uint64, now time.Time) (first, second *endpointState) {
 	if len(prefixKeys) == 0 {
 		return nil, nil
 	}
+	if first, second = p.topTwoOf(req, prefixKeys, now, p.isReturned); first != nil {
+		return first, second
+	}
+	return p.topTwoOf(req, prefixKeys, now, func(*endpointState, *Request, time.Time) bool { return true })
+}
+
+// topTwoOf is topTwo among the endpoints for which mayRank returns true.
+func (p *Pool) topTwoOf(req *Request, prefixKeys []uint64, now time.Time, mayRank func(*endpointState, *Request, time.Time) bool) (first, second *endpointState) {
 	key := prefixKeys[len(prefixKeys)-1]
 	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
 	for _, e := range p.services[req.Service] {
 		switch {
-		case !p.accepts(e, req, now), p.use.isReturning(e.Domain, req.returnKey, now):
+		case !p.accepts(e, req, now) || !mayRank(e, req, now):
 		case first == nil || weight(e) > weight(first):
 			first, second = e, first
 		case second == nil || weight(e) > weight(second):
