--- a/pkg/node/node_test.go
+++ b/pkg/node/node_test.go
@@ -87,6 +87,8 @@
 	server *httptest.Server
 	runner *machines.Runner
 	client *http.Client
+	// tracksDomains is node.Options.TracksDomains of the members.
+	tracksDomains bool
 }
 
 // member is one node of a fleet.
@@ -144,9 +146,14 @@
 	opened := listeners{}
 	m := &member{f: f, callers: opened.address(f.t), ready: opened.address(f.t), metrics: opened.address(f.t), done: make(chan error, 1),
 		store: &cuttableStore{Store: platform.NewStore(strings.TrimPrefix(f.server.URL, "http://"), registry)}}
+	source := platform.NewSource(m.store, log)
+	if f.tracksDomains {
+		source.TrackDomains(nil)
+	}
 	n := node.New(node.Options{
-		Name: name, Domain: "z", CallerAddress: m.callers, ReadyAddress: m.ready, PeerAddress: opened.address(f.t), MetricsAddress: m.metrics, Listen: opened.open,
-		ReadyPath: "/ready", MetricsPath: "/metrics", Store: m.store, Source: platform.NewSource(m.store, log), Codec: platform.Codec{},
+		TracksDomains: f.tracksDomains,
+		Name:          name, Domain: "z", CallerAddress: m.callers, ReadyAddress: m.ready, PeerAddress: opened.address(f.t), MetricsAddress: m.metrics, Listen: opened.open,
+		ReadyPath: "/ready", MetricsPath: "/metrics", Store: m.store, Source: source, Codec: platform.Codec{},
 		Retry: node.RetryLimit{Ratio: 0.2, Extra: 50, Window: 10 * time.Second}, ShutdownTimeout: 9 * time.Second, Log: log, Registry: registry,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
