Let the soak take zones out of use

The operator of the soak takes zones out of use at random and, after all faults, once more; the checker counts requests that reach such a zone later than the bound from instances in touch. A stand-in store that returns from a copy now also removes again what the operator had removed.

--- a/standins/machines/store.go
+++ b/standins/machines/store.go
@@ -201,7 +201,8 @@
 }
 
 // Restore replaces the content by an earlier copy. Revisions go back with it and are given
-// out again. What the operator and the runners have written since is written again.
+// out again. What the operator and the runners have written since is written again, and what
+// the operator has removed is removed again.
 func (s *Store) Restore(c Copy) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -215,6 +216,12 @@
 			s.put(key, it.Value, 0)
 		}
 	}
+	for key := range c.items {
+		if _, found := lost[key]; strings.HasPrefix(key, "op/") && !found {
+			s.revision++
+			s.remove(key)
+		}
+	}
 	s.notifyWatchers()
 }
 
--- a/test/soak/faults_test.go
+++ b/test/soak/faults_test.go
@@ -39,7 +39,7 @@
 // injectFault starts one random fault.
 func (tc *testCluster) injectFault(ctx context.Context) {
 	n := tc.instances[tc.randInt(len(tc.instances))]
-	switch tc.randInt(16) {
+	switch tc.randInt(18) {
 	case 0:
 		n.restart(func() { n.terminate(syscall.SIGKILL) })
 	case 1:
@@ -79,6 +79,8 @@
 		}
 	case 14, 15:
 		tc.reregister(ctx)
+	case 16, 17:
+		tc.evacuate(ctx)
 	}
 }
 
@@ -122,6 +124,7 @@
 	n.mu.Lock()
 	n.paused = true
 	n.mu.Unlock()
+	n.cluster.evacuations.disturb(n.name, d)
 	n.signal(syscall.SIGSTOP)
 	go func() {
 		wait.Sleep(ctx, d)
@@ -136,6 +139,7 @@
 // setProxyMode sets the mode of the instance's proxy for d. Afterwards it resets the
 // connections, because they may have lost bytes.
 func (n *testInstance) setProxyMode(ctx context.Context, mode proxyMode, d time.Duration) {
+	n.cluster.evacuations.disturb(n.name, d)
 	n.proxy.mode.Store(int32(mode))
 	if mode == modeRefuse {
 		n.proxy.reset()
@@ -150,6 +154,7 @@
 // injectStoreFaults makes the store refuse, lose and delay a random share of calls for
 // d.
 func (tc *testCluster) injectStoreFaults(ctx context.Context, d time.Duration) {
+	tc.evacuations.disturb("store", d)
 	faultShare := tc.randFloat() / 2
 	tc.store.SetFaults(func(string) machines.Fault {
 		if tc.randFloat() > faultShare {
@@ -178,6 +183,7 @@
 // restoreStore makes the store unavailable for d, after which it returns from a copy of the
 // time before the previous restore or of the start.
 func (tc *testCluster) restoreStore(ctx context.Context, d time.Duration) {
+	tc.evacuations.disturb("store", d)
 	tc.store.SetFaults(func(string) machines.Fault { return machines.Unavailable })
 	go func() {
 		wait.Sleep(ctx, d)
--- a/test/soak/soak_test.go
+++ b/test/soak/soak_test.go
@@ -96,6 +96,7 @@
 	for deadline := time.Now().Add(startTimeout); s.servedCount() == servedBefore && time.Now().Before(deadline); {
 		time.Sleep(50 * time.Millisecond)
 	}
+	tc.checkEvacuation()
 	tc.checkCrashes()
 	stopCallers()
 	wg.Wait()
--- a/test/soak/world_test.go
+++ b/test/soak/world_test.go
@@ -50,7 +50,9 @@
 	notices   *notices
 	garbler   *garbler
 	refuser   *refuser
-	released  chan struct{} // receives when the last runners of former versions have ended
+
+	evacuations *evacuations
+	released    chan struct{} // receives when the last runners of former versions have ended
 
 	mu            sync.Mutex
 	rng           *rand.Rand
@@ -95,7 +97,7 @@
 			t.Fatal(err)
 		}
 	}
-	tc := &testCluster{t: t, dir: dir, binary: binary, store: store, server: httptest.NewServer(store), notices: newNotices(),
+	tc := &testCluster{t: t, dir: dir, binary: binary, store: store, server: httptest.NewServer(store), notices: newNotices(), evacuations: newEvacuations(),
 		prepaid: map[string]int64{machines.Workspace: 400_000, slowWorkspace: 100_000}, workspaces: map[string]string{},
 		rng: rand.New(rand.NewPCG(seed, seed)), promptTokens: map[string]int64{}, executions: map[string]int{}, executedSends: map[string]bool{}, nonRepeatable: map[string]bool{},
 		numVersions: 1, killsAll: seed%2 == 0, released: make(chan struct{}, 1)}
@@ -166,6 +168,9 @@
 	if violation := tc.notices.checkArrival(id, runner); violation != "" {
 		tc.t.Error(violation)
 	}
+	if violation := tc.evacuations.checkArrival(id, tc.zoneOf(runner)); violation != "" {
+		tc.t.Error(violation)
+	}
 	if c = tc.notices.answer(id, runner, c); c == nil {
 		return true
 	}
@@ -237,7 +242,7 @@
 		"node_name": n.name, "zone": "z" + n.name[1:], "ip_address": n.ip,
 		"listen_addresses":    map[string]string{"frontend": n.ip + ":8227", "ready": n.ip + ":8220"},
 		"internal_port_range": []int{7340, 7355}, "limits": map[string]any{"memory_mb": memoryMB},
-		"bounds":   map[string]any{"grace_period_s": 4, "retry_budget_ratio": 0.2, "retry_budget_extra": 50, "budget_window_s": 10},
+		"bounds":   map[string]any{"grace_period_s": 4, "retry_budget_ratio": 0.2, "retry_budget_extra": 50, "budget_window_s": 10, "evacuation_ms": evacuationTimeout.Milliseconds()},
 		"platform": map[string]any{"address": n.proxy.address()},
 	}
 	data, err := json.Marshal(settings)
@@ -265,6 +270,7 @@
 	exited := make(chan struct{})
 	n.process, n.exited, n.endRequested, n.paused = cmd, exited, false, false
 	n.cluster.notices.forget(n.name)
+	n.cluster.evacuations.disturb(n.name, 0)
 	go func() {
 		err := cmd.Wait()
 		_ = log.Close()
@@ -283,6 +289,7 @@
 	defer n.mu.Unlock()
 	if s == syscall.SIGKILL || s == syscall.SIGTERM {
 		n.endRequested = true
+		n.cluster.evacuations.disturb(n.name, 0)
 	}
 	_ = n.process.Process.Signal(s) // fails if the process has exited
 }
