--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -269,10 +269,13 @@
 
 // regions returns the lists of allowed regions that bind the request.
 func (q *request) regions() [][]string {
-	if q.workspace == nil {
+	switch {
+	case q.workspace != nil && len(q.workspace.Regions) > 0:
+		return [][]string{q.route.Regions, q.workspace.Regions}
+	case len(q.route.Regions) > 0:
 		return [][]string{q.route.Regions}
 	}
-	return [][]string{q.route.Regions, q.workspace.Regions}
+	return nil
 }
 
 // recordResult logs the result of the request in one line and updates the metrics.
