Add failing tests of crashing requests that are never refused

A request without a prompt is examined only when the same instance happens to connect again to the dead endpoint. Deaths are taken for a partition while all endpoints of a failure domain are down together.

--- a/pkg/node/culprits_test.go
+++ b/pkg/node/culprits_test.go
@@ -51,6 +51,7 @@
 	mu        sync.Mutex
 	cutSince  time.Time // zero if the instance is not cut off
 	partition int       // instances reach those of the same one
+	domain    string    // reported to the others, "" if none
 }
 
 func newFinderFleet(t *testing.T, instances int) *finderFleet {
@@ -188,7 +189,9 @@
 	var others []peer.Identity
 	for _, other := range x.fleet.running() {
 		if other != x {
-			others = append(others, other.self)
+			id := other.self
+			id.Domain = other.domain
+			others = append(others, id)
 		}
 	}
 	return others
@@ -206,7 +209,9 @@
 }
 
 func (x *testFinder) TryConnect(_ context.Context, address string) error {
-	if address == accepting {
+	if address == accepting || slices.ContainsFunc(x.fleet.running(), func(to *testFinder) bool {
+		return to != x && to.self.Address == address && to.partition == x.partition
+	}) {
 		return nil
 	}
 	return syscall.ECONNREFUSED
@@ -387,6 +392,45 @@
 	})
 }
 
+// Guards against deaths that are taken for a partition because all endpoints of a failure domain are down together.
+func TestDeathsAmongEndpointsThatAreAllDownAreCounted(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		desc     string
+		domains  []string // of the instances
+		refused  bool
+		isolated int // instances from this one on are cut off from the first ones
+	}{
+		{"an instance in the domain answers", []string{"d", cutDomain, "d", "d"}, true, 4},
+		{"the reporting instance is in the domain", []string{cutDomain, "d", "d", "d"}, true, 4},
+		{"no instance in the domain", []string{"d", "d", "d", "d"}, false, 4},
+		{"the instance in the domain is cut off", []string{"d", "d", "d", cutDomain}, false, 3},
+		{"the reporting instance is cut off with the domain", []string{cutDomain, "d", "d", "d"}, false, 1},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			t.Parallel()
+			f := newFinderFleet(t, 0)
+			for i, domain := range tc.domains {
+				x := f.start()
+				x.domain, x.self.Domain = domain, domain
+				if i >= tc.isolated {
+					x.partition = 1
+				}
+			}
+			for i := range 3 {
+				f.finders[0].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", i), Domain: cutDomain}, []quarantine.Trait{crashing})
+				time.Sleep(150 * time.Millisecond)
+			}
+			if tc.refused {
+				f.waitUntilRefused(contactWindow, crashing)
+				return
+			}
+			time.Sleep(contactWindow)
+			f.checkAllowed(crashing)
+		})
+	}
+}
+
 // Guards against a minority that takes endpoints behind a partition for dead.
 func TestMinorityDoesNotDecide(t *testing.T) {
 	t.Parallel()
--- a/standins/machines/crashing.go
+++ b/standins/machines/crashing.go
@@ -12,8 +12,9 @@
 	"time"
 )
 
-// CrashingPart is the prompt part on which CrashingRunners crash.
-const CrashingPart = "bad0"
+// CrashingPart is the prompt part, and CrashingPath the part of a path, on which
+// CrashingRunners crash.
+const CrashingPart, CrashingPath = "bad0", "/crashing"
 
 const (
 	crashDelay   = 30 * time.Millisecond  // from the beginning of a run to the crash
@@ -21,7 +22,7 @@
 )
 
 // CrashingRunners are runners that crash when they begin to answer a request with
-// CrashingPart, and start again with another ID and address. Other requests are handled
+// CrashingPart or CrashingPath, and start again with another ID and address. Other requests are handled
 // by a script.
 type CrashingRunners struct {
 	store    *Store
@@ -187,7 +188,7 @@
 	return append([]time.Time(nil), c.crashes...)
 }
 
-// ArrivalsAfter returns the number of requests with CrashingPart that reached runners after
+// ArrivalsAfter returns the number of requests with CrashingPart or CrashingPath that reached runners after
 // t.
 func (c *CrashingRunners) ArrivalsAfter(t time.Time) int {
 	c.mu.Lock()
@@ -201,7 +202,7 @@
 	return n
 }
 
-// IsCrashing reports whether a request has CrashingPart in its prompt.
+// IsCrashing reports whether a request has CrashingPart in its prompt or CrashingPath in its path.
 func IsCrashing(q *http.Request) bool {
-	return strings.Contains(q.Header.Get(HeaderPrompt), CrashingPart)
+	return strings.Contains(q.Header.Get(HeaderPrompt), CrashingPart) || strings.Contains(q.URL.Path, CrashingPath)
 }
