Refuse requests without prompts that crash endpoints, and count deaths in domains that are down

Cause: only requests with shared parts of a prompt were reported to the collectors of deaths, and only other endpoints of the failure domain could tell a death from a partition, so that no death counted while they were down together.

Change: each interrupted request is reported with the trait that only equal requests have, and checked for it. Witnesses of a death are the endpoints and the instances of the failure domain, and all other places if the reporting instance is in that domain (pkg/quarantine Witnesses). One case of TestReportedParts, a request without a prompt, now expects the report of its interruption as well, which is stricter.

--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -57,16 +57,13 @@
 
 // checkTraits returns an error if requests such as this one are refused.
 func (q *request) checkTraits(now time.Time) error {
-	if traits := q.traits(); len(traits) > 0 {
-		return q.g.opts.CrashGuard.CheckTraits(q.identifyingTraits(), now)
-	}
-	return nil
+	return q.g.opts.CrashGuard.CheckTraits(q.identifyingTraits(), now)
 }
 
 // recordInterruption reports an attempt that ended without a complete response, unless its
 // endpoint had responded for so long that another request must have crashed it.
 func (q *request) recordInterruption(endpoint catalog.Endpoint, firstEvent, now time.Time) {
-	if len(q.traits()) == 0 || !firstEvent.IsZero() && now.Sub(firstEvent) > crashDelay {
+	if !firstEvent.IsZero() && now.Sub(firstEvent) > crashDelay {
 		return
 	}
 	q.g.opts.CrashGuard.RecordInterruption(endpoint, q.identifyingTraits())
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -29,7 +29,7 @@
 	}{
 		{"whole", "/once/1", whole, whole, promptHeader, []string{"survived a1 b2"}},
 		{"no shared parts", "/once/1", whole, whole, machines.HeaderPrompt + ": c3:10", []string{"survived"}},
-		{"no prompt", "/look/1", machines.Cut, machines.Answer(200, "x"), "X-None: 1", []string{"survived"}},
+		{"no prompt", "/look/1", machines.Cut, machines.Answer(200, "x"), "X-None: 1", []string{"interrupted", "survived"}},
 		{"broken off before the first event", "/once/1", headOnly, whole, promptHeader, []string{"interrupted a1 b2"}},
 		{"broken off and resumed", "/chat/1", headOnly, whole, promptHeader, []string{"interrupted a1 b2", "survived a1 b2"}},
 		{"closed without a response", "/chat/1", machines.Cut, whole, promptHeader, []string{"interrupted a1 b2", "survived a1 b2"}},
--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -40,9 +40,9 @@
 	// maxMissedLists is the age of the list of instances from which this instance may have
 	// missed a refusal: more than one round of package roster.
 	maxMissedLists = 4 * time.Second
-	// maxNeighbors bounds the endpoints of a failure domain that are tried to tell the death
+	// maxWitnesses bounds the endpoints, and the instances, that are tried to tell the death
 	// of one endpoint from a partition.
-	maxNeighbors = 4
+	maxWitnesses = 4
 	// maxCulpritEvents bounds the events that wait for the control goroutine.
 	maxCulpritEvents = 1024
 )
@@ -81,7 +81,7 @@
 	log       logrus.FieldLogger
 }
 
-// culpritFinder finds the parts of prompts that crash endpoints and has requests with them
+// culpritFinder finds the requests and the parts of prompts that crash endpoints and has them
 // refused at all instances. Each instance reports the endpoints that died under its
 // requests to the collectors. A collector attributes the deaths, asks all instances which
 // traits survived, and tells all of them what to refuse.
@@ -206,29 +206,54 @@
 		}
 		f.post(ctx, func(ctx context.Context) {
 			report := deathReport{Endpoint: id, Traits: slices.Sorted(maps.Keys(g.traits))}
-			f.log.WithField("endpoint", id).WithField("traits", len(report.Traits)).Info("endpoint died under requests with prompts")
+			f.log.WithField("endpoint", id).WithField("traits", len(report.Traits)).Info("death of an endpoint is reported to the collectors")
 			f.reports = append(f.reports, &ownReport{deathReport: report, at: time.Now(), received: map[string]bool{}, sending: map[string]bool{}})
 			f.sendReports(ctx, time.Now())
 		})
 	}()
 }
 
-// isDead reports whether an endpoint has died by itself: it refuses connections, and another
-// endpoint of its failure domain, if there is one, accepts them. A timeout may be due to a
-// network partition, and so may refusals by all endpoints of a domain.
+// isDead reports whether an endpoint has died by itself: it refuses connections, and one of
+// its witnesses, if there are any, accepts them. A timeout may be due to a network partition,
+// and so may refusals by all of them.
 func (f *culpritFinder) isDead(ctx context.Context, endpoint catalog.Endpoint) bool {
 	if !errors.Is(f.tryConnect(ctx, endpoint.Address), syscall.ECONNREFUSED) {
 		return false
 	}
-	neighbors := slices.DeleteFunc(f.endpoints(), func(e catalog.Endpoint) bool {
-		return e.ID == endpoint.ID || e.Domain != endpoint.Domain
-	})
-	rand.Shuffle(len(neighbors), func(i, j int) { neighbors[i], neighbors[j] = neighbors[j], neighbors[i] })
-	neighbors = neighbors[:min(maxNeighbors, len(neighbors))]
-	if len(neighbors) == 0 || slices.ContainsFunc(neighbors, func(e catalog.Endpoint) bool { return f.tryConnect(ctx, e.Address) == nil }) {
+	var instances []quarantine.Place
+	for _, other := range f.roster.Others() {
+		instances = append(instances, quarantine.Place{Address: other.Address, Domain: other.Domain})
+	}
+	endpoints := f.endpoints()
+	witnesses := chooseWitnesses(quarantine.Witnesses(endpoint, f.self.Domain, nil, instances))
+	witnesses = append(witnesses, chooseWitnesses(quarantine.Witnesses(endpoint, f.self.Domain, endpoints, nil))...)
+	if len(witnesses) == 0 || f.anyAccepts(ctx, witnesses) {
 		return true
 	}
-	f.log.WithField("endpoint", endpoint.ID).WithField("neighbors", len(neighbors)).Info("endpoint is unreachable with its failure domain")
+	f.log.WithField("endpoint", endpoint.ID).WithField("witnesses", len(witnesses)).Info("endpoint is unreachable with its failure domain")
+	return false
+}
+
+// chooseWitnesses returns up to maxWitnesses of the places at random.
+func chooseWitnesses(places []quarantine.Place) []quarantine.Place {
+	rand.Shuffle(len(places), func(i, j int) { places[i], places[j] = places[j], places[i] })
+	return places[:min(maxWitnesses, len(places))]
+}
+
+// anyAccepts reports whether one of the places accepts a connection. They are tried at the
+// same time, because each may take culpritCallTimeout.
+func (f *culpritFinder) anyAccepts(ctx context.Context, places []quarantine.Place) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	results := make(chan error, len(places))
+	for _, p := range places {
+		go func() { results <- f.tryConnect(ctx, p.Address) }()
+	}
+	for range places {
+		if <-results == nil {
+			return true
+		}
+	}
 	return false
 }
 
