Bound the requests to cold endpoints over all instances

Cause: an endpoint that has just started, or turns cold later, tolerates cold_per_s requests a second and crashes well above that. Nothing read how long it stays cold, and each instance sent what it liked.

Change: the few senders that divide a limit of an endpoint now divide any allowance (placement.Allowance), a limit or that of a cold endpoint, with one quota and one rendezvous choice. Registrations with less and less time left become one ColdPeriod that does not change with each heartbeat and never ends before the endpoint's own. The allowance takes one half of the bound, so that two groups of instances that disagree about the members stay inside it together. Callers are told when the instance may send again. Share gets the time, which makes it testable without a clock.

--- a/pkg/catalog/document.go
+++ b/pkg/catalog/document.go
@@ -88,6 +88,10 @@
 	// Engine describes the inference engines of the service. It is nil if the
 	// endpoints are ordinary applications.
 	Engine *Engine
+	// ColdStart is how long an endpoint is cold after it starts. ColdPerSecond is the number
+	// of requests a second that a cold endpoint tolerates; 0 means no bound.
+	ColdStart     time.Duration `cbor:",omitempty"`
+	ColdPerSecond float64       `cbor:",omitempty"`
 }
 
 // Engine describes the inference engines of a service.
@@ -198,6 +202,17 @@
 	// its model, or "" if it names none. Endpoints of equal versions continue each other's
 	// streams.
 	SoftwareVersion string `cbor:",omitempty"`
+	// Cold is the time for which the endpoint is cold, or 0 if it is warm.
+	Cold ColdPeriod `cbor:",omitzero"`
+}
+
+// ColdPeriod is a time in which an endpoint tolerates fewer requests. It is the same for the
+// whole period, so that an endpoint list changes only at its start and its end.
+type ColdPeriod struct {
+	// Length is the longest time that the period lasts after an instance has learned of it.
+	Length time.Duration `cbor:"1,keyasint,omitempty"`
+	// Sequence tells successive periods of one process apart.
+	Sequence uint64 `cbor:"2,keyasint,omitempty"`
 }
 
 // EndpointList holds the endpoints at one revision of the store.
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -426,7 +426,7 @@
 		if !known || old != e {
 			changed = true
 			log.WithFields(logrus.Fields{"endpoint": e.ID, "service": e.Service, "address": e.Address,
-				"draining": e.Draining}).Info("endpoint listed")
+				"draining": e.Draining, "cold_ms": e.Cold.Length.Milliseconds()}).Info("endpoint listed")
 		}
 	}
 	for id := range removed {
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -243,6 +243,9 @@
 		q.g.opts.CrashGuard.HandleEndpointDeath(c.ID, now)
 	}
 	c.Done(outcome, now)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.MarkDied(now) // after Done, which sets how long the endpoint is avoided
+	}
 	q.attempts = append(q.attempts, attempt{c.ID, c.SoftwareVersion, c.Rank, c.Cost, result + notice, now.Sub(start)})
 	q.g.metrics.observeAttempt(result)
 	return status, errorResponse
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -42,14 +42,15 @@
 const maxRetryDelay = 10 * time.Second
 
 // retryDelay returns when the caller of a refused request should come back, or 0 if that
-// is of no use. If all endpoints have turned this instance away for a time, a repeat is
-// refused before the end of the first of these times.
+// is of no use. If no endpoint accepts a request from this instance for a time, because all
+// have turned it away, name limits or are cold, a repeat is refused before the end of the
+// first of these times.
 func (q *request) retryDelay(cause *failure.Error, now time.Time) time.Duration {
 	switch cause.Kind {
 	case failure.Quarantined:
 		return 0
 	case failure.NoEndpoint:
-		if end := q.g.opts.Pool.PauseEnd(q.service, now); !end.IsZero() {
+		if end := q.g.opts.Pool.AcceptsAt(q.service, now); !end.IsZero() {
 			return min(end.Sub(now), maxRetryDelay) + jitter(meanRetryDelay)
 		}
 	}
--- a/pkg/node/limitshares.go
+++ b/pkg/node/limitshares.go
@@ -8,19 +8,14 @@
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 )
 
-const (
-	// extraSenders is added to the limit of an endpoint, in requests per second, to get the
-	// number of instances that send it requests. Each may have one request at hand when its
-	// turn has not come for long, so that this bounds the excess over the limit in any time.
-	extraSenders = 3
-	// establishedTTL is how long the list of established instances is used before it is read again.
-	establishedTTL = 500 * time.Millisecond
-)
+// establishedTTL is how long the list of established instances is used before it is read again.
+const establishedTTL = 500 * time.Millisecond
 
-// limitShares divides the limit of an endpoint among the instances without asking them: all
+// limitShares divides what an endpoint takes among the instances without asking them: all
 // instances that know the same others choose the same senders, which share it evenly.
 type limitShares struct {
 	self        peer.Identity
@@ -39,29 +34,29 @@
 }
 
 // of implements placement.Share.
-func (s *limitShares) of(endpoint catalog.Endpoint, perSecond float64) float64 {
-	senders, isEstablished := s.senders(endpoint, perSecond, time.Now())
+func (s *limitShares) of(endpoint catalog.Endpoint, a placement.Allowance, now time.Time) float64 {
+	senders, isEstablished := s.senders(endpoint, a, now)
 	if !isEstablished || !slices.ContainsFunc(senders, func(id peer.Identity) bool { return id.Instance == s.self.Instance }) {
 		return 0
 	}
-	return perSecond / float64(len(senders))
+	return a.PerSecond / float64(len(senders))
 }
 
-// senders returns the instances that send requests to an endpoint which takes perSecond from
-// all together, and whether this instance is established. One half is chosen from the
-// failure domain of the endpoint, which may be cut off from the others.
-func (s *limitShares) senders(endpoint catalog.Endpoint, perSecond float64, now time.Time) ([]peer.Identity, bool) {
+// senders returns the instances that send requests to an endpoint with an allowance for all
+// together, and whether this instance is established. One half is chosen from the failure
+// domain of the endpoint, which may be cut off from the others.
+func (s *limitShares) senders(endpoint catalog.Endpoint, a placement.Allowance, now time.Time) ([]peer.Identity, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readEstablished(now)
 	var senders []peer.Identity
-	if perSecond+extraSenders >= float64(len(s.instances)) {
+	n := a.Senders
+	if n >= len(s.instances) {
 		for _, id := range s.instances {
 			senders = append(senders, id.Identity)
 		}
 		return senders, s.isEstablished
 	}
-	n := int(perSecond) + extraSenders
 	hash := rendezvous.Hash(endpoint.ID)
 	ranked := slices.SortedFunc(slices.Values(s.instances), func(a, b hashedInstance) int {
 		return cmp.Or(cmp.Compare(rendezvous.Mix(b.hash^hash), rendezvous.Mix(a.hash^hash)), cmp.Compare(a.Instance, b.Instance))
--- a/pkg/node/limitspreader.go
+++ b/pkg/node/limitspreader.go
@@ -92,7 +92,7 @@
 	byAddress := map[string][]placement.Limit{}
 	ids := map[string]peer.Identity{}
 	for _, l := range s.pool.StaleLimits(staleLimitAge, now) {
-		senders, _ := s.shares.senders(l.Endpoint, l.PerSecond, now)
+		senders, _ := s.shares.senders(l.Endpoint, l.Allowance(), now)
 		if len(senders) == 0 {
 			continue
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -47,6 +47,7 @@
 	Source                 catalog.Source
 	Codec                  gateway.Codec
 	Retry                  RetryLimit
+	Cold                   ColdLimit
 	// WatchTimeout bounds one wait for a change at the source; 0 means the default of
 	// package catalog.
 	WatchTimeout time.Duration
@@ -66,6 +67,11 @@
 	Window       time.Duration
 }
 
+// ColdLimit bounds the requests that reach a cold endpoint in any second from all instances
+// together, as a multiple of what the endpoint tolerates and a number; see
+// placement.ColdBound. The zero value means no bound.
+type ColdLimit struct{ Overrun, Tolerance float64 }
+
 // Node is one instance.
 type Node struct {
 	opts       Options
@@ -130,6 +136,7 @@
 	})
 	n.idleConns = newIdleConns(n.idleLimit)
 	n.departed = newDepartedCloser(n.pool, n.client, opts.Registry)
+	registerColdEndpoints(n.pool, opts.Registry)
 	return n
 }
 
@@ -170,9 +177,12 @@
 			}
 			return addresses
 		},
-		Relays:     n.relays,
-		Timing:     n.catalogTiming(),
-		OnDocument: func(*catalog.Catalog) { n.syncer.TriggerRound() },
+		Relays: n.relays,
+		Timing: n.catalogTiming(),
+		OnDocument: func(c *catalog.Catalog) {
+			n.pool.SetColdBounds(coldBounds(c.Services, n.opts.Cold))
+			n.syncer.TriggerRound()
+		},
 		OnEndpoints: func(list catalog.EndpointList) {
 			now := time.Now()
 			n.lineage.UpdateEndpoints(list, now) // before streams can begin at a new version
--- a/pkg/placement/limits.go
+++ b/pkg/placement/limits.go
@@ -6,12 +6,22 @@
 	"golang.org/x/time/rate"
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/pkg/limits"
 )
 
-// Share returns the requests per second that this instance may send to an endpoint that
-// takes perSecond from all instances together. It must be fast: the pool calls it under its
-// mutex.
-type Share func(endpoint catalog.Endpoint, perSecond float64) float64
+// Allowance is what all instances together may send to an endpoint. In any time, the sum is at
+// most what PerSecond allows in that time and Senders.
+type Allowance struct {
+	// PerSecond is the number of requests per second.
+	PerSecond float64
+	// Senders is the largest number of instances that send requests. Each may have one at
+	// hand when its turn has not come for long.
+	Senders int
+}
+
+// Share returns the requests per second that this instance may send to an endpoint, as its
+// part of an allowance. It must be fast: the pool calls it under its mutex.
+type Share func(endpoint catalog.Endpoint, a Allowance, now time.Time) float64
 
 const (
 	// minLimit replaces lower limits, in requests per second. An endpoint that takes nothing
@@ -19,6 +29,8 @@
 	minLimit = 0.2
 	// maxLimit replaces higher limits, in requests per second. No instance sends as many.
 	maxLimit = 1e6
+	// extraSenders is added to a limit, in requests per second, to get the number of senders.
+	extraSenders = 3
 	// shareTTL is how long a share is used before it is computed again.
 	shareTTL = 500 * time.Millisecond
 	// burstWindow is the time whose requests may be sent at once.
@@ -34,8 +46,66 @@
 	// reported it; zero if nothing was ever said.
 	learnedAt time.Time
 	isNews    bool // learned here and not yet taken by Pool.LimitNews
-	bucket    *rate.Limiter
-	sharedAt  time.Time // when the share was computed
+	quota     quota
+}
+
+// Allowance returns what all instances together may send to an endpoint that takes PerSecond
+// requests a second.
+func (l Limit) Allowance() Allowance { return allowanceOf(l.PerSecond) }
+
+func allowanceOf(perSecond float64) Allowance {
+	return Allowance{PerSecond: perSecond, Senders: int(perSecond) + extraSenders}
+}
+
+// quota is the part of an allowance that this instance has. The zero value is empty.
+type quota struct {
+	bucket   *rate.Limiter
+	sharedAt time.Time // when the share was computed
+}
+
+// refresh brings the rate of the bucket up to date with the share of this instance.
+func (q *quota) refresh(e catalog.Endpoint, a Allowance, share Share, now time.Time) {
+	if q.bucket == nil {
+		q.bucket = rate.NewLimiter(0, 0)
+	}
+	if now.Sub(q.sharedAt) < shareTTL {
+		return
+	}
+	own := a.PerSecond
+	switch {
+	case a.Senders <= 0:
+		own = 0
+	case share != nil:
+		own = share(e, a, now)
+	}
+	q.sharedAt = now
+	burst := 0
+	if own > 0 {
+		burst = max(1, int(own*burstWindow.Seconds()))
+	}
+	q.bucket.SetLimitAt(now, rate.Limit(own))
+	q.bucket.SetBurstAt(now, burst)
+}
+
+// allows reports whether this instance may send a request to the endpoint at time now.
+func (q *quota) allows(e catalog.Endpoint, a Allowance, share Share, now time.Time) bool {
+	q.refresh(e, a, share, now)
+	return q.bucket.TokensAt(now) >= 1
+}
+
+// take counts a request that is sent at time now.
+func (q *quota) take(now time.Time) { q.bucket.AllowN(now, 1) }
+
+// readyAt returns when the quota allows the next request, or the zero time if this instance
+// has no part of the allowance.
+func (q *quota) readyAt(e catalog.Endpoint, a Allowance, share Share, now time.Time) time.Time {
+	q.refresh(e, a, share, now)
+	own := float64(q.bucket.Limit())
+	if own <= 0 {
+		return time.Time{}
+	}
+	missing := max(0, 1-q.bucket.TokensAt(now))
+	return now.Add(limits.Duration(missing/own, time.Second))
 }
 
 // set records a limit, within its bounds, as of the time at and reports whether that is new.
@@ -47,7 +117,7 @@
 	changed = !l.isSet || perSecond != l.perSecond
 	l.isSet, l.perSecond, l.learnedAt = true, perSecond, at
 	if changed {
-		l.sharedAt = time.Time{}
+		l.quota.sharedAt = time.Time{}
 	}
 	return changed
 }
@@ -55,38 +125,19 @@
 // clear records that there is no limit as of the time at and reports whether that is new.
 func (l *limit) clear(at time.Time) (changed bool) {
 	changed = l.isSet
-	l.isSet, l.learnedAt, l.bucket = false, at, nil
+	l.isSet, l.learnedAt, l.quota = false, at, quota{}
 	return changed
 }
 
 // allows reports whether this instance may send a request to the endpoint at time now.
 func (l *limit) allows(e catalog.Endpoint, share Share, now time.Time) bool {
-	if !l.isSet {
-		return true
-	}
-	if l.bucket == nil {
-		l.bucket = rate.NewLimiter(0, 0)
-	}
-	if now.Sub(l.sharedAt) >= shareTTL {
-		own := l.perSecond
-		if share != nil {
-			own = share(e, l.perSecond)
-		}
-		l.sharedAt = now
-		burst := 0
-		if own > 0 {
-			burst = max(1, int(own*burstWindow.Seconds()))
-		}
-		l.bucket.SetLimitAt(now, rate.Limit(own))
-		l.bucket.SetBurstAt(now, burst)
-	}
-	return l.bucket.TokensAt(now) >= 1
+	return !l.isSet || l.quota.allows(e, allowanceOf(l.perSecond), share, now)
 }
 
 // take counts a request that is sent at time now.
 func (l *limit) take(now time.Time) {
 	if l.isSet {
-		l.bucket.AllowN(now, 1)
+		l.quota.take(now)
 	}
 }
 
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -160,6 +160,7 @@
 	cachedAt     map[cachedPrefix]time.Time // time of the latest first byte
 	restrictions map[incarnation]*restriction
 	versions     map[serviceVersion]time.Time // when it was first listed, zero for those of the first list
+	coldBounds   map[string]ColdBound         // by service
 }
 
 // serviceVersion is a software version of a service.
@@ -189,13 +190,17 @@
 		e.listed = false
 	}
 	p.services = map[string][]*endpointState{}
+	isFirst := len(p.restrictions) == 0
 	p.updateVersions(list, now)
 	for _, entry := range list.Endpoints {
-		e := p.endpoints[entry.ID]
+		e, isNew := p.endpoints[entry.ID], false
 		if e == nil || e.Address != entry.Address || e.Started != entry.Started {
+			_, known := p.restrictions[incarnationOf(entry)]
+			isNew = !known && !isFirst
 			e = &endpointState{hash: hashID(entry.ID), restriction: p.restrictionOf(entry, now)}
 			p.endpoints[entry.ID] = e
 		}
+		e.restriction.cold.update(entry.Cold, isNew, now)
 		e.Endpoint, e.listed = entry, true
 		e.restriction.isLeaving = e.restriction.isLeaving || entry.Draining
 		p.services[entry.Service] = append(p.services[entry.Service], e)
@@ -261,7 +266,7 @@
 	var best *endpointState
 	bestCost := math.Inf(1)
 	for _, e := range p.services[req.Service] {
-		if !e.isAvailable(&req, p.share, now) {
+		if !p.isAvailable(e, &req, now) {
 			continue
 		}
 		// Less than 1 ms of noise spreads requests over endpoints of equal cost.
@@ -291,17 +296,18 @@
 		c.Rank = 2
 	}
 	best.restriction.limit.take(now)
+	p.takeCold(best, now)
 	best.inFlight++
 	best.pendingTokens = best.pendingTokens.Plus(c.promptTokens)
 	return c, nil
 }
 
 // isAvailable reports whether the endpoint accepts the request from this instance at time now.
-func (e *endpointState) isAvailable(req *Request, share Share, now time.Time) bool {
+func (p *Pool) isAvailable(e *endpointState, req *Request, now time.Time) bool {
 	if req.Version != nil && *req.Version != e.SoftwareVersion {
 		return false
 	}
-	return e.restriction.allows(now) && !req.Exclude[e.ID] && e.restriction.limit.allows(e.Endpoint, share, now)
+	return e.restriction.allows(now) && !req.Exclude[e.ID] && e.restriction.limit.allows(e.Endpoint, p.share, now) && p.allowsCold(e, now)
 }
 
 // mayBegin reports whether the request may begin at an endpoint although others accept work.
@@ -322,7 +328,7 @@
 	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
 	for _, e := range p.services[req.Service] {
 		switch {
-		case !e.isAvailable(req, p.share, now):
+		case !p.isAvailable(e, req, now):
 		case first == nil || weight(e) > weight(first):
 			first, second = e, first
 		case second == nil || weight(e) > weight(second):
--- a/pkg/placement/restrictions.go
+++ b/pkg/placement/restrictions.go
@@ -12,6 +12,8 @@
 	started     int64
 }
 
+func incarnationOf(e catalog.Endpoint) incarnation { return incarnation{e.ID, e.Address, e.Started} }
+
 // restriction is what an endpoint has said about the requests that it accepts. It outlives the
 // registration of the endpoint, which may expire and return while the process runs.
 type restriction struct {
@@ -19,6 +21,7 @@
 	pausedUntil time.Time // it accepts no requests from this instance before this time
 	unlistedAt  time.Time // when its registration was found to be gone, or zero
 	limit       limit     // on the requests of all instances together
+	cold        coldState
 }
 
 const (
@@ -36,7 +39,7 @@
 
 // restrictionOf returns the restriction of the process that an entry of the list describes.
 func (p *Pool) restrictionOf(entry catalog.Endpoint, now time.Time) *restriction {
-	key := incarnation{entry.ID, entry.Address, entry.Started}
+	key := incarnationOf(entry)
 	r := p.restrictions[key]
 	switch {
 	case r == nil:
@@ -80,22 +83,43 @@
 	}
 }
 
-// PauseEnd returns when the first endpoint of the service ends its pause, or the zero time
-// if an endpoint is not paused or none will accept requests again.
-func (p *Pool) PauseEnd(service string, now time.Time) time.Time {
+// AcceptsAt returns when the first endpoint of the service accepts a request from this
+// instance again, or the zero time if that is not known, because an endpoint accepts one now
+// or its limit may end at any time.
+func (p *Pool) AcceptsAt(service string, now time.Time) time.Time {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	var end time.Time
+	var first time.Time
 	for _, e := range p.services[service] {
-		switch until := e.restriction.pausedUntil; {
-		case e.restriction.isLeaving:
-		case !now.Before(until):
+		r := e.restriction
+		if r.isLeaving {
+			continue
+		}
+		at := r.pausedUntil
+		if l := &r.limit; l.isSet {
+			ready := l.quota.readyAt(e.Endpoint, allowanceOf(l.perSecond), p.share, now)
+			if ready.IsZero() && !at.After(now) {
+				return time.Time{}
+			}
+			at = later(at, ready)
+		}
+		at = later(at, p.coldReadyAt(e, now))
+		switch {
+		case !at.After(now):
 			return time.Time{}
-		case end.IsZero() || until.Before(end):
-			end = until
+		case first.IsZero() || at.Before(first):
+			first = at
 		}
 	}
-	return end
+	return first
+}
+
+// later returns the later one of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // ServingAddresses returns the addresses of the listed endpoints that have not said that they
