--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -46,8 +46,9 @@
 const outOfUseRetryDelay = time.Second
 
 // retryDelay returns when the caller of a refused request should come back, or 0 if that
-// is of no use. If all endpoints have turned this instance away for a time, a repeat is
-// refused before the end of the first of these times.
+// is of no use. If no endpoint accepts a request from this instance for a time, because all
+// have turned it away, name limits or are cold, a repeat is refused before the end of the
+// first of these times.
 func (q *request) retryDelay(cause *failure.Error, now time.Time) time.Duration {
 	switch cause.Kind {
 	case failure.Quarantined:
@@ -56,7 +57,7 @@
 		if q.g.opts.Pool.IsOutOfUse(q.newPlacementRequest()) {
 			return jitter(outOfUseRetryDelay)
 		}
-		if end := q.g.opts.Pool.PauseEnd(q.service, now); !end.IsZero() {
+		if end := q.g.opts.Pool.AcceptsAt(q.service, now); !end.IsZero() {
 			return min(end.Sub(now), maxRetryDelay) + jitter(meanRetryDelay)
 		}
 	}
--- a/pkg/placement/domains.go
+++ b/pkg/placement/domains.go
@@ -109,7 +109,7 @@
 
 // accepts reports whether an endpoint may get a request and accepts it. p.mu must be held.
 func (p *Pool) accepts(e *endpointState, req *Request, now time.Time) bool {
-	return p.use.allows(e.Domain, req.Regions) && e.isAvailable(req, p.share, now)
+	return p.use.allows(e.Domain, req.Regions) && p.isAvailable(e, req, now)
 }
 
 // noEndpointError returns why no endpoint can get a request. p.mu must be held.
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -165,6 +165,7 @@
 	restrictions map[incarnation]*restriction
 	versions     map[serviceVersion]time.Time // when it was first listed, zero for those of the first list
 	use          domainUse
+	coldBounds   map[string]ColdBound // by service
 }
 
 // serviceVersion is a software version of a service.
@@ -195,13 +196,17 @@
 		e.listed = false
 	}
 	p.services = map[string][]*endpointState{}
+	isFirst := len(p.restrictions) == 0
 	p.updateVersions(list, now)
 	for _, entry := range list.Endpoints {
-		e := p.endpoints[entry.ID]
+		e, isNew := p.endpoints[entry.ID], false
 		if e == nil || e.Address != entry.Address || e.Started != entry.Started {
+			_, known := p.restrictions[incarnationOf(entry)]
+			isNew = !known && !isFirst
 			e = &endpointState{hash: hashID(entry.ID), restriction: p.restrictionOf(entry, now)}
 			p.endpoints[entry.ID] = e
 		}
+		e.restriction.cold.update(entry.Cold, isNew, now)
 		e.Endpoint, e.listed = entry, true
 		e.restriction.isLeaving = e.restriction.isLeaving || entry.Draining
 		p.services[entry.Service] = append(p.services[entry.Service], e)
@@ -298,17 +303,18 @@
 		c.Rank = 2
 	}
 	best.restriction.limit.take(now)
+	p.takeCold(best, now)
 	best.inFlight++
 	best.pendingTokens = best.pendingTokens.Plus(c.promptTokens)
 	return c, nil
 }
 
 // isAvailable reports whether the endpoint accepts the request from this instance at time now.
-func (e *endpointState) isAvailable(req *Request, share Share, now time.Time) bool {
+func (p *Pool) isAvailable(e *endpointState, req *Request, now time.Time) bool {
 	if req.Version != nil && *req.Version != e.SoftwareVersion {
 		return false
 	}
-	return e.restriction.allows(now) && !req.Exclude[e.ID] && e.restriction.limit.allows(e.Endpoint, share, now)
+	return e.restriction.allows(now) && !req.Exclude[e.ID] && e.restriction.limit.allows(e.Endpoint, p.share, now) && p.allowsCold(e, now)
 }
 
 // mayBegin reports whether the request may begin at an endpoint although others accept work.
