Bound what callers can make an entry hold

Cause: a body was buffered as far as its caller sent it, and stayed for as long as its end was missing or its answer unread; heads inside the limit of 64 KiB were held until they ended; nothing bounded connections. The declared limits on heads were not read.

Change: pkg/ingress. Gate and Conn apply it to a server. ReadBody reads a body within it; it yields the processor during long bodies, so that one-byte chunks keep nobody waiting. Bytes and connections get a third of the Go memory limit each, callers half of the descriptors for sockets.

--- a/pkg/abort/abort.go
+++ b/pkg/abort/abort.go
@@ -19,7 +19,11 @@
 // tcpConn returns the TCP connection of a request, nil if it is not known.
 func tcpConn(r *http.Request) *net.TCPConn {
 	conn, _ := r.Context().Value(connKey{}).(net.Conn)
-	if wrapped, ok := conn.(interface{ NetConn() net.Conn }); ok { // *tls.Conn
+	for {
+		wrapped, ok := conn.(interface{ NetConn() net.Conn }) // such as *tls.Conn
+		if !ok {
+			break
+		}
 		conn = wrapped.NetConn()
 	}
 	tcp, _ := conn.(*net.TCPConn)
--- a/pkg/failure/failure.go
+++ b/pkg/failure/failure.go
@@ -51,6 +51,10 @@
 	Truncated Kind = "truncated"
 	// EndpointFailed means that the endpoint returned an error or crashed.
 	EndpointFailed Kind = "endpoint-failed"
+	// TooLarge means that the body of a request exceeds the limit.
+	TooLarge Kind = "too-large"
+	// Slow means that the body of a request made no progress or was not complete in time.
+	Slow Kind = "slow"
 	// Timeout means that the deadline passed.
 	Timeout Kind = "timeout"
 	// NotReady means that the instance has no configuration yet or is stopping.
@@ -146,6 +150,8 @@
 	AlreadyAnswered: http.StatusConflict,
 	Truncated:       http.StatusBadGateway,
 	EndpointFailed:  http.StatusBadGateway,
+	TooLarge:        http.StatusRequestEntityTooLarge,
+	Slow:            http.StatusRequestTimeout,
 	Timeout:         http.StatusGatewayTimeout,
 	NotReady:        http.StatusServiceUnavailable,
 	Internal:        http.StatusInternalServerError,
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"crypto/sha256"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -66,13 +64,6 @@
 	duration time.Duration
 }
 
-// defaultMaxBodyBytes bounds request bodies if the declarations set no limit.
-const defaultMaxBodyBytes = 8 << 20
-
-// maxPreallocatedBytes bounds the memory that is reserved for a body before it arrives. Most
-// bodies are smaller.
-const maxPreallocatedBytes = 64 << 10
-
 // prepare matches the request to a route and a workspace, reads its body, and checks
 // whether it may run. If it is refused, retryAfter is the delay after which the
 // caller may retry, or 0.
@@ -98,8 +89,8 @@
 	if p := q.envelope.Timeout; p > 0 && (q.route.Timeout <= 0 || p < q.route.Timeout) {
 		q.deadline = q.arrived.Add(p)
 	}
-	if err := q.readBody(); err != nil {
-		return err, 0
+	if err, retryAfter := q.readBody(); err != nil {
+		return err, retryAfter
 	}
 	q.fingerprint = fingerprint(q.r, q.envelope.Key, q.body)
 	if err := g.opts.CrashGuard.Check(q.fingerprint, q.arrived); err != nil {
@@ -150,31 +141,6 @@
 	return targets[len(targets)-1].Service
 }
 
-// readBody buffers the whole body, so that it can be sent in several attempts.
-func (q *request) readBody() *failure.Error {
-	limit := q.catalog.Limits.BodyBytes
-	if limit <= 0 {
-		limit = defaultMaxBodyBytes
-	}
-	if q.r.ContentLength > limit {
-		return newNotRunError(failure.Invalid, "send less", "the body exceeds the limit")
-	}
-	if q.r.ContentLength == 0 {
-		return nil
-	}
-	announced := min(max(q.r.ContentLength, 0), maxPreallocatedBytes)
-	body := bytes.NewBuffer(make([]byte, 0, announced+bytes.MinRead))
-	n, err := body.ReadFrom(io.LimitReader(q.r.Body, min(limit, math.MaxInt64-1)+1))
-	switch {
-	case err != nil:
-		return newNotRunError(failure.Invalid, "send the complete body", "the body ended early")
-	case n > limit:
-		return newNotRunError(failure.Invalid, "send less", "the body exceeds the limit")
-	}
-	q.body = body.Bytes()
-	return nil
-}
-
 // serve reserves rights, runs the attempts and settles the reservation.
 func (q *request) serve() {
 	ctx := q.r.Context()
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
+	"github.com/clementinerack/clementinerack/pkg/ingress"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/lineage"
 	"github.com/clementinerack/clementinerack/pkg/peer"
@@ -53,8 +54,10 @@
 	// ShutdownTimeout is the time from the stop signal until the platform kills the
 	// process.
 	ShutdownTimeout time.Duration
-	Log             logrus.FieldLogger
-	Registry        *prometheus.Registry
+	// Descriptors is the number of file descriptors for sockets; 0 means the limit of the process.
+	Descriptors int
+	Log         logrus.FieldLogger
+	Registry    *prometheus.Registry
 	// Listen opens a listener on one of the addresses above; nil means TCP.
 	Listen func(address string) (net.Listener, error)
 }
@@ -84,7 +87,7 @@
 	limits     *limitSpreader
 	lineage    *lineage.Tracker
 	gateway    *gateway.Gateway
-	idleConns  *idleConns // of callers
+	gate       *ingress.Gate // of callers
 	departed   *departedCloser
 	stopping   atomic.Bool
 	goroutines sync.WaitGroup
@@ -128,19 +131,11 @@
 		RetryBudget: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
 		Log:         n.log, Registerer: opts.Registry,
 	})
-	n.idleConns = newIdleConns(n.idleLimit)
+	n.gate = ingress.NewGate(ingress.ForProcess(opts.Descriptors), n.callerRules, n.log, opts.Registry)
 	n.departed = newDepartedCloser(n.pool, n.client, opts.Registry)
 	return n
 }
 
-// idleLimit returns how long a connection of a caller may be idle, 0 if nothing is declared.
-func (n *Node) idleLimit() time.Duration {
-	if c := n.replica.Current(); c != nil {
-		return c.Limits.IdleTimeout
-	}
-	return 0
-}
-
 // buildRights creates the parts that hold and exchange rights. The syncer and the
 // exchange refer to each other, so the syncer gets methods that look up the exchange.
 func (n *Node) buildRights() {
@@ -389,13 +384,6 @@
 	return nil
 }
 
-const (
-	// headerTimeout bounds the time that a client takes to send its request header.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes leaves ample room for the headers of callers.
-	maxHeaderBytes = 64 << 10
-)
-
 // listen opens the listeners for callers, readiness checks and metrics and starts to
 // serve them.
 func (n *Node) listen() ([]*http.Server, error) {
@@ -414,11 +402,13 @@
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: served.handler, ConnContext: abort.ConnContext, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+		server := &http.Server{Handler: served.handler, ConnContext: abort.ConnContext, MaxHeaderBytes: maxHeaderBytes}
 		if served.address == n.opts.CallerAddress {
-			server.ConnState = n.idleConns.observe
+			server.MaxHeaderBytes = largestHeaderBytes
+			listener = n.gate.Listen(listener)
+			n.gate.Attach(server)
 		} else {
-			server.IdleTimeout = idleTimeout
+			server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
 		}
 		servers = append(servers, server)
 		n.goroutines.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -33,7 +33,7 @@
 	defer stopRights()
 	rightsStopped := make(chan struct{})
 	n.goroutines.Go(func() { n.syncer.Run(rightsCtx); close(rightsStopped) })
-	for _, loop := range []func(context.Context){n.replica.Run, n.roster.Run, n.startPeers, n.crashes.run, n.limits.run, n.lineage.Run, n.idleConns.run, n.departed.run} {
+	for _, loop := range []func(context.Context){n.replica.Run, n.roster.Run, n.startPeers, n.crashes.run, n.limits.run, n.lineage.Run, n.gate.Run, n.departed.run} {
 		n.goroutines.Go(func() { loop(background) })
 	}
 	n.log.WithField("instance", n.self.Incarnation).WithField("domain", n.self.Domain).Info("instance started")
