--- a/pkg/kvstore/fault_test.go
+++ b/pkg/kvstore/fault_test.go
@@ -214,3 +214,26 @@
 		}
 	}
 }
+
+// Guards against a part of a value that is taken as the whole one because the end of the connection ends it.
+func TestValueThatEndsWithItsConnectionIsNotTaken(t *testing.T) {
+	for _, proto := range []string{"HTTP/1.1", "HTTP/1.0"} {
+		handler := func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := http.NewResponseController(w).Hijack()
+			if err != nil {
+				t.Error(err)
+				return
+			}
+			_, _ = io.WriteString(c, proto+" 200 OK\r\nX-Version: 8\r\n\r\npart")
+			_ = c.Close()
+		}
+		testWithServer(t, HTTPOptions{}, handler, func(t *testing.T, c *HTTPClient) {
+			if got, err := c.Get(t.Context(), "k"); !failure.Is(err, failure.Unavailable) {
+				t.Errorf("get: %q, %v", got.Value, err)
+			}
+			if _, err := c.CompareAndSwap(t.Context(), "k", 7, []byte("v")); !failure.Is(err, failure.Uncertain) {
+				t.Errorf("swap: %v", err)
+			}
+		})
+	}
+}
