Do not take the end of a failed connection for the end of an answer

Cause: a long request is written while its response is read. The kernel reports a reset once, to the writer or the reader, whichever asks first. If the writer got it, the reader saw a regular end, and a body without a length counted as whole. Beside it, statuses over 599 were passed on, those under 200 skipped with their bodies read as the next answer, and the chunks of HTTP/1.0 answers taken as data; the store client of clementinerackd took values that end with their connection.

Change: at such an end the writer is stopped and asked for its error; an error makes the body incomplete. Statuses outside 100 to 599 and 101, interim responses with a body and HTTP/1.0 chunks lose the attempt (502 for what may run once, else another attempt). kvstore accepts successes with a length or chunks only. Errors of a body stay.

--- a/pkg/gateway/spoiledanswers_test.go
+++ b/pkg/gateway/spoiledanswers_test.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/clementinerack/clementinerack/standins/machines"
 )
@@ -42,6 +43,19 @@
 	return n, err
 }
 
+// restartPatient starts the gateway again with routes and a dialer that a slow machine cannot time out.
+func (g *testGateway) restartPatient() {
+	if g.dial == nil {
+		g.dial = func(ctx context.Context, address string) (net.Conn, error) {
+			return new(net.Dialer).DialContext(ctx, "tcp", address)
+		}
+	}
+	for i := range g.doc.Routes {
+		g.doc.Routes[i].Timeout, g.doc.Routes[i].Objective = time.Minute, time.Minute
+	}
+	g.startGateway()
+}
+
 // startEarlyRunner starts a server that answers each request as soon as it has its head, and then
 // resets the connection.
 func startEarlyRunner(t *testing.T, answer func(*http.Request) string) string {
@@ -80,23 +94,29 @@
 					})
 					g := newTestGateway(t, machines.Cut)
 					g.doc.Limits.BodyBytes = 8 << 20
-					var conns []*writeFirstConn
+					opened := make(chan *writeFirstConn, 8)
 					g.dial = func(ctx context.Context, _ string) (net.Conn, error) {
 						c, err := new(net.Dialer).DialContext(ctx, "tcp", address)
 						if err != nil {
 							return nil, err
 						}
 						_ = c.(*net.TCPConn).SetWriteBuffer(4 << 10)
-						conns = append(conns, &writeFirstConn{Conn: c, failed: make(chan struct{})})
-						return conns[len(conns)-1], nil
+						held := &writeFirstConn{Conn: c, failed: make(chan struct{})}
+						opened <- held
+						return held, nil
 					}
-					g.startGateway()
-					got := g.send(g.newRequest(path, strings.Repeat("u", 3<<20)))
+					g.restartPatient()
+					got := g.send(g.newRequest(path, strings.Repeat("u", 3<<20), machines.HeaderDeadline+": 60000"))
 					if got.err == nil && got.status < 300 {
 						t.Errorf("status %d, body of %d bytes", got.status, len(got.body))
 					}
-					if !errors.Is(conns[0].writeErr, syscall.ECONNRESET) {
-						t.Errorf("the writer did not see the reset: %v", conns[0].writeErr)
+					if len(opened) == 0 {
+						t.Fatalf("the request was not sent: %+v", got)
+					}
+					first := <-opened
+					<-first.failed
+					if !errors.Is(first.writeErr, syscall.ECONNRESET) {
+						t.Errorf("the writer did not see the reset: %v", first.writeErr)
 					}
 				})
 			}
@@ -127,7 +147,8 @@
 						return false
 					}
 					g := newTestGateway(t, script, script)
-					got := g.send(g.newRequest(path, "body"))
+					g.restartPatient()
+					got := g.send(g.newRequest(path, "body", machines.HeaderDeadline+": 60000"))
 					want, arrivals := http.StatusOK, int64(2)
 					if path == "/book/1" || path == "/once/1" {
 						want, arrivals = http.StatusBadGateway, 1
--- a/pkg/kvstore/attempt.go
+++ b/pkg/kvstore/attempt.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/splice"
 )
 
 const (
@@ -134,6 +135,9 @@
 		return response{}, err
 	}
 	defer httpResp.Body.Close()
+	if httpResp.StatusCode < 300 && splice.EndsWithConnection(httpResp) {
+		return response{}, errors.New("response whose end cannot be distinguished from a broken connection")
+	}
 	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxResponseBytes+1))
 	c.metrics.bytes.WithLabelValues("received").Add(float64(len(body)))
 	if err != nil {
--- a/pkg/relay/app.go
+++ b/pkg/relay/app.go
@@ -135,7 +135,7 @@
 		return &endpointError{err: failure.New(failure.EndpointFailed, "correct the app",
 			"endpoint %q answered with the invalid status code %d", a.call.Endpoint.ID, resp.StatusCode)}
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody {
+	if splice.EndsWithConnection(resp) {
 		return &endpointError{err: failure.New(failure.EndpointFailed, "make the app send Content-Length or chunks",
 			"endpoint %q sent an answer whose end cannot be distinguished from a broken connection", a.call.Endpoint.ID)}
 	}
@@ -238,6 +238,9 @@
 	if errors.Is(cause, splice.ErrHead) || errors.Is(cause, splice.ErrBody) {
 		problem = "sent an answer that goes on with other bytes"
 	}
+	if errors.Is(cause, splice.ErrFraming) {
+		problem = "sent an answer that leaves open where it ends"
+	}
 	if isConnectionRefused(cause) {
 		problem = "refused the connection"
 	}
--- a/pkg/relay/brokenanswers_test.go
+++ b/pkg/relay/brokenanswers_test.go
@@ -324,3 +324,19 @@
 		}
 	}
 }
+
+// Guards against an answer whose end or status is none, and that counts as complete.
+func TestAnswerWithoutCertainEndOrStatusIsNotComplete(t *testing.T) {
+	const chunks = "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n"
+	inner := rawAnswer(http.StatusOK, "r", "inner")
+	for _, answer := range []string{"HTTP/1.0 200 OK\r\n" + chunks, "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n" + chunks, "HTTP/1.1 200 OK\r\n\r\npart", "HTTP/1.0 200 OK\r\n\r\npart",
+		rawAnswer(0, "r", "part"), "HTTP/1.1 000 None\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 099 None\r\nContent-Length: 0\r\n\r\n", rawAnswer(101, "r", inner), rawAnswer(102, "r", inner),
+		rawAnswer(600, "r", "part"), rawAnswer(999, "r", "")} {
+		address := startRawEndpoint(t, func(_ *http.Request, c net.Conn) bool { _, _ = io.WriteString(c, answer); return false })
+		for _, repeatable := range []bool{true, false} {
+			if res, got := runApp(address, repeatable); res.Outcome == Complete || got.code != 0 {
+				t.Errorf("%q: %+v, status %d", answer, res, got.code)
+			}
+		}
+	}
+}
--- a/pkg/splice/head.go
+++ b/pkg/splice/head.go
@@ -27,10 +27,13 @@
 
 // CheckHead fails with ErrHead if head, from the status line to the empty line, contains a
 // second status line, in the reason phrase or in a field, or two kinds of line ends. Its
-// status and fields then belong to either response.
+// status and fields then belong to either response. It fails with ErrFraming as described there.
 func CheckHead(head []byte) error {
-	if len(statusLine.FindAllIndex(head, 2)) > 1 || LineEndKinds(head) > 1 {
+	switch {
+	case len(statusLine.FindAllIndex(head, 2)) > 1 || LineEndKinds(head) > 1:
 		return ErrHead
+	case isInterim(head) && hasBody(head), isHTTP10(head) && transferEncoding.Match(head):
+		return ErrFraming
 	}
 	return nil
 }
@@ -50,8 +53,8 @@
 var emptyLines = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
 
 // FinalHead returns the head of the first final response in received, without the heads of
-// interim ones (1xx) before it, and the bytes after it. It reports false if that head is
-// incomplete.
+// interim ones (1xx) before it, and the bytes after it. An interim one with a body, which
+// CheckHead rejects, counts as final. It reports false if that head is incomplete.
 func FinalHead(received []byte) (head, rest []byte, ok bool) {
 	for {
 		end := -1
@@ -64,7 +67,7 @@
 			return received, nil, false
 		}
 		head, received = received[:end], received[end:]
-		if !isInterim(head) {
+		if !isInterim(head) || hasBody(head) {
 			return head, received, true
 		}
 	}
--- a/pkg/splice/splice_test.go
+++ b/pkg/splice/splice_test.go
@@ -41,3 +41,16 @@
 		}
 	}
 }
+
+// Guards against a head with an uncertain end of its body, and against a sound head that is rejected.
+func TestCheckHead(t *testing.T) {
+	for head, want := range map[string]error{
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n": nil, "HTTP/1.0 200 OK\r\nContent-Length: 4\r\n\r\n": nil, "HTTP/1.1 100 Go\r\nContent-Length: 00\r\n\r\n": nil,
+		"HTTP/1.0 200 OK\r\nX: transfer-encoding: a\r\n\r\n": nil, "HTTP/1.0 200 OK\ntransfer-ENCODING : chunked\n\n": ErrFraming,
+		"HTTP/1.1 103 Hints\r\nTransfer-Encoding: chunked\r\n\r\n": ErrFraming, "HTTP/1.1 100 Go\r\ncontent-length: 01\r\n\r\n": ErrFraming,
+	} {
+		if err := CheckHead([]byte(head)); err != want {
+			t.Errorf("%q: %v", head, err)
+		}
+	}
+}
--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -18,6 +18,12 @@
 	ErrTooLarge = errors.New("response body exceeds the limit")
 	// ErrNoMemory means that the budget of all responses has too little left for a head.
 	ErrNoMemory = errors.New("no memory is left for the head of a response")
+	// ErrStatus means that the status of a response is none of a final one, which are 200 to 599.
+	ErrStatus = errors.New("the status is none of a final response")
+	// ErrRequestCut means that the connection of a body that ends with it failed while the
+	// request was written. The system reports such a failure to the writer or to the reader:
+	// the reader may see the end of the connection in its place.
+	ErrRequestCut = errors.New("the connection failed while the request was written, so that its end does not show that of the body")
 	// ErrHeadTooLarge means that the head of a response exceeds
 	// limits.ResponseHeadBytes: the endpoint
 	// sends something else than a response.
@@ -45,8 +51,9 @@
 	resp     *http.Response
 	exchange *exchange
 	memory   *membudget.Account
-	refused  bool // set by MarkRefused
-	released bool // by releaseConn
+	refused  bool  // set by MarkRefused
+	released bool  // by releaseConn
+	err      error // of an earlier Read, after which the connection may look ended
 }
 
 func newResponse(resp *http.Response, x *exchange) *Response {
@@ -55,18 +62,28 @@
 	}
 	return &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, resp: resp, exchange: x,
 		Reused: x.conn.reused, memory: x.conn.memory,
-		EndsWithConnection: resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 && resp.Body != http.NoBody}
+		EndsWithConnection: splice.EndsWithConnection(resp)}
 }
 
 // Read implements io.Reader for the body. It returns io.EOF only at the end of a
 // complete body. The connection can then be reused.
 func (r *Response) Read(p []byte) (int, error) {
-	if r.released {
+	switch {
+	case r.released:
 		return 0, io.EOF // another request may use the connection
+	case r.err != nil:
+		return 0, r.err
 	}
 	n, err := r.resp.Body.Read(p)
+	if err == io.EOF && r.EndsWithConnection {
+		if writeErr := r.exchange.stopWriting(); writeErr != nil {
+			err = errors.Wrap(ErrRequestCut, writeErr.Error())
+		}
+	}
 	if err == io.EOF {
 		r.releaseConn()
+	} else {
+		r.err = err
 	}
 	return n, err
 }
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -7,6 +7,7 @@
 	"hash/maphash"
 	"net"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -50,6 +51,8 @@
 	// maxResponsesRead bounds the responses that are read in search of the one to the
 	// request. Interim responses (1xx) count too.
 	maxResponsesRead = 3
+	// maxStatus is the largest status of a response (RFC 9110, section 15).
+	maxStatus = 599
 )
 
 // Request is a request to an endpoint.
@@ -358,7 +361,10 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode < 200 {
+		switch {
+		case resp.StatusCode < 100 || resp.StatusCode > maxStatus || resp.StatusCode == http.StatusSwitchingProtocols:
+			return nil, errors.Wrapf(ErrStatus, "status %d", resp.StatusCode)
+		case resp.StatusCode < 200:
 			continue
 		}
 		if x.req.OnHead != nil {
@@ -381,8 +387,8 @@
 }
 
 // readHead reads the head of a response, of at most limits.ResponseHeadBytes. It fails with
-// splice.ErrHead if the head goes on with other bytes, and with ErrNoMemory if the budget does
-// not allow so large a head.
+// splice.ErrHead if the head goes on with other bytes, with splice.ErrFraming if it leaves open
+// where the body ends, and with ErrNoMemory if the budget does not allow so large a head.
 func (c *conn) readHead(req *http.Request) (*http.Response, error) {
 	c.headBytes = append(c.headBytes[:0], c.buffered()...)
 	c.headBytesLeft, c.head = limits.ResponseHeadBytes, membudget.Head{}
@@ -444,6 +450,17 @@
 	x.mayHaveWritten = n > 0
 }
 
+// stopWriting ends the writing of the request, after which the connection cannot be reused. It
+// returns why the connection failed before that, or nil if it did not.
+func (x *exchange) stopWriting() error {
+	_ = x.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	<-x.writeDone
+	if errors.Is(x.writeErr, os.ErrDeadlineExceeded) {
+		return nil
+	}
+	return x.writeErr
+}
+
 // encodeHead returns the request line and the header of a request. It adds only Host
 // and, for a body or a method that usually has one, Content-Length.
 func encodeHead(r *Request) []byte {
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -329,3 +329,27 @@
 		})
 	}
 }
+
+// Guards against a whole early answer that is lost because its endpoint reads no more of the request, or that ends as if it were reset.
+func TestEarlyAnswerThatEndsWithItsConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	kept := make(chan net.Conn, 1)
+	go func() {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		_, _ = conn.Read(make([]byte, 512))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n"+machines.HeaderRequestID+": 1\r\n\r\nwhole")
+		_ = conn.(*net.TCPConn).CloseWrite()
+		kept <- conn
+	}()
+	if got, err := doAndRead(newClient(t), l.Addr().String(), newRequest("1", strings.Repeat("x", 16<<20))); err != nil || got != "whole" {
+		t.Errorf("response %q, %v", got, err)
+	}
+	_ = (<-kept).Close()
+}
