Search the fields of heads without regular expressions

Cause: searches interim and HTTP/1.0 heads for the fields that announce a body with regular expressions that ignore case. They are slow on the long heads that faulty endpoints send, three for each request.

Change: go through the lines of the head and compare the names of fields.

--- a/pkg/splice/head.go
+++ b/pkg/splice/head.go
@@ -32,7 +32,7 @@
 	switch {
 	case len(statusLine.FindAllIndex(head, 2)) > 1 || LineEndKinds(head) > 1:
 		return ErrHead
-	case isInterim(head) && hasBody(head), isHTTP10(head) && transferEncoding.Match(head):
+	case isInterim(head) && hasBody(head), isHTTP10(head) && hasChunks(head):
 		return ErrFraming
 	}
 	return nil
