Keep runners of the soak in both zones

Runners that leave, register again or start with a release went to one zone, so that after a while an evacuation left either all of them or none. They now stay in their zone, and releases alternate. The checks are as they were.

--- a/test/soak/domains_test.go
+++ b/test/soak/domains_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -109,7 +110,7 @@
 // checkEvacuation takes a zone out of use after all faults and verifies that nothing more reaches it.
 func (tc *testCluster) checkEvacuation() {
 	tc.evacuations.endDisturbances()
-	zone := tc.zoneOf(tc.randomRunner())
+	zone := cmp.Or(tc.zoneOf(tc.randomRunner()), "z0")
 	tc.setOutOfUse(zone, true)
 	time.Sleep(max(evacuationTimeout, contactWindow) + quietTime)
 	tc.evacuations.mu.Lock()
--- a/test/soak/notices_test.go
+++ b/test/soak/notices_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -153,10 +154,11 @@
 // leave makes a random runner say that it leaves, and replaces it later.
 func (tc *testCluster) leave(ctx context.Context) {
 	runner := tc.randomRunner()
+	zone := cmp.Or(tc.zoneOf(runner), "z0")
 	tc.notices.set(func(v *notices) { v.leaving[runner] = true })
 	go func() {
 		wait.Sleep(ctx, tc.randDuration(meanLeaveTime))
-		_ = tc.runners.Replace(runner, "z0") // without it one runner less serves
+		_ = tc.runners.Replace(runner, zone) // without it one runner less serves
 	}()
 }
 
--- a/test/soak/refusals_test.go
+++ b/test/soak/refusals_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -88,7 +89,7 @@
 		if tc.randInt(2) == 0 {
 			continue
 		}
-		tc.runners.Reregister(id, "z0")
+		tc.runners.Reregister(id, cmp.Or(tc.zoneOf(id), "z0"))
 		go func() {
 			wait.Sleep(ctx, tc.randDuration(meanStaleTime))
 			tc.store.Remove(machines.ServersPrefix + id)
--- a/test/soak/versions_test.go
+++ b/test/soak/versions_test.go
@@ -45,7 +45,7 @@
 		replaced := former[:1+tc.randInt(len(former))]
 		for i, id := range replaced {
 			if i == 0 || len(tc.runners.IDs()) <= numRunners {
-				_ = tc.runners.StartVersion("z1", version) // without it one runner less serves
+				_ = tc.runners.StartVersion(fmt.Sprint("z", i%2), version) // without it one runner less serves
 			}
 			wait.Sleep(ctx, tc.randDuration(meanReleaseStep))
 			tc.notices.set(func(v *notices) { v.leaving[id] = true })
