--- a/pkg/placement/domains.go
+++ b/pkg/placement/domains.go
@@ -101,7 +101,10 @@
 // returnKey returns the key of isReturning: that of the shared prompt, so that all instances
 // send it to the same endpoints, or a random one.
 func (p *Pool) returnKey(prefixKeys []uint64) uint64 {
-	if len(prefixKeys) > 0 {
+	switch {
+	case len(p.use.backAt) == 0:
+		return 0 // not used
+	case len(prefixKeys) > 0:
 		return prefixKeys[len(prefixKeys)-1]
 	}
 	return p.rng.Uint64()
