Apply the bounds on callers to clementinerackd

Cause: the callers' listener of clementinerackd had the same doors: a body was held as far as it was sent, up to 30 s, and connections had no bound.

Change: its listener and its server use ingress.Gate, its bodies ingress.ReadBody. Limits follow the Go memory limit (GOMEMLIMIT) and the descriptors of the process; without a memory limit heads and bodies have 64 MiB. A body over the limit stays 400 invalid, as its interface says; one that is not complete in time is 408, one for which no memory is left 429. Memory of an ended connection is given out at once, up to one and a half times the budget, so that a small request need not wait for the goroutine of the large one.

Not shown with a process of clementinerackd under such a crowd.

--- a/pkg/daemon/daemon.go
+++ b/pkg/daemon/daemon.go
@@ -18,6 +18,7 @@
 	"github.com/clementinerack/clementinerack/pkg/entry"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/grant"
+	"github.com/clementinerack/clementinerack/pkg/ingress"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/ledger"
 	"github.com/clementinerack/clementinerack/pkg/membership"
@@ -51,6 +52,7 @@
 	prober        *probe.Prober
 	orderer       *orders.Reconciler
 	entry         *entry.Server
+	gate          *ingress.Gate // of callers
 	burn          *burn.Recorder
 	backend       operator.Backend
 
@@ -150,6 +152,7 @@
 		Self: d.self, Ledger: d.shardRouter, Configuration: d.configReplica, Peers: d.transport, Router: d.pool,
 		Quarantine: d.tracker, Relay: d.relay, MaxBodyBytes: s.Callers.MaxBodyBytes, Notify: d.broadcastDeaths, Samples: sampleRecorder{d.burn}, Registerer: d.registry, Log: d.log,
 	})
+	d.gate = ingress.NewGate(ingress.ForProcess(0), d.callerRules, d.log, d.registry)
 	d.configReplica.Subscribe(func(doc *config.Document) {
 		d.pool.Update(doc)
 		d.prober.Update(doc)
--- a/pkg/daemon/run.go
+++ b/pkg/daemon/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ingress"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/operator"
 	"github.com/clementinerack/clementinerack/pkg/settings"
@@ -26,6 +27,8 @@
 	registerRetryDelay = 5 * time.Second
 	// maxHeaderBytes leaves ample room for the headers of the callers' API.
 	maxHeaderBytes = 16 << 10
+	// maxHandshakeBytes leaves ample room for a TLS handshake with certificates of clients.
+	maxHandshakeBytes = 64 << 10
 )
 
 // serverTimeouts are the timeouts of the HTTP servers. ReadTimeout is not among them:
@@ -65,7 +68,7 @@
 	}
 	background, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	for _, run := range []func(context.Context){
-		d.configReplica.Run, d.members.Run, d.shardManager.Run, d.prober.Run, d.orderer.Run, d.register,
+		d.configReplica.Run, d.members.Run, d.shardManager.Run, d.prober.Run, d.orderer.Run, d.register, d.gate.Run,
 	} {
 		d.goroutines.Go(func() { run(background) })
 	}
@@ -138,8 +141,12 @@
 	}
 	var servers []*http.Server
 	var opened []net.Listener
-	for _, cfg := range configs {
-		listener, err := cfg.open(d.openListener)
+	for i, cfg := range configs {
+		openListener := d.openListener
+		if i == 0 {
+			openListener = d.openForCallers
+		}
+		listener, err := cfg.open(openListener)
 		if err != nil {
 			for _, listener := range opened {
 				_ = listener.Close()
@@ -149,12 +156,27 @@
 		opened = append(opened, listener)
 		servers = append(servers, d.timeouts.newServer(cfg.handler))
 	}
+	d.gate.Attach(servers[0])
 	for i, srv := range servers {
 		d.goroutines.Go(func() { _ = srv.Serve(opened[i]) }) // returns when the server is closed
 	}
 	return servers, nil
 }
 
+// openForCallers opens the listener for callers, whose connections the gate counts.
+func (d *Daemon) openForCallers(address string) (net.Listener, error) {
+	listener, err := d.openListener(address)
+	if err != nil {
+		return nil, err
+	}
+	return d.gate.Listen(listener), nil
+}
+
+// callerRules returns what callers have to keep to. net/http bounds their heads itself.
+func (d *Daemon) callerRules() ingress.Rules {
+	return ingress.Rules{HeadBytes: maxHeaderBytes + maxHandshakeBytes, HeadTimeout: d.timeouts.header, IdleTimeout: d.timeouts.idle}
+}
+
 // open opens the listener, with TLS if the settings give a certificate.
 func (c listenerConfig) open(openListener func(string) (net.Listener, error)) (net.Listener, error) {
 	tlsConfig, err := c.tls.ServerConfig()
--- a/pkg/entry/parse.go
+++ b/pkg/entry/parse.go
@@ -6,11 +6,13 @@
 	"errors"
 	"io"
 	"net/http"
+	"os"
 	"time"
 	"unicode/utf8"
 
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/ingress"
 )
 
 const (
@@ -51,17 +53,21 @@
 
 // readBody reads the whole body. A body of more than limit bytes is an error.
 func readBody(resp *responder, r *http.Request, limit int64) ([]byte, error) {
-	resp.setReadDeadline(time.Now().Add(bodyReadTimeout))
-	defer resp.setReadDeadline(time.Time{})
-	body, err := io.ReadAll(http.MaxBytesReader(resp.w, r.Body, limit))
-	var tooLarge *http.MaxBytesError
+	deadline := time.Now().Add(bodyReadTimeout)
+	resp.setReadDeadline(deadline)
+	body, err := ingress.ReadBody(resp.w, r, limit, deadline)
 	switch {
-	case errors.As(err, &tooLarge):
+	case err == nil:
+		resp.setReadDeadline(time.Time{})
+		return body, nil
+	case errors.Is(err, ingress.ErrTooLarge):
 		return nil, failure.New(failure.Invalid, "send a smaller body", "the body exceeds %d bytes", limit)
-	case err != nil:
-		return nil, failure.New(failure.Invalid, "send the whole body", "the body could not be read: %v", err)
+	case errors.Is(err, ingress.ErrNoMemory):
+		return nil, failure.New(failure.Limited, "send it to another instance", "no memory is left for the body")
+	case errors.Is(err, ingress.ErrSlow), errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, failure.New(failure.Slow, "send the body without pauses", "the body did not arrive in time")
 	}
-	return body, nil
+	return nil, failure.New(failure.Invalid, "send the whole body", "the body could not be read: %v", err)
 }
 
 // decodeObject returns the members of a JSON object. It rejects duplicate names
--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -20,7 +20,7 @@
 		limit = defaultMaxBodyBytes
 	}
 	var err error
-	q.body, err = ingress.ReadBody(q.w.ResponseWriter, q.r, limit, q.deadline)
+	q.body, err = ingress.ReadBody(q.w, q.r, limit, q.deadline)
 	switch {
 	case err == nil:
 		return nil, 0
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -32,12 +32,18 @@
 )
 
 // ReadBody reads a whole body of at most limit bytes until deadline. After an error, the answer
-// to the request ends its connection. w is the writer of the server itself. What the body takes
-// is returned at the end of the request.
+// to the request ends its connection. What the body takes is returned at the end of the request.
 func ReadBody(w http.ResponseWriter, r *http.Request, limit int64, deadline time.Time) ([]byte, error) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
+	for { // only the writer of the server keeps a connection open until its answer has arrived
+		wrapped, ok := w.(interface{ Unwrap() http.ResponseWriter })
+		if !ok {
+			break
+		}
+		w = wrapped.Unwrap()
+	}
 	c := fromContext(r.Context())
 	body, err := c.readBody(w, r, limit, deadline)
 	if err != nil {
--- a/pkg/ingress/guard.go
+++ b/pkg/ingress/guard.go
@@ -236,7 +236,7 @@
 		}
 		victims = append(victims, victim)
 	}
-	if g.leaving > g.limits.Bytes/leavingShare {
+	if g.head+g.body+n > g.limits.Bytes+g.limits.Bytes/excessShare {
 		return false, victims // until those that ended have returned what they hold
 	}
 	a.body += n
@@ -244,9 +244,9 @@
 	return true, victims
 }
 
-// leavingShare bounds, as a divisor of Limits.Bytes, what ended connections may still hold while
-// others already take it.
-const leavingShare = 4
+// excessShare bounds, as a divisor of Limits.Bytes, by how much it is exceeded while ended
+// connections still hold what others already take.
+const excessShare = 2
 
 // rankHolder orders connections for take, which needs n bytes for a.
 func rankHolder(other *Account, p phase, now time.Time, a *Account, n int64) float64 {
