--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -57,11 +58,14 @@
 	rules func() Rules
 	log   logrus.FieldLogger
 	ends  *prometheus.CounterVec
+
+	mu       sync.Mutex
+	unlogged logrus.Fields // numbers of ends by cause since the latest line of the log
 }
 
 // NewGate returns a gate. rules returns the current rules.
 func NewGate(limits Limits, rules func() Rules, log logrus.FieldLogger, reg prometheus.Registerer) *Gate {
-	g := &Gate{guard: NewGuard(limits), rules: rules, log: log}
+	g := &Gate{guard: NewGuard(limits), rules: rules, log: log, unlogged: logrus.Fields{}}
 	f := promauto.With(reg)
 	f.NewGaugeFunc(prometheus.GaugeOpts{Name: "clementinerack_ingress_connections",
 		Help: "Number of open connections of callers."}, func() float64 { return float64(g.guard.Usage().Connections) })
@@ -146,26 +150,25 @@
 	for {
 		select {
 		case <-time.After(sweepInterval): // a ticker would not keep the interval after a suspension
-			victims := g.guard.sweep(time.Now(), g.rules())
-			g.endAll(victims)
-			g.logEnds(victims)
+			g.endAll(g.guard.sweep(time.Now(), g.rules()))
+			g.logEnds()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// logEnds writes one line about the connections that a sweep has ended, except for idle ones.
-func (g *Gate) logEnds(victims []*Account) {
-	causes := logrus.Fields{}
-	for _, a := range victims {
-		if cause, _ := g.guard.ending(a); cause != Idle {
-			n, _ := causes[string(cause)].(int)
-			causes[string(cause)] = n + 1
-		}
+// logEnds writes one line about the connections that were ended since the last one, except for
+// idle ones.
+func (g *Gate) logEnds() {
+	g.mu.Lock()
+	ends := g.unlogged
+	if len(ends) > 0 {
+		g.unlogged = logrus.Fields{}
 	}
-	if len(causes) > 0 {
-		g.log.WithFields(causes).Warn("connections of callers ended")
+	g.mu.Unlock()
+	if len(ends) > 0 {
+		g.log.WithFields(ends).Warn("connections of callers ended")
 	}
 }
 
@@ -176,4 +179,14 @@
 	}
 }
 
-func (g *Gate) count(cause Cause) { g.ends.WithLabelValues(string(cause)).Inc() }
+// count counts a connection that was ended or refused.
+func (g *Gate) count(cause Cause) {
+	g.ends.WithLabelValues(string(cause)).Inc()
+	if cause == Idle {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	n, _ := g.unlogged[string(cause)].(int)
+	g.unlogged[string(cause)] = n + 1
+}
