--- a/test/clients/clients_test.go
+++ b/test/clients/clients_test.go
@@ -125,7 +125,7 @@
 	for _, framing := range []struct{ fields, part, end string }{
 		{"Content-Length: " + strconv.Itoa(8<<20) + "\r\n\r\n", strings.Repeat("x", 1<<20), ""}, {chunked, largeChunk, "0\r\n\r\n"}, {chunked, strings.Repeat(tinyChunks, 256), "0\r\n\r\n"},
 	} {
-		c, err := net.Dial("tcp", n.ip+":8227")
+		c, err := net.Dial("tcp", n.callers)
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/test/clients/world_test.go
+++ b/test/clients/world_test.go
@@ -35,6 +35,7 @@
 )
 
 var (
+	binaries  string // directory
 	binary    string
 	bigAnswer = strings.Repeat("x", bigAnswerBytes)
 	instances atomic.Int64
@@ -49,8 +50,9 @@
 		return 1
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	binary = filepath.Join(dir, "clementinerack-entry")
-	if out, err := exec.Command("go", "build", "-o", binary, "../../cmd/clementinerack-entry").CombinedOutput(); err != nil {
+	binaries, binary = dir, filepath.Join(dir, "clementinerack-entry")
+	if out, err := exec.Command("go", "build", "-o", dir+"/", "../../cmd/clementinerack-entry", "../../cmd/clementinerackd", "../../cmd/clementinectl",
+		"../../standins/cmd/standin-app", "../../standins/cmd/standin-engine", "../../standins/cmd/standin-platform").CombinedOutput(); err != nil {
 		fmt.Fprintf(os.Stderr, "%v\n%s", err, out)
 		return 1
 	}
@@ -60,7 +62,12 @@
 // instance is a process under test.
 type instance struct {
 	t       *testing.T
-	ip      string
+	ip      string // empty if it is one of clementinerackd
+	callers string // address
+	// newHead returns the first lines of a head, and serve sends an ordinary request and
+	// returns nil if it is served.
+	newHead func(path string) string
+	serve   func() error
 	process *os.Process
 	exited  chan struct{}
 	sent    atomic.Int64 // ordinary requests
@@ -92,6 +99,7 @@
 	store.PutRunner(runner, "z0")
 	store.PutConfig(1, "look")
 	n := &instance{t: t, ip: fmt.Sprintf("127.%d.%d.1", 1+os.Getpid()%250, 1+instances.Add(1)), exited: make(chan struct{})}
+	n.callers, n.newHead, n.serve = n.ip+":8227", n.entryHead, n.serveOrdinary
 	n.start(strings.TrimPrefix(server.URL, "http://"))
 	n.await("the instance to be ready", func() bool {
 		resp, err := http.Get("http://" + n.ip + ":8220/-/readiness")
@@ -133,17 +141,21 @@
 	}
 	n.process = cmd.Process
 	go func() { _ = cmd.Wait(); close(n.exited) }()
-	stopWatch := make(chan struct{})
-	go n.watchDescriptors(stopWatch)
+	n.watch()
 	n.t.Cleanup(func() {
-		close(stopWatch)
 		_ = n.process.Signal(syscall.SIGKILL) // fails if it has exited
 		<-n.exited
 		_ = log.Close()
 	})
 }
 
-// watchDescriptors records the largest number of open descriptors of the process.
+// watch records the largest number of open descriptors of the process until the end of the test.
+func (n *instance) watch() {
+	stop := make(chan struct{})
+	n.t.Cleanup(func() { close(stop) })
+	go n.watchDescriptors(stop)
+}
+
 func (n *instance) watchDescriptors(stop chan struct{}) {
 	for {
 		entries, _ := os.ReadDir(fmt.Sprintf("/proc/%d/fd", n.process.Pid)) // none once it has exited
@@ -177,14 +189,16 @@
 }
 
 // head returns the head of a request without the empty line at its end.
-func (n *instance) head(path, fields string) string {
-	return fmt.Sprintf("POST /look/%s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s%s\r\n%s: id%d\r\n%s",
-		path, machines.Host, machines.KeyScheme, machines.APIKey, machines.HeaderRequestID, n.sent.Add(1), fields)
+func (n *instance) head(path, fields string) string { return n.newHead(path) + fields }
+
+func (n *instance) entryHead(path string) string {
+	return fmt.Sprintf("POST /look/%s HTTP/1.1\r\nHost: %s\r\nAuthorization: %s%s\r\n%s: id%d\r\n",
+		path, machines.Host, machines.KeyScheme, machines.APIKey, machines.HeaderRequestID, n.sent.Add(1))
 }
 
 // serveOrdinary sends one ordinary request on a connection of its own and returns nil if it is served.
 func (n *instance) serveOrdinary() error {
-	conn, err := net.DialTimeout("tcp", n.ip+":8227", sendPatience)
+	conn, err := net.DialTimeout("tcp", n.callers, sendPatience)
 	if err != nil {
 		return err
 	}
@@ -210,7 +224,7 @@
 	var cut, stuck atomic.Int64
 	for range size {
 		wg.Go(func() {
-			c, err := net.DialTimeout("tcp", n.ip+":8227", sendPatience)
+			c, err := net.DialTimeout("tcp", n.callers, sendPatience)
 			if err != nil {
 				cut.Add(1)
 				return
@@ -234,7 +248,7 @@
 	n.t.Helper()
 	var err error
 	for deadline := time.Now().Add(patience); ; time.Sleep(100 * time.Millisecond) {
-		if err = n.serveOrdinary(); err == nil || time.Now().After(deadline) {
+		if err = n.serve(); err == nil || time.Now().After(deadline) {
 			break
 		}
 	}
