--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -60,12 +60,12 @@
 	ends  *prometheus.CounterVec
 
 	mu       sync.Mutex
-	unlogged logrus.Fields // numbers of ends by cause since the latest line of the log
+	unlogged logrus.Fields // numbers of ends by cause since the latest line of the log, nil if none
 }
 
 // NewGate returns a gate. rules returns the current rules.
 func NewGate(limits Limits, rules func() Rules, log logrus.FieldLogger, reg prometheus.Registerer) *Gate {
-	g := &Gate{guard: NewGuard(limits), rules: rules, log: log, unlogged: logrus.Fields{}}
+	g := &Gate{guard: NewGuard(limits), rules: rules, log: log}
 	f := promauto.With(reg)
 	f.NewGaugeFunc(prometheus.GaugeOpts{Name: "clementinerack_ingress_connections",
 		Help: "Number of open connections of callers."}, func() float64 { return float64(g.guard.Usage().Connections) })
@@ -163,11 +163,9 @@
 func (g *Gate) logEnds() {
 	g.mu.Lock()
 	ends := g.unlogged
-	if len(ends) > 0 {
-		g.unlogged = logrus.Fields{}
-	}
+	g.unlogged = nil
 	g.mu.Unlock()
-	if len(ends) > 0 {
+	if ends != nil {
 		g.log.WithFields(ends).Warn("connections of callers ended")
 	}
 }
@@ -187,6 +185,9 @@
 	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if g.unlogged == nil {
+		g.unlogged = logrus.Fields{}
+	}
 	n, _ := g.unlogged[string(cause)].(int)
 	g.unlogged[string(cause)] = n + 1
 }
