Give nothing more to a connection that has ended

Cause: a body went on growing after the guard had ended its connection, before its goroutine noticed. What it took then was returned twice, so that the budget shrank.

Change: an ended connection takes nothing. Heads and bodies get a quarter of the Go memory limit instead of a third; with memory_mb 96 a body of 8 MiB still fits (the test of one large body in calm).

--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -20,9 +20,10 @@
 const (
 	// connectionBytes is the memory that an idle connection takes, with its goroutine and buffers.
 	connectionBytes = 24 << 10
-	// processShare is the part of the memory limit of the Go runtime, as a divisor, that
-	// connections take, and heads and bodies again. The rest is for answers and for garbage.
-	processShare = 3
+	// bytesShare and connectionsShare are the parts of the memory limit of the Go runtime, as
+	// divisors, that heads and bodies and that connections take. The rest is for answers and
+	// for garbage.
+	bytesShare, connectionsShare = 4, 3
 	// defaultBytes is Limits.Bytes of a process without a memory limit.
 	defaultBytes = 64 << 20
 	// callerShare is the part of the descriptors for sockets, as a divisor, that callers have.
@@ -46,8 +47,8 @@
 	}
 	limits := Limits{Connections: descriptors / callerShare, Bytes: defaultBytes}
 	if memory := debug.SetMemoryLimit(-1); memory != math.MaxInt64 { // only reads it
-		limits.Bytes = memory / processShare
-		limits.Connections = min(limits.Connections, int(memory/processShare/connectionBytes))
+		limits.Bytes = memory / bytesShare
+		limits.Connections = min(limits.Connections, int(memory/connectionsShare/connectionBytes))
 	}
 	return limits
 }
--- a/pkg/ingress/guard.go
+++ b/pkg/ingress/guard.go
@@ -227,6 +227,9 @@
 func (g *Guard) take(a *Account, n int64, now time.Time) (ok bool, victims []*Account) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if a.currentPhase() == ended {
+		return false, nil
+	}
 	for g.head+g.body-g.leaving+n > g.limits.Bytes {
 		victim := g.endWorst(now, Memory, func(other *Account, p phase, now time.Time) float64 {
 			return rankHolder(other, p, now, a, n)
--- a/pkg/ingress/guard_test.go
+++ b/pkg/ingress/guard_test.go
@@ -175,3 +175,20 @@
 		})
 	}
 }
+
+// Guards against a budget that shrinks because a connection takes more after it was ended.
+func TestEndedConnectionTakesNothing(t *testing.T) {
+	g := newTestGuard(t, Limits{Bytes: 1000})
+	a, b := g.openIn(inBody, 800), g.openIn(inBody, 0)
+	if ok, victims := g.take(b, 300, g.now); !ok || len(victims) != 1 || victims[0] != a {
+		t.Fatalf("%t, %v ended", ok, victims)
+	}
+	if ok, _ := g.take(a, 100, g.now); ok {
+		t.Error("an ended connection took more")
+	}
+	g.close(a)
+	g.close(b)
+	if g.leaving != 0 {
+		t.Errorf("%d bytes of ended connections are left", g.leaving)
+	}
+}
