--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"sync"
 	"syscall"
 	"time"
 
@@ -19,9 +20,10 @@
 const (
 	// connectionBytes is the memory that an idle connection takes, with its goroutine and buffers.
 	connectionBytes = 24 << 10
-	// processShare is the part of the memory limit of the Go runtime, as a divisor, that
-	// connections take, and heads and bodies again. The rest is for answers and for garbage.
-	processShare = 3
+	// bytesShare and connectionsShare are the parts of the memory limit of the Go runtime, as
+	// divisors, that heads and bodies and that connections take. The rest is for answers and
+	// for garbage.
+	bytesShare, connectionsShare = 4, 3
 	// defaultBytes is Limits.Bytes of a process without a memory limit.
 	defaultBytes = 64 << 20
 	// callerShare is the part of the descriptors for sockets, as a divisor, that callers have.
@@ -45,8 +47,8 @@
 	}
 	limits := Limits{Connections: descriptors / callerShare, Bytes: defaultBytes}
 	if memory := debug.SetMemoryLimit(-1); memory != math.MaxInt64 { // only reads it
-		limits.Bytes = memory / processShare
-		limits.Connections = min(limits.Connections, int(memory/processShare/connectionBytes))
+		limits.Bytes = memory / bytesShare
+		limits.Connections = min(limits.Connections, int(memory/connectionsShare/connectionBytes))
 	}
 	return limits
 }
@@ -57,6 +59,9 @@
 	rules func() Rules
 	log   logrus.FieldLogger
 	ends  *prometheus.CounterVec
+
+	mu       sync.Mutex
+	unlogged logrus.Fields // numbers of ends by cause since the latest line of the log, nil if none
 }
 
 // NewGate returns a gate. rules returns the current rules.
@@ -146,26 +151,23 @@
 	for {
 		select {
 		case <-time.After(sweepInterval): // a ticker would not keep the interval after a suspension
-			victims := g.guard.sweep(time.Now(), g.rules())
-			g.endAll(victims)
-			g.logEnds(victims)
+			g.endAll(g.guard.sweep(time.Now(), g.rules()))
+			g.logEnds()
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// logEnds writes one line about the connections that a sweep has ended, except for idle ones.
-func (g *Gate) logEnds(victims []*Account) {
-	causes := logrus.Fields{}
-	for _, a := range victims {
-		if cause, _ := g.guard.ending(a); cause != Idle {
-			n, _ := causes[string(cause)].(int)
-			causes[string(cause)] = n + 1
-		}
-	}
-	if len(causes) > 0 {
-		g.log.WithFields(causes).Warn("connections of callers ended")
+// logEnds writes one line about the connections that were ended since the last one, except for
+// idle ones.
+func (g *Gate) logEnds() {
+	g.mu.Lock()
+	ends := g.unlogged
+	g.unlogged = nil
+	g.mu.Unlock()
+	if ends != nil {
+		g.log.WithFields(ends).Warn("connections of callers ended")
 	}
 }
 
@@ -176,4 +178,17 @@
 	}
 }
 
-func (g *Gate) count(cause Cause) { g.ends.WithLabelValues(string(cause)).Inc() }
+// count counts a connection that was ended or refused.
+func (g *Gate) count(cause Cause) {
+	g.ends.WithLabelValues(string(cause)).Inc()
+	if cause == Idle {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.unlogged == nil {
+		g.unlogged = logrus.Fields{}
+	}
+	n, _ := g.unlogged[string(cause)].(int)
+	g.unlogged[string(cause)] = n + 1
+}
