Name the cause of each request that is not served

Kinds of errors decide the status, and several causes share one: a 429 said rights, queue or retry budget, a 503 said that no endpoint is known or that all had paused. failure.Cause tells them apart; the gateway logs it as "cause" and counts it in clementinerack_gateway_unserved_total by workspace and route kind.

--- a/pkg/failure/failure.go
+++ b/pkg/failure/failure.go
@@ -72,12 +72,14 @@
 	Answered Outcome = "answered"
 )
 
-// Error is a typed error. Remedy and Outcome are optional.
+// Error is a typed error. Remedy, Outcome and Cause are optional.
 type Error struct {
 	Kind    Kind    `cbor:"1,keyasint" json:"kind"`
 	Message string  `cbor:"2,keyasint" json:"message"`
 	Remedy  string  `cbor:"3,keyasint,omitempty" json:"remedy,omitempty"`
 	Outcome Outcome `cbor:"4,keyasint,omitempty" json:"outcome,omitempty"`
+	// Cause is read with CauseOf, which derives a missing one from Kind.
+	Cause Cause `cbor:"5,keyasint,omitempty" json:"cause,omitempty"`
 }
 
 var _ error = (*Error)(nil)
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -101,7 +101,7 @@
 		}
 		if q.reachedAttempts > 0 && !q.g.opts.RetryBudget.AllowRetry(q.service, time.Now()) {
 			choice.Done(placement.Inconclusive, time.Now())
-			q.giveUp(ctx, s, lastErrorResponse, failure.New(failure.Limited, "repeat later", "the retry budget of service %q is spent", q.service))
+			q.giveUp(ctx, s, lastErrorResponse, failure.New(failure.Limited, "repeat later", "the retry budget of service %q is spent", q.service).WithCause(failure.CauseRetryBudget))
 			return
 		}
 		status, errorResponse := q.tryEndpoint(ctx, choice, s)
@@ -148,9 +148,9 @@
 		}
 		q.status = 0 // the caller gets no complete response
 	case isAborted && !q.mayHaveRun:
-		q.refuse(newNotRunError(failure.NotReady, "send it to another instance", "the instance is stopping"), otherInstanceRetryDelay)
+		q.refuse(newStoppingError(), otherInstanceRetryDelay)
 	case isAborted:
-		q.refuse(failure.New(failure.Timeout, "check whether the request ran before repeating it", "the instance is stopping").WithOutcome(failure.Unknown), 0)
+		q.refuse(failure.New(failure.Timeout, "check whether the request ran before repeating it", "the instance is stopping").WithOutcome(failure.Unknown).WithCause(failure.CauseStopping), 0)
 	case errors.Is(ctx.Err(), context.Canceled):
 		q.refuse(newCallerLeftError().WithOutcome(q.outcome()), 0)
 	case ctx.Err() != nil:
@@ -163,6 +163,9 @@
 		if cause == nil {
 			cause = failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepted the request", q.service)
 		}
+		if q.wasRejected && failure.CauseOf(cause) == failure.CauseNoEndpoint {
+			cause = cause.WithCause(failure.CauseLimit)
+		}
 		q.refuse(cause.WithOutcome(failure.NotRun), q.retryDelay(cause, time.Now()))
 	}
 }
@@ -170,7 +173,7 @@
 // newCallerLeftError returns the error of a request whose caller has closed its connection, or
 // only its sending side, which cannot be told apart.
 func newCallerLeftError() *failure.Error {
-	return failure.New(failure.Truncated, "keep both sides of the connection open until the response is complete", "the caller disconnected")
+	return failure.New(failure.Truncated, "keep both sides of the connection open until the response is complete", "the caller disconnected").WithCause(failure.CauseCaller)
 }
 
 // outcome returns the outcome to report for a request without a response.
@@ -314,6 +317,7 @@
 // unless another attempt may replace it.
 func (q *request) handleResponse(ctx context.Context, c *placement.Choice, s *streamState, resp *upstream.Response) (attemptStatus, placement.Outcome, string, *bufferedResponse) {
 	if rejected, moved := q.g.opts.Codec.IsRejected(resp.Status, resp.Header); rejected {
+		q.wasRejected = true
 		resp.MarkRefused()
 		if !resp.EndsWithConnection {
 			_ = resp.Discard() // makes the connection reusable, or fails and has it closed
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -186,7 +186,7 @@
 		return
 	}
 	if !g.canAccept(q.deadline) {
-		q.refuse(newNotRunError(failure.NotReady, "send it to another instance", "the instance is stopping"), otherInstanceRetryDelay)
+		q.refuse(newStoppingError(), otherInstanceRetryDelay)
 		return
 	}
 	q.serve()
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -49,6 +49,7 @@
 	reachedAttempts int             // attempts that reached an endpoint
 	possibleRuns    int             // attempts in which an endpoint may have run the request
 	mayHaveRun      bool            // possibleRuns is not 0
+	wasRejected     bool            // an endpoint declared that it did not run the request
 	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
@@ -117,6 +118,11 @@
 	return failure.New(kind, remedy, "%s", message).WithOutcome(failure.NotRun)
 }
 
+// newStoppingError returns the error of a request that a stopping instance does not run.
+func newStoppingError() *failure.Error {
+	return newNotRunError(failure.NotReady, "send it to another instance", "the instance is stopping").WithCause(failure.CauseStopping)
+}
+
 // fingerprint returns the fingerprint of a request. Equal requests with the same API
 // key have equal fingerprints.
 func fingerprint(r *http.Request, key string, body []byte) quarantine.Fingerprint {
@@ -213,7 +219,7 @@
 	}
 	amount := q.envelope.PromptTokens.Plus(q.envelope.MaxOutput)
 	if amount > *q.workspace.Prepaid || amount == tokens.Max {
-		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid")
+		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid").WithCause(failure.CauseRights)
 	}
 	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(q.route.Objective)*reserveTimeoutShare))
 	defer cancel()
@@ -296,6 +302,7 @@
 		result = string(q.err.Kind)
 		f["error"] = q.err.Message
 		f["outcome"] = string(q.err.Outcome)
+		f["cause"] = string(failure.CauseOf(q.err))
 		if q.retryAfter > 0 {
 			f["retry_after_ms"] = q.retryAfter.Milliseconds()
 		}
@@ -304,10 +311,21 @@
 		f["caller"] = "left"
 	}
 	q.g.metrics.observeRequest(q.routeKind(), result, duration)
+	if q.err != nil {
+		q.g.metrics.observeUnserved(failure.CauseOf(q.err), q.workspaceName(), q.routeKind())
+	}
 	q.g.metrics.responses.WithLabelValues(string(q.w.State())).Inc()
 	q.g.opts.Log.WithFields(f).Info("request " + result)
 }
 
+// workspaceName returns the name of the workspace for metrics, "none" without one.
+func (q *request) workspaceName() string {
+	if q.workspace == nil {
+		return "none"
+	}
+	return q.workspace.Name
+}
+
 // routeKind returns the kind of the route for metrics, "none" without a route.
 func (q *request) routeKind() string {
 	if q.route == nil {
--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -132,7 +132,7 @@
 	granted, age := r.syncer.Granted(workspace, now)
 	return failure.New(failure.Limited, "pay in more, or repeat later",
 		"workspace %q: %d tokens are needed, %d are free and %d reserved here; all instances had taken %d as of %d ms ago",
-		workspace, maxTokens, holding.Free, holding.Reserved, granted, age.Milliseconds()).WithOutcome(failure.NotRun)
+		workspace, maxTokens, holding.Free, holding.Reserved, granted, age.Milliseconds()).WithOutcome(failure.NotRun).WithCause(failure.CauseRights)
 }
 
 // Settle implements gateway.Rights.
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -274,10 +274,11 @@
 		}
 	}
 	if best == nil {
+		cause := p.refusalCause(&req, now)
 		if req.Version != nil {
-			return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of software version %q of service %q accepts work", *req.Version, req.Service)
+			return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of software version %q of service %q accepts work", *req.Version, req.Service).WithCause(cause)
 		}
-		return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepts work", req.Service)
+		return nil, failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepts work", req.Service).WithCause(cause)
 	}
 	c := &Choice{Endpoint: best.Endpoint, Cost: bestCost, pool: p, state: best, promptTokens: req.promptTokens(), prefixKeys: prefixKeys, chosenAt: now,
 		// The rank only predicts what other instances have cached there. A prompt that
--- a/pkg/placement/restrictions.go
+++ b/pkg/placement/restrictions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/pkg/failure"
 )
 
 // incarnation identifies one process of an endpoint.
@@ -98,6 +99,18 @@
 	return end
 }
 
+// refusalCause returns why no endpoint accepts a request: failure.CauseLimit if one is only
+// paused or limited, failure.CauseNoEndpoint otherwise.
+func (p *Pool) refusalCause(req *Request, now time.Time) failure.Cause {
+	for _, e := range p.services[req.Service] {
+		isCandidate := !req.Exclude[e.ID] && (req.Version == nil || *req.Version == e.SoftwareVersion)
+		if isCandidate && !e.restriction.isLeaving && !e.isAvailable(req, p.share, now) {
+			return failure.CauseLimit
+		}
+	}
+	return failure.CauseNoEndpoint
+}
+
 // ServingAddresses returns the addresses of the listed endpoints that have not said that they
 // leave.
 func (p *Pool) ServingAddresses() map[string]bool {
--- a/pkg/routing/queue.go
+++ b/pkg/routing/queue.go
@@ -61,7 +61,7 @@
 	}
 	if !svc.canMeetDeadline(req, usable, now) {
 		return nil, nil, failure.New(failure.Limited, "repeat later or allow more time",
-			"service %q cannot start the request before its deadline", req.Service)
+			"service %q cannot start the request before its deadline", req.Service).WithCause(failure.CauseQueue)
 	}
 	if svc.queueLength() >= p.opts.QueueLimit && !svc.evictLowerPriority(req) {
 		return nil, nil, queueFullError(req)
@@ -217,7 +217,7 @@
 }
 
 func queueFullError(req Request) error {
-	return failure.New(failure.Limited, "repeat later", "the queue of service %q is full", req.Service)
+	return failure.New(failure.Limited, "repeat later", "the queue of service %q is full", req.Service).WithCause(failure.CauseQueue)
 }
 
 func timeoutError(req Request, message string) error {
