Share one queue and estimate of admission

pkg/routing had a queue by priority and arrival, and an estimate of its wait, that only clementinerackd used, and a low priority starved under lasting overload. pkg/admission now holds both for all users, without I/O: a queue by priority, share of the workspace and deadline, in which each eighth turn is the oldest request's; the estimate of a wait from the rate at which something becomes free, what can become free at all, and a source; the decision to wait or to be refused at once; and the order in which refused callers return. pkg/routing uses it; workspaces of one priority share the slots of a service.

The tests of pkg/routing pass unchanged, those of pkg/entry and pkg/daemon as well.

--- a/pkg/entry/dispatch.go
+++ b/pkg/entry/dispatch.go
@@ -98,7 +98,7 @@
 func (d *dispatch) runAttempt(ctx context.Context) (relay.Result, error) {
 	fingerprint, tracker := d.job.fingerprint, d.server.opts.Quarantine
 	slot, err := d.server.opts.Router.Acquire(ctx, routing.Request{
-		Service: d.job.service.Name, Priority: d.job.priority, Affinity: d.job.affinity,
+		Service: d.job.service.Name, Priority: d.job.priority, Workspace: d.job.workspace.Name, Affinity: d.job.affinity,
 		Exclude: d.exclude, Isolate: tracker.IsSuspect(fingerprint, d.server.now()), Deadline: d.job.deadline,
 	})
 	if err != nil {
--- a/pkg/routing/pool.go
+++ b/pkg/routing/pool.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/config"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 )
@@ -41,16 +42,8 @@
 	name        string
 	maxInFlight int
 	endpoints   []*endpoint
-	queue       [numPriorities][]*waiter
-	serviceTime serviceTimeEstimate
-}
-
-func (s *service) queueLength() int {
-	n := 0
-	for _, q := range s.queue {
-		n += len(q)
-	}
-	return n
+	queue       *admission.Queue[*waiter]
+	serviceTime admission.Mean
 }
 
 // Update applies a configuration document. Slots in use on endpoints that the
@@ -66,7 +59,7 @@
 	for _, cfg := range doc.Services {
 		svc := previous[cfg.Name]
 		if svc == nil {
-			svc = &service{name: cfg.Name}
+			svc = &service{name: cfg.Name, queue: admission.NewQueue[*waiter](p.opts.QueueLimit)}
 		}
 		delete(previous, cfg.Name)
 		svc.maxInFlight = cfg.Concurrency
@@ -198,7 +191,7 @@
 	}
 	p.metrics.inFlight.WithLabelValues(e.cfg.ID).Set(float64(e.inFlight))
 	if !r.Failed {
-		slot.service.serviceTime.add(r.Duration)
+		slot.service.serviceTime.Add(r.Duration)
 	}
 	if !e.listed && e.inFlight == 0 && p.endpoints[e.cfg.ID] == e {
 		p.removeEndpoint(e.cfg.ID)
--- a/pkg/routing/queue.go
+++ b/pkg/routing/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 )
 
@@ -12,6 +13,7 @@
 // is closed.
 type waiter struct {
 	req   Request
+	entry *admission.Entry[*waiter]
 	ready chan struct{}
 	slot  *Slot
 	err   error
@@ -63,12 +65,16 @@
 		return nil, nil, failure.New(failure.Limited, "repeat later or allow more time",
 			"service %q cannot start the request before its deadline", req.Service).WithCause(failure.CauseQueue)
 	}
-	if svc.queueLength() >= p.opts.QueueLimit && !svc.evictLowerPriority(req) {
+	w := &waiter{req: req, ready: make(chan struct{})}
+	entry, evicted, ok := svc.queue.Push(req.claim(), w)
+	if !ok {
 		return nil, nil, queueFullError(req)
 	}
-	w := &waiter{req: req, ready: make(chan struct{})}
-	svc.queue[req.Priority] = append(svc.queue[req.Priority], w)
-	p.metrics.queueLength.WithLabelValues(svc.name).Set(float64(svc.queueLength()))
+	if evicted != nil {
+		evicted.Value.finish(nil, queueFullError(evicted.Value.req))
+	}
+	w.entry = entry
+	p.metrics.queueLength.WithLabelValues(svc.name).Set(float64(svc.queue.Len()))
 	return nil, w, nil
 }
 
@@ -129,9 +135,8 @@
 	default:
 	}
 	if svc := p.services[w.req.Service]; svc != nil {
-		queue := &svc.queue[w.req.Priority]
-		*queue = slices.DeleteFunc(*queue, func(o *waiter) bool { return o == w })
-		p.metrics.queueLength.WithLabelValues(svc.name).Set(float64(svc.queueLength()))
+		svc.queue.Remove(w.entry)
+		p.metrics.queueLength.WithLabelValues(svc.name).Set(float64(svc.queue.Len()))
 	}
 	return nil, timeoutError(w.req, "the deadline passed or the request was cancelled in the queue")
 }
@@ -158,35 +163,34 @@
 	}
 }
 
-// dispatchQueue serves the queue of a service by priority, then by arrival. A
-// waiter that cannot use the free endpoints because of Exclude or Isolate does not
-// block those behind it. Unless recheckAll is true, it stops when no endpoint has
-// capacity; otherwise each release would search a long queue under overload.
+// dispatchQueue serves the queue of a service in its order. A waiter that cannot use the
+// free endpoints because of Exclude or Isolate does not block those behind it. Unless
+// recheckAll is true, it stops when no endpoint has capacity; otherwise each release would
+// search a long queue under overload.
 func (p *Pool) dispatchQueue(svc *service, recheckAll bool) {
-	if svc.queueLength() == 0 {
+	if svc.queue.Len() == 0 {
 		return
 	}
 	now := p.opts.Now()
-	hasCapacity := svc.hasCapacity(now)
-	for i := range svc.queue {
-		svc.queue[i] = slices.DeleteFunc(svc.queue[i], func(w *waiter) bool {
-			if !hasCapacity && !recheckAll {
-				return false
-			}
-			e, usable := p.chooseEndpoint(svc, w.req, now)
-			switch {
-			case e != nil:
-				w.finish(p.takeSlot(svc, e, w.req), nil)
-				hasCapacity = svc.hasCapacity(now)
-			case usable == 0:
-				w.finish(nil, noEndpointError(w.req))
-			default:
-				return false
-			}
-			return true
-		})
+	if !recheckAll && !svc.hasCapacity(now) {
+		return
 	}
-	p.metrics.queueLength.WithLabelValues(svc.name).Set(float64(svc.queueLength()))
+	for _, entry := range svc.queue.Ordered() {
+		w := entry.Value
+		e, usable := p.chooseEndpoint(svc, w.req, now)
+		switch {
+		case e != nil:
+			svc.queue.Serve(entry)
+			w.finish(p.takeSlot(svc, e, w.req), nil)
+		case usable == 0:
+			svc.queue.Remove(entry)
+			w.finish(nil, noEndpointError(w.req))
+		}
+		if !recheckAll && !svc.hasCapacity(now) {
+			break
+		}
+	}
+	p.metrics.queueLength.WithLabelValues(svc.name).Set(float64(svc.queue.Len()))
 }
 
 // hasCapacity reports whether any endpoint could take a request that sets neither
@@ -197,20 +201,6 @@
 	})
 }
 
-// evictLowerPriority refuses the latest waiter of the lowest priority, if that is
-// below the priority of req. It reports whether there was one.
-func (s *service) evictLowerPriority(req Request) bool {
-	for priority := Low; priority > req.Priority; priority-- {
-		if n := len(s.queue[priority]); n > 0 {
-			w := s.queue[priority][n-1]
-			s.queue[priority] = s.queue[priority][:n-1]
-			w.finish(nil, queueFullError(w.req))
-			return true
-		}
-	}
-	return false
-}
-
 func noEndpointError(req Request) error {
 	return failure.New(failure.NoEndpoint, "repeat later or ask the operators",
 		"no endpoint of service %q accepts work", req.Service)
--- a/pkg/routing/request.go
+++ b/pkg/routing/request.go
@@ -13,14 +13,14 @@
 	High Priority = iota
 	Normal
 	Low
-
-	numPriorities = int(Low) + 1
 )
 
 // Request asks for a slot on an endpoint of a service.
 type Request struct {
 	Service  string
 	Priority Priority
+	// Workspace shares slots fairly with others of the same priority. It may be empty.
+	Workspace string
 	// Affinity is a hash of the prompt's prefix; 0 means none.
 	Affinity uint64
 	// Exclude holds the ids of endpoints that must not be chosen.
--- a/pkg/routing/view.go
+++ b/pkg/routing/view.go
@@ -37,7 +37,7 @@
 		for _, e := range svc.endpoints {
 			v := EndpointView{
 				Service: svc.name, Endpoint: e.cfg, InFlight: e.inFlight, Limit: svc.maxInFlight,
-				Queued: svc.queueLength(), Load: e.load, DownUntil: e.downUntil,
+				Queued: svc.queue.Len(), Load: e.load, DownUntil: e.downUntil,
 			}
 			for src, drained := range e.drains {
 				if drained {
