Let requests wait in order for rights that are short

Each request that found too few rights searched for its own until 0.12 of its objective had passed; for 400 ms after a failed search the next ones were refused at once and all were told to come back after 400 ms.

Now the requests of a workspace wait in one line, by priority and deadline, while pkg/admission expects them to be served in time, and one search at a time asks for all that they lack and for 250 ms of demand, also before rights run dry. An instance keeps what its own waiting requests need. If no supplier reaches the store, the instance asks it at once, and its transactions in conflict wait 48 ms at most in the mean. Refused callers are told when they are likely to be served; while the store is away, as long as it has been away. Waiting requests of a stopping instance are answered 503, not run.

--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/abort"
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/lineage"
@@ -20,13 +21,22 @@
 
 // Rights reserves and settles the tokens that requests may use.
 type Rights interface {
-	// Reserve reserves an amount of a workspace's rights. It waits until enough are
-	// available or ctx ends.
-	Reserve(ctx context.Context, workspace string, amount rights.Tokens) *failure.Error
+	// Reserve makes a reservation. It waits while enough rights are expected in time and ctx
+	// has not ended. If it fails, the caller may come back after retryAfter.
+	Reserve(ctx context.Context, r Reservation) (err *failure.Error, retryAfter time.Duration)
 	// Settle ends a reservation, charges the used tokens and returns the rest.
 	Settle(workspace string, reserved, used rights.Tokens)
 }
 
+// Reservation is the reservation of rights for a request.
+type Reservation struct {
+	Workspace string
+	Tokens    rights.Tokens
+	// Priority is the urgency of the request. A lower value is served first.
+	Priority int
+	admission.Patience
+}
+
 // Lineage knows which software versions began the streams of resumable routes.
 type Lineage interface {
 	// Record records that an endpoint sends events of a stream. It is called before the
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -40,15 +40,15 @@
 	free, reserved rights.Tokens
 }
 
-func (f *fakeRights) Reserve(_ context.Context, _ string, amount rights.Tokens) *failure.Error {
+func (f *fakeRights) Reserve(_ context.Context, r gateway.Reservation) (*failure.Error, time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.free < amount {
-		return failure.New(failure.Limited, "", "too few rights").WithOutcome(failure.NotRun)
+	if f.free < r.Tokens {
+		return failure.New(failure.Limited, "", "too few rights").WithOutcome(failure.NotRun), time.Second
 	}
-	f.free -= amount
-	f.reserved += amount
-	return nil
+	f.free -= r.Tokens
+	f.reserved += r.Tokens
+	return nil, 0
 }
 
 func (f *fakeRights) Settle(_ string, reserved, used rights.Tokens) {
@@ -161,6 +161,7 @@
 	sender  *upstream.Client
 	dial    func(context.Context, string) (net.Conn, error) // nil: the dialer of upstream.New
 	deaths  atomic.Int64
+	waitFor gateway.Rights // replaces rights, or nil
 	traits  *traitLog
 	lineage *fakeLineage
 }
@@ -256,8 +257,12 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	index := catalog.Index(g.doc)
+	var reservations gateway.Rights = g.rights
+	if g.waitFor != nil {
+		reservations = g.waitFor
+	}
 	g.gateway = gateway.New(gateway.Options{Codec: platform.Codec{}, Catalog: func() *catalog.Catalog { return index }, Pool: g.pool, Client: client,
-		Rights: g.rights, CrashGuard: countingGuard{quarantine.New(quarantine.Options{}, nil), &g.deaths, g.traits}, Log: log, RetryBudget: g.retries, Lineage: g.lineage})
+		Rights: reservations, CrashGuard: countingGuard{quarantine.New(quarantine.Options{}, nil), &g.deaths, g.traits}, Log: log, RetryBudget: g.retries, Lineage: g.lineage})
 	g.server = httptest.NewUnstartedServer(g.gateway)
 	g.server.Config.ConnContext = abort.ConnContext
 	g.server.Start()
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 )
@@ -50,8 +51,8 @@
 		return 0
 	case failure.NoEndpoint:
 		if end := q.g.opts.Pool.PauseEnd(q.service, now); !end.IsZero() {
-			return min(end.Sub(now), maxRetryDelay) + jitter(meanRetryDelay)
+			return min(end.Sub(now), maxRetryDelay) + admission.Jitter(meanRetryDelay)
 		}
 	}
-	return jitter(meanRetryDelay)
+	return admission.Jitter(meanRetryDelay)
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -15,6 +15,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/abort"
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
@@ -42,6 +43,7 @@
 	fingerprint quarantine.Fingerprint
 
 	reserved        rights.Tokens // maximum cost, reserved before the first attempt
+	rightsWait      time.Duration // for the reservation, also if it failed
 	used            rights.Tokens // charged by settle
 	deliveredEvents int64         // events with an ID that were forwarded to the caller
 	attempts        []attempt
@@ -193,11 +195,11 @@
 	defer cancel()
 	defer context.AfterFunc(q.g.aborted, cancel)()
 	if err := q.resolveOrigin(ctx); err != nil {
-		q.refuse(err, jitter(meanRetryDelay))
+		q.refuse(err, admission.Jitter(meanRetryDelay))
 		return
 	}
-	if err := q.reserve(ctx); err != nil {
-		q.refuse(err, jitter(meanRetryDelay))
+	if err, retryAfter := q.reserve(ctx); err != nil {
+		q.refuse(err, retryAfter)
 		return
 	}
 	defer q.settle()
@@ -206,28 +208,37 @@
 	q.runAttempts(ctx)
 }
 
-// reserveTimeoutShare bounds the wait for rights, as a fraction of the route's
-// objective. A caller that is refused early can still be served in time by another
-// instance.
-const reserveTimeoutShare = 0.12
+// reserveTrialShare bounds the search for rights whose result cannot be estimated, as a
+// fraction of the route's objective. A caller that is refused early can still be served in
+// time by another instance.
+const reserveTrialShare = 0.12
 
 // reserve reserves rights for the largest amount that a metered request can use.
 // Requests of workspaces without a prepaid amount need none.
-func (q *request) reserve(ctx context.Context) *failure.Error {
+func (q *request) reserve(ctx context.Context) (err *failure.Error, retryAfter time.Duration) {
 	if !q.envelope.Metered || q.workspace == nil || q.workspace.Prepaid == nil {
-		return nil
+		return nil, 0
 	}
 	amount := q.envelope.PromptTokens.Plus(q.envelope.MaxOutput)
 	if amount > *q.workspace.Prepaid || amount == tokens.Max {
-		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid").WithCause(failure.CauseRights)
+		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid").WithCause(failure.CauseRights), admission.Jitter(meanRetryDelay)
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(q.route.Objective)*reserveTimeoutShare))
-	defer cancel()
-	if err := q.g.opts.Rights.Reserve(ctx, q.workspace.Name, amount); err != nil {
-		return err
+	now := time.Now()
+	patience := admission.Patience{Deadline: q.deadline, Trial: time.Duration(float64(q.route.Objective) * reserveTrialShare)}
+	if q.route.Objective > 0 {
+		patience.Objective = q.arrived.Add(q.route.Objective)
 	}
-	q.reserved = amount
-	return nil
+	err, retryAfter = q.g.opts.Rights.Reserve(ctx, Reservation{Workspace: q.workspace.Name, Tokens: amount, Priority: q.priority(), Patience: patience})
+	q.rightsWait = time.Since(now)
+	switch {
+	case err == nil:
+		q.reserved = amount
+	case q.g.aborted.Err() != nil:
+		return newStoppingError(), otherInstanceRetryDelay
+	case q.r.Context().Err() != nil:
+		return newCallerLeftError().WithOutcome(failure.NotRun), 0
+	}
+	return err, retryAfter
 }
 
 // settle ends the reservation. It charges the prompt and output tokens if an endpoint
@@ -259,12 +270,6 @@
 	q.w.Complete()
 }
 
-// jitter returns a random duration between half of d and one and a half of d, so
-// that callers that were refused together do not retry together.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(d))
-}
-
 func (q *request) newPlacementRequest() placement.Request {
 	return placement.Request{Service: q.service, Parts: q.envelope.PromptParts, Exclude: q.excluded,
 		Version: q.version, MayBegin: q.mayBegin()}
@@ -289,6 +294,9 @@
 	if q.reserved > 0 {
 		f["reserved"], f["used"], f["events"] = q.reserved, q.used, q.deliveredEvents
 	}
+	if ms := q.rightsWait.Milliseconds(); ms > 0 {
+		f["rights_wait_ms"] = ms
+	}
 	if q.envelope.ResumeAfter != "" {
 		f["resumes"], f["after"] = q.envelope.Resumes, q.envelope.ResumeAfter
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -123,7 +123,7 @@
 	})}
 	n.gateway = gateway.New(gateway.Options{
 		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
-		Rights: newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier, n.log), CrashGuard: n.crashes,
+		Rights: newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier, n.log, opts.Registry), CrashGuard: n.crashes,
 		Lineage:     n.lineage,
 		RetryBudget: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
 		Log:         n.log, Registerer: opts.Registry,
--- a/pkg/node/rights_test.go
+++ b/pkg/node/rights_test.go
@@ -79,8 +79,8 @@
 		exchange := rights.NewExchange(book, other, func(string) []rights.Member {
 			return []rights.Member{{Incarnation: "b", Address: "b", IsSupplier: true}}
 		}, syncer, log)
-		r := newReserver(book, syncer, exchange, func(string) bool { return false }, log)
-		r.search(ctx, "w", maxTokens)
+		r := newReserver(book, syncer, exchange, func(string) bool { return false }, log, nil)
+		r.obtain(ctx, "w", maxTokens)
 		if !slices.Equal(other.asked, tc.want) {
 			t.Errorf("%s: asked for %v, want %v", tc.desc, other.asked, tc.want)
 		}
--- a/pkg/rights/book.go
+++ b/pkg/rights/book.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/tokens"
 )
@@ -22,15 +23,16 @@
 
 // account holds the rights of one workspace.
 type account struct {
-	free     Tokens        // available for reservations
-	reserved Tokens        // held by requests in flight
-	spent    Tokens        // since the start of the process
-	relayed  Tokens        // spent by other instances that report it through this one
-	reported Tokens        // part of the sum of spent and relayed that has been reported to the store
-	frozen   bool          // set while more is granted than prepaid: no reservations
-	demand   rate          // tokens
-	requests rate          // number of requests
-	changed  chan struct{} // closed and replaced when free grows or frozen is cleared
+	free     Tokens         // available for reservations
+	reserved Tokens         // held by requests in flight
+	spent    Tokens         // since the start of the process
+	relayed  Tokens         // spent by other instances that report it through this one
+	reported Tokens         // part of the sum of spent and relayed that has been reported to the store
+	waiting  Tokens         // needed by requests that wait for free rights
+	frozen   bool           // set while more is granted than prepaid: no reservations
+	demand   admission.Rate // tokens
+	requests admission.Rate // number of requests
+	changed  chan struct{}  // closed and replaced when free grows or frozen is cleared
 }
 
 // NewBook returns an empty book.
@@ -41,7 +43,7 @@
 func (b *Book) account(workspace string) *account {
 	a := b.accounts[workspace]
 	if a == nil {
-		a = &account{changed: make(chan struct{})}
+		a = &account{changed: make(chan struct{}), demand: admission.NewRate(rateWindow), requests: admission.NewRate(rateWindow)}
 		b.accounts[workspace] = a
 	}
 	return a
@@ -68,8 +70,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	a.demand.add(float64(max(0, maxCost)), now)
-	a.requests.add(1, now)
+	a.demand.Add(float64(max(0, maxCost)), now)
+	a.requests.Add(1, now)
 }
 
 // Settle ends a reservation of which used tokens were spent. The rest becomes free. Settle
@@ -126,6 +128,14 @@
 	a.frozen = frozen
 }
 
+// SetWaiting records how much the requests need that wait for free rights. Other instances get
+// only what is free beyond that.
+func (b *Book) SetWaiting(workspace string, n Tokens) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.account(workspace).waiting = n
+}
+
 // Changed returns a channel that is closed when the free rights of a workspace grow,
 // or when the workspace is unfrozen.
 func (b *Book) Changed(workspace string) <-chan struct{} {
@@ -173,6 +183,8 @@
 	// Unreported is the part of Spent, and of what other instances relayed, that has
 	// not been reported to the store.
 	Unreported Tokens
+	// Waiting is needed by requests that wait for free rights.
+	Waiting Tokens
 	// Rate is the recent demand in tokens per second.
 	Rate float64
 	// RequestCost is the mean maximum cost of the recent requests, or 0 if there were none.
@@ -184,8 +196,8 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	a := b.account(workspace)
-	h := Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Unreported: a.unreported(), Rate: a.demand.perSecond(now)}
-	if requests := a.requests.perSecond(now); requests > 0 {
+	h := Holding{Free: a.free, Reserved: a.reserved, Spent: a.spent, Unreported: a.unreported(), Waiting: a.waiting, Rate: a.demand.PerSecond(now)}
+	if requests := a.requests.PerSecond(now); requests > 0 {
 		h.RequestCost = tokens.FromFloat(h.Rate / requests)
 	}
 	return h
@@ -194,33 +206,3 @@
 // rateWindow is the length of the window of a demand rate. It is long enough to average
 // a few requests and short enough to follow a surge within seconds.
 const rateWindow = 4 * time.Second
-
-// rate is a sliding-window rate: it weights the previous window by the part of it
-// that the sliding window still covers.
-type rate struct {
-	start             time.Time
-	current, previous float64
-}
-
-// advance starts a new window if the current one has ended.
-func (r *rate) advance(now time.Time) {
-	switch age := now.Sub(r.start); {
-	case age >= 2*rateWindow:
-		r.start, r.current, r.previous = now, 0, 0
-	case age >= rateWindow:
-		r.start, r.current, r.previous = r.start.Add(rateWindow), 0, r.current
-	}
-}
-
-// add records n tokens at the time now.
-func (r *rate) add(n float64, now time.Time) {
-	r.advance(now)
-	r.current += n
-}
-
-// perSecond returns the mean rate over the sliding window, in tokens per second.
-func (r *rate) perSecond(now time.Time) float64 {
-	r.advance(now)
-	elapsed := float64(now.Sub(r.start)) / float64(rateWindow)
-	return (r.current + r.previous*(1-elapsed)) / rateWindow.Seconds()
-}
--- a/pkg/rights/exchange.go
+++ b/pkg/rights/exchange.go
@@ -200,7 +200,8 @@
 // reports whether this instance can replace from the store what it transfers.
 func (x *Exchange) obtainFromStore(ctx context.Context, requester string, req AskRequest) bool {
 	changed := x.book.Changed(req.Workspace)
-	shortfall := req.Want.Excess(x.book.Holding(req.Workspace, time.Now()).Free)
+	h := x.book.Holding(req.Workspace, time.Now())
+	shortfall := req.Want.Excess(h.Free.Excess(h.Waiting))
 	if !x.source.RequestGrant(req.Workspace, requester, shortfall) {
 		return false
 	}
@@ -237,13 +238,13 @@
 		x.log.WithFields(logrus.Fields{"workspace": req.Workspace, "from": requester, "returned": req.Returned}).Info("rights taken back")
 	}
 	h := x.book.Holding(req.Workspace, time.Now())
-	available := h.Free
+	available := h.Free.Excess(h.Waiting)
 	switch {
 	case replaceable:
 	case req.ReplaceableOnly:
 		available = 0
 	case h.Rate > 0:
-		available = tokens.FromFloat(float64(h.Free) * maxTransferShare)
+		available = tokens.FromFloat(float64(available) * maxTransferShare)
 	}
 	given := x.book.Remove(req.Workspace, min(req.Want, available))
 	reply := AskReply{Given: given, StoreReached: req.UseStore && !x.source.IsStoreUnreachable()}
@@ -279,6 +280,18 @@
 	return got, storeReached
 }
 
+// AskSuppliers is like Ask, but asks only the suppliers that rank before this instance.
+func (x *Exchange) AskSuppliers(ctx context.Context, workspace string, want Tokens) (got Tokens, storeReached bool) {
+	for _, m := range x.members(workspace) {
+		if !m.IsSupplier || got >= want || ctx.Err() != nil {
+			break
+		}
+		r := x.askPeer(ctx, m, AskRequest{Workspace: workspace, Want: want.Excess(got), UseStore: !storeReached})
+		got, storeReached = got.Plus(r.tokens), storeReached || r.storeReached
+	}
+	return got, storeReached
+}
+
 // Refill asks the first supplier that reaches the store for want tokens, or returns
 // -want free ones to it if want is negative. It reports false if no supplier that ranks
 // before this instance reached the store.
@@ -443,6 +456,8 @@
 	default:
 		ch.mayHaveArrived = true
 	}
-	x.backOff(m, true)
+	if ctx.Err() == nil {
+		x.backOff(m, true) // otherwise the caller has given up, and nothing is known of m
+	}
 	return callResult{}, false
 }
--- a/pkg/rights/rights_test.go
+++ b/pkg/rights/rights_test.go
@@ -403,6 +403,30 @@
 	}
 }
 
+// Guards against an instance that gives away what its own waiting requests need, and against a caller that gives up and so marks a sound instance as unresponsive.
+func TestAskSparesWaitingRequests(t *testing.T) {
+	giver, requester := NewBook(), NewBook()
+	giver.Add(ws, 100)
+	giver.SetWaiting(ws, 70)
+	peers := &fakePeers{handlers: map[string]peer.Handler{}, from: peer.Identity{Incarnation: "asker"}, shouldLose: func() (bool, bool) { return false, true }}
+	var r registrar
+	NewExchange(giver, peers, nil, emptySource{}, discardLogger()).RegisterPeer(&r, "giver")
+	peers.handlers["a"] = r.handler
+	x := NewExchange(requester, peers, func(string) []Member { return []Member{{"giver", "a", false}} }, unreachableSource{}, discardLogger())
+	ctx, cancel := context.WithCancel(t.Context())
+	peers.handlers["a"] = func(c context.Context, from peer.Identity, body []byte) (any, error) {
+		cancel()
+		return r.handler(c, from, body)
+	}
+	if got, _ := x.Ask(ctx, ws, 100); got != 0 {
+		t.Errorf("got %d although the reply was lost", got)
+	}
+	peers.shouldLose = func() (bool, bool) { return false, false }
+	if got, _ := x.Ask(t.Context(), ws, 100); got != 30 {
+		t.Errorf("got %d, want 30", got)
+	}
+}
+
 // Guards against missing the rights of an instance that started after the list of
 // instances was read. The call to its predecessor reveals it, and the second pass over
 // the list asks it.
@@ -577,10 +601,10 @@
 	s, _ := newSyncer(newFakeStore(), "i1", 100_000, DefaultPolicy())
 	var longest time.Duration
 	for range 100 {
-		if d := s.conflictDelay(0); d >= 2*s.opts.Timing.ConflictDelay {
+		if d := s.conflictDelay(0, maxConflictDoublings); d >= 2*s.opts.Timing.ConflictDelay {
 			t.Fatalf("delay after the first conflict: %s", d)
 		}
-		longest = max(longest, s.conflictDelay(s.opts.Timing.MaxAttempts-1))
+		longest = max(longest, s.conflictDelay(s.opts.Timing.MaxAttempts-1, maxConflictDoublings))
 	}
 	if longest < 8*s.opts.Timing.ConflictDelay {
 		t.Errorf("longest delay after the last conflict: %s", longest)
--- a/pkg/rights/syncer.go
+++ b/pkg/rights/syncer.go
@@ -126,6 +126,15 @@
 	return s.granted[workspace], now.Sub(s.lastContact)
 }
 
+// Ungranted returns the tokens of a workspace that no instance had taken as of the latest
+// answer of the store.
+func (s *Syncer) Ungranted(workspace string) Tokens {
+	paid := s.opts.Prepaid()[workspace]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return paid.Excess(s.granted[workspace])
+}
+
 // ReportShortfall triggers a round that takes shortfall more tokens for waiting
 // requests. Of several reports for one round, the largest counts.
 func (s *Syncer) ReportShortfall(workspace string, shortfall Tokens) {
@@ -220,6 +229,10 @@
 		s.unsupplied = nil // the suppliers have probably regained the store as well
 	}
 	shortfalls := s.takeShortfalls()
+	doublings := maxConflictDoublings
+	if len(shortfalls) > 0 {
+		doublings = maxUrgentDoublings
+	}
 	scope := allShards()
 	for i := range s.opts.Timing.MaxAttempts {
 		changes, conflict, err := s.attempt(ctx, shortfalls, scope[0])
@@ -232,7 +245,7 @@
 			return
 		}
 		if conflict {
-			wait.Sleep(ctx, s.conflictDelay(i))
+			wait.Sleep(ctx, s.conflictDelay(i, doublings))
 		}
 	}
 }
@@ -335,13 +348,18 @@
 	return append(urgent, other...)
 }
 
-// maxConflictDoublings bounds the growth of the delay after conflicts.
-const maxConflictDoublings = 4
+// maxConflictDoublings bounds the growth of the delay after conflicts, and
+// maxUrgentDoublings that of an instance for which requests wait.
+const (
+	maxConflictDoublings = 4
+	maxUrgentDoublings   = 2
+)
 
 // conflictDelay returns a random delay after conflict number i of a round, counted from 0.
-// Its mean doubles with each conflict, so that many instances in conflict spread out.
-func (s *Syncer) conflictDelay(i int) time.Duration {
-	return rand.N(2 * s.opts.Timing.ConflictDelay << min(i, maxConflictDoublings))
+// Its mean doubles with each conflict up to doublings, so that many instances in conflict
+// spread out and leave the records to those that are urgent.
+func (s *Syncer) conflictDelay(i, doublings int) time.Duration {
+	return rand.N(2 * s.opts.Timing.ConflictDelay << min(i, doublings))
 }
 
 // canSkipRead reports whether this round can use the sums that an earlier one read: this
@@ -677,7 +695,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		wait.Sleep(ctx, s.conflictDelay(i))
+		wait.Sleep(ctx, s.conflictDelay(i, maxConflictDoublings))
 	}
 	if lastErr == nil {
 		lastErr = failure.New(failure.Conflict, "the free rights stay granted", "return rights to the store: the last transaction conflicted with another instance")
