--- a/pkg/failure/cause.go
+++ b/pkg/failure/cause.go
@@ -41,6 +41,8 @@
 // causeByKind holds the cause of errors that name none.
 var causeByKind = map[Kind]Cause{
 	Invalid:         CauseRequest,
+	TooLarge:        CauseRequest,
+	Slow:            CauseRequest,
 	Unauthorized:    CauseRequest,
 	NotFound:        CauseRequest,
 	BudgetExhausted: CauseRights,
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -211,6 +211,7 @@
 	notice := ""
 	upstreamRequest := q.newUpstreamRequest(c, s, start)
 	upstreamRequest.OnHead = func(status int, header http.Header) { notice += q.applyNotice(c, status, header, time.Now()) }
+	upstreamRequest.MaySend = c.MaySend
 	resp, err := q.g.opts.Client.Do(ctx, c.Address, upstreamRequest)
 	var status attemptStatus
 	var errorResponse *bufferedResponse
@@ -246,6 +247,9 @@
 		q.g.opts.CrashGuard.HandleEndpointDeath(c.ID, now)
 	}
 	c.Done(outcome, now)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		c.MarkDied(now) // after Done, which sets how long the endpoint is avoided
+	}
 	q.attempts = append(q.attempts, attempt{c.ID, c.SoftwareVersion, c.Rank, c.Cost, result + notice, now.Sub(start)})
 	q.g.metrics.observeAttempt(result)
 	return status, errorResponse
@@ -304,6 +308,9 @@
 
 // handleSendError evaluates an attempt that ended without a response header.
 func (q *request) handleSendError(err error) (attemptStatus, placement.Outcome, string) {
+	if errors.Is(err, upstream.ErrWithdrawn) {
+		return attemptNotSent, placement.Inconclusive, "withdrawn"
+	}
 	var sendErr *upstream.Error
 	if errors.As(err, &sendErr) && sendErr.Progress == upstream.NotSent {
 		return attemptNotSent, placement.Unreachable, "unreached"
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -42,15 +42,23 @@
 // back: another instance, or endpoints that start meanwhile, may accept its request.
 const maxRetryDelay = 10 * time.Second
 
+// outOfUseRetryDelay is the mean retry delay for a request whose endpoints are all in failure
+// domains out of use, which only the operator ends.
+const outOfUseRetryDelay = time.Second
+
 // retryDelay returns when the caller of a refused request should come back, or 0 if that
-// is of no use. If all endpoints have turned this instance away for a time, a repeat is
-// refused before the end of the first of these times.
+// is of no use. If no endpoint accepts a request from this instance for a time, because all
+// have turned it away, name limits or are cold, a repeat is refused before the end of the
+// first of these times.
 func (q *request) retryDelay(cause *failure.Error, now time.Time) time.Duration {
 	switch cause.Kind {
 	case failure.Quarantined:
 		return 0
 	case failure.NoEndpoint:
-		if end := q.g.opts.Pool.PauseEnd(q.service, now); !end.IsZero() {
+		if q.g.opts.Pool.IsOutOfUse(q.newPlacementRequest()) {
+			return admission.Jitter(outOfUseRetryDelay)
+		}
+		if end := q.g.opts.Pool.AcceptsAt(q.service, now); !end.IsZero() {
 			return min(end.Sub(now), maxRetryDelay) + admission.Jitter(meanRetryDelay)
 		}
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
+	"github.com/clementinerack/clementinerack/pkg/ingress"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/lineage"
 	"github.com/clementinerack/clementinerack/pkg/peer"
@@ -47,14 +48,22 @@
 	Source                 catalog.Source
 	Codec                  gateway.Codec
 	Retry                  RetryLimit
+	Cold                   ColdLimit
 	// WatchTimeout bounds one wait for a change at the source; 0 means the default of
 	// package catalog.
 	WatchTimeout time.Duration
+	// TracksDomains is set if the source has the failure domains out of use. Nothing is sent
+	// to endpoints before they are known.
+	TracksDomains bool
+	// Regions holds the region of each failure domain.
+	Regions map[string]string
 	// ShutdownTimeout is the time from the stop signal until the platform kills the
 	// process.
 	ShutdownTimeout time.Duration
-	Log             logrus.FieldLogger
-	Registry        *prometheus.Registry
+	// Descriptors is the number of file descriptors for sockets; 0 means the limit of the process.
+	Descriptors int
+	Log         logrus.FieldLogger
+	Registry    *prometheus.Registry
 	// Listen opens a listener on one of the addresses above; nil means TCP.
 	Listen func(address string) (net.Listener, error)
 }
@@ -66,6 +75,11 @@
 	Window       time.Duration
 }
 
+// ColdLimit bounds the requests that reach a cold endpoint in any second from all instances
+// together, as a multiple of what the endpoint tolerates and a number; see
+// placement.ColdBound. The zero value means no bound.
+type ColdLimit struct{ Overrun, Tolerance float64 }
+
 // Node is one instance.
 type Node struct {
 	opts       Options
@@ -82,9 +96,10 @@
 	witnesses  *rights.Witnesses
 	crashes    *crashGuard
 	limits     *limitSpreader
+	domains    *domainWatcher
 	lineage    *lineage.Tracker
 	gateway    *gateway.Gateway
-	idleConns  *idleConns // of callers
+	gate       *ingress.Gate // of callers
 	departed   *departedCloser
 	stopping   atomic.Bool
 	goroutines sync.WaitGroup
@@ -109,6 +124,8 @@
 	n.roster = roster.New(n.self, opts.Store, n.log)
 	shares := &limitShares{self: n.self, established: n.roster.Established}
 	n.pool = placement.New(opts.Domain, uint64(nonce[0])|uint64(nonce[1])<<8|uint64(nonce[2])<<16|1, shares.of)
+	n.pool.SetRegions(opts.Regions)
+	n.domains = newDomainWatcher(n.pool, opts)
 	n.limits = &limitSpreader{pool: n.pool, shares: shares, peers: n.peers, others: n.roster.Others, log: n.log}
 	n.client = upstream.New()
 	n.buildRights()
@@ -128,19 +145,12 @@
 		RetryBudget: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
 		Log:         n.log, Registerer: opts.Registry,
 	})
-	n.idleConns = newIdleConns(n.idleLimit)
+	n.gate = ingress.NewGate(ingress.ForProcess(opts.Descriptors), n.callerRules, n.log, opts.Registry)
 	n.departed = newDepartedCloser(n.pool, n.client, opts.Registry)
+	registerColdEndpoints(n.pool, opts.Registry)
 	return n
 }
 
-// idleLimit returns how long a connection of a caller may be idle, 0 if nothing is declared.
-func (n *Node) idleLimit() time.Duration {
-	if c := n.replica.Current(); c != nil {
-		return c.Limits.IdleTimeout
-	}
-	return 0
-}
-
 // buildRights creates the parts that hold and exchange rights. The syncer and the
 // exchange refer to each other, so the syncer gets methods that look up the exchange.
 func (n *Node) buildRights() {
@@ -170,9 +180,15 @@
 			}
 			return addresses
 		},
-		Relays:     n.relays,
-		Timing:     n.catalogTiming(),
-		OnDocument: func(*catalog.Catalog) { n.syncer.TriggerRound() },
+		Relays:        n.relays,
+		Timing:        n.catalogTiming(),
+		TracksDomains: n.opts.TracksDomains,
+		OnDomains:     n.domains.update,
+		OnDocument: func(c *catalog.Catalog) {
+			n.domains.checkRegions(c.Document)
+			n.pool.SetColdBounds(coldBounds(c.Services, n.opts.Cold))
+			n.syncer.TriggerRound()
+		},
 		OnEndpoints: func(list catalog.EndpointList) {
 			now := time.Now()
 			n.lineage.UpdateEndpoints(list, now) // before streams can begin at a new version
@@ -389,13 +405,6 @@
 	return nil
 }
 
-const (
-	// headerTimeout bounds the time that a client takes to send its request header.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes leaves ample room for the headers of callers.
-	maxHeaderBytes = 64 << 10
-)
-
 // listen opens the listeners for callers, readiness checks and metrics and starts to
 // serve them.
 func (n *Node) listen() ([]*http.Server, error) {
@@ -414,11 +423,13 @@
 		if err != nil {
 			return nil, err
 		}
-		server := &http.Server{Handler: served.handler, ConnContext: abort.ConnContext, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeaderBytes}
+		server := &http.Server{Handler: served.handler, ConnContext: abort.ConnContext, MaxHeaderBytes: maxHeaderBytes}
 		if served.address == n.opts.CallerAddress {
-			server.ConnState = n.idleConns.observe
+			server.MaxHeaderBytes = largestHeaderBytes
+			listener = n.gate.Listen(listener)
+			n.gate.Attach(server)
 		} else {
-			server.IdleTimeout = idleTimeout
+			server.ReadHeaderTimeout, server.IdleTimeout = headerTimeout, idleTimeout
 		}
 		servers = append(servers, server)
 		n.goroutines.Go(func() { _ = server.Serve(listener) }) // returns when the server is closed
@@ -463,7 +474,8 @@
 // isReady reports whether the instance has declarations and endpoints, has synchronized
 // its rights with the store once, and is not stopping.
 func (n *Node) isReady() bool {
-	return !n.stopping.Load() && n.replica.Current() != nil && n.replica.Endpoints().Revision > 0 && n.syncer.HasSynced()
+	return !n.stopping.Load() && n.replica.Current() != nil && n.replica.Endpoints().Revision > 0 && n.syncer.HasSynced() &&
+		(!n.opts.TracksDomains || n.replica.Domains().Revision > 0)
 }
 
 // serveReady answers readiness checks with status 200 or 503.
