--- a/pkg/gateway/body.go
+++ b/pkg/gateway/body.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/ingress"
 )
@@ -27,7 +28,7 @@
 	case errors.Is(err, ingress.ErrTooLarge):
 		return newNotRunError(failure.TooLarge, "send less", "the body exceeds the limit"), 0
 	case errors.Is(err, ingress.ErrNoMemory):
-		return newNotRunError(failure.Limited, "send it to another instance", "no memory is left for the body"), jitter(otherInstanceRetryDelay)
+		return newNotRunError(failure.Limited, "send it to another instance", "no memory is left for the body").WithCause(failure.CauseMemory), admission.Jitter(otherInstanceRetryDelay)
 	case errors.Is(err, ingress.ErrSlow):
 		return newNotRunError(failure.Slow, "send the body without pauses", "the body did not arrive in time"), 0
 	}
--- a/pkg/gateway/notices.go
+++ b/pkg/gateway/notices.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 )
@@ -55,11 +56,11 @@
 		return 0
 	case failure.NoEndpoint:
 		if q.g.opts.Pool.IsOutOfUse(q.newPlacementRequest()) {
-			return jitter(outOfUseRetryDelay)
+			return admission.Jitter(outOfUseRetryDelay)
 		}
 		if end := q.g.opts.Pool.AcceptsAt(q.service, now); !end.IsZero() {
-			return min(end.Sub(now), maxRetryDelay) + jitter(meanRetryDelay)
+			return min(end.Sub(now), maxRetryDelay) + admission.Jitter(meanRetryDelay)
 		}
 	}
-	return jitter(meanRetryDelay)
+	return admission.Jitter(meanRetryDelay)
 }
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -13,6 +13,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/abort"
+	"github.com/clementinerack/clementinerack/pkg/admission"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/placement"
@@ -40,6 +41,7 @@
 	fingerprint quarantine.Fingerprint
 
 	reserved        rights.Tokens // maximum cost, reserved before the first attempt
+	rightsWait      time.Duration // for the reservation, also if it failed
 	used            rights.Tokens // charged by settle
 	deliveredEvents int64         // events with an ID that were forwarded to the caller
 	attempts        []attempt
@@ -47,6 +49,7 @@
 	reachedAttempts int             // attempts that reached an endpoint
 	possibleRuns    int             // attempts in which an endpoint may have run the request
 	mayHaveRun      bool            // possibleRuns is not 0
+	wasRejected     bool            // an endpoint declared that it did not run the request
 	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
@@ -111,6 +114,11 @@
 	return failure.New(kind, remedy, "%s", message).WithOutcome(failure.NotRun)
 }
 
+// newStoppingError returns the error of a request that a stopping instance does not run.
+func newStoppingError() *failure.Error {
+	return newNotRunError(failure.NotReady, "send it to another instance", "the instance is stopping").WithCause(failure.CauseStopping)
+}
+
 // fingerprint returns the fingerprint of a request. Equal requests with the same API
 // key have equal fingerprints.
 func fingerprint(r *http.Request, key string, body []byte) quarantine.Fingerprint {
@@ -156,11 +164,11 @@
 	defer cancel()
 	defer context.AfterFunc(q.g.aborted, cancel)()
 	if err := q.resolveOrigin(ctx); err != nil {
-		q.refuse(err, jitter(meanRetryDelay))
+		q.refuse(err, admission.Jitter(meanRetryDelay))
 		return
 	}
-	if err := q.reserve(ctx); err != nil {
-		q.refuse(err, jitter(meanRetryDelay))
+	if err, retryAfter := q.reserve(ctx); err != nil {
+		q.refuse(err, retryAfter)
 		return
 	}
 	defer q.settle()
@@ -169,28 +177,37 @@
 	q.runAttempts(ctx)
 }
 
-// reserveTimeoutShare bounds the wait for rights, as a fraction of the route's
-// objective. A caller that is refused early can still be served in time by another
-// instance.
-const reserveTimeoutShare = 0.12
+// reserveTrialShare bounds the search for rights whose result cannot be estimated, as a
+// fraction of the route's objective. A caller that is refused early can still be served in
+// time by another instance.
+const reserveTrialShare = 0.12
 
 // reserve reserves rights for the largest amount that a metered request can use.
 // Requests of workspaces without a prepaid amount need none.
-func (q *request) reserve(ctx context.Context) *failure.Error {
+func (q *request) reserve(ctx context.Context) (err *failure.Error, retryAfter time.Duration) {
 	if !q.envelope.Metered || q.workspace == nil || q.workspace.Prepaid == nil {
-		return nil
+		return nil, 0
 	}
 	amount := q.envelope.PromptTokens.Plus(q.envelope.MaxOutput)
 	if amount > *q.workspace.Prepaid || amount == tokens.Max {
-		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid")
+		return newNotRunError(failure.Limited, "pay in more, or ask for less", "the request may use more than the workspace has prepaid").WithCause(failure.CauseRights), admission.Jitter(meanRetryDelay)
 	}
-	ctx, cancel := context.WithTimeout(ctx, time.Duration(float64(q.route.Objective)*reserveTimeoutShare))
-	defer cancel()
-	if err := q.g.opts.Rights.Reserve(ctx, q.workspace.Name, amount); err != nil {
-		return err
+	now := time.Now()
+	patience := admission.Patience{Deadline: q.deadline, Trial: time.Duration(float64(q.route.Objective) * reserveTrialShare)}
+	if q.route.Objective > 0 {
+		patience.Objective = q.arrived.Add(q.route.Objective)
 	}
-	q.reserved = amount
-	return nil
+	err, retryAfter = q.g.opts.Rights.Reserve(ctx, Reservation{Workspace: q.workspace.Name, Tokens: amount, Priority: q.priority(), Patience: patience})
+	q.rightsWait = time.Since(now)
+	switch {
+	case err == nil:
+		q.reserved = amount
+	case q.g.aborted.Err() != nil:
+		return newStoppingError(), otherInstanceRetryDelay
+	case q.r.Context().Err() != nil:
+		return newCallerLeftError().WithOutcome(failure.NotRun), 0
+	}
+	return err, retryAfter
 }
 
 // settle ends the reservation. It charges the prompt and output tokens if an endpoint
@@ -222,12 +239,6 @@
 	q.w.Complete()
 }
 
-// jitter returns a random duration between half of d and one and a half of d, so
-// that callers that were refused together do not retry together.
-func jitter(d time.Duration) time.Duration {
-	return time.Duration((0.5 + rand.Float64()) * float64(d))
-}
-
 func (q *request) newPlacementRequest() placement.Request {
 	return placement.Request{Service: q.service, Parts: q.envelope.PromptParts, Exclude: q.excluded,
 		Version: q.version, MayBegin: q.mayBegin(), Regions: q.regions()}
@@ -263,6 +274,9 @@
 	if q.reserved > 0 {
 		f["reserved"], f["used"], f["events"] = q.reserved, q.used, q.deliveredEvents
 	}
+	if ms := q.rightsWait.Milliseconds(); ms > 0 {
+		f["rights_wait_ms"] = ms
+	}
 	if q.envelope.ResumeAfter != "" {
 		f["resumes"], f["after"] = q.envelope.Resumes, q.envelope.ResumeAfter
 	}
@@ -276,6 +290,7 @@
 		result = string(q.err.Kind)
 		f["error"] = q.err.Message
 		f["outcome"] = string(q.err.Outcome)
+		f["cause"] = string(failure.CauseOf(q.err))
 		if q.retryAfter > 0 {
 			f["retry_after_ms"] = q.retryAfter.Milliseconds()
 		}
@@ -284,10 +299,21 @@
 		f["caller"] = "left"
 	}
 	q.g.metrics.observeRequest(q.routeKind(), result, duration)
+	if q.err != nil {
+		q.g.metrics.observeUnserved(failure.CauseOf(q.err), q.workspaceName(), q.routeKind())
+	}
 	q.g.metrics.responses.WithLabelValues(string(q.w.State())).Inc()
 	q.g.opts.Log.WithFields(f).Info("request " + result)
 }
 
+// workspaceName returns the name of the workspace for metrics, "none" without one.
+func (q *request) workspaceName() string {
+	if q.workspace == nil {
+		return "none"
+	}
+	return q.workspace.Name
+}
+
 // routeKind returns the kind of the route for metrics, "none" without a route.
 func (q *request) routeKind() string {
 	if q.route == nil {
--- a/pkg/placement/domains.go
+++ b/pkg/placement/domains.go
@@ -116,7 +116,7 @@
 }
 
 // noEndpointError returns why no endpoint can get a request. p.mu must be held.
-func (p *Pool) noEndpointError(req *Request) error {
+func (p *Pool) noEndpointError(req *Request, now time.Time) error {
 	switch {
 	case !p.use.isKnown():
 		return failure.New(failure.NotReady, "repeat later", "it is not known yet which failure domains are out of use")
@@ -125,9 +125,9 @@
 	case len(p.services[req.Service]) > 0 && !slices.ContainsFunc(p.services[req.Service], func(e *endpointState) bool { return p.use.isAllowedRegion(e.Domain, req.Regions) }):
 		return failure.New(failure.NoEndpoint, "allow a region in which the service has endpoints", "no endpoint of service %q is in an allowed region", req.Service)
 	case req.Version != nil:
-		return failure.New(failure.NoEndpoint, "repeat later", "no endpoint of software version %q of service %q accepts work", *req.Version, req.Service)
+		return failure.New(failure.NoEndpoint, "repeat later", "no endpoint of software version %q of service %q accepts work", *req.Version, req.Service).WithCause(p.refusalCause(req, now))
 	}
-	return failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepts work", req.Service)
+	return failure.New(failure.NoEndpoint, "repeat later", "no endpoint of service %q accepts work", req.Service).WithCause(p.refusalCause(req, now))
 }
 
 // isOut reports whether the service has endpoints in allowed regions, all of them in failure
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -289,7 +289,7 @@
 		}
 	}
 	if best == nil {
-		return nil, p.noEndpointError(&req)
+		return nil, p.noEndpointError(&req, now)
 	}
 	c := &Choice{Endpoint: best.Endpoint, Cost: bestCost, pool: p, state: best, promptTokens: req.promptTokens(), prefixKeys: prefixKeys, chosenAt: now,
 		// The rank only predicts what other instances have cached there. A prompt that
--- a/pkg/placement/restrictions.go
+++ b/pkg/placement/restrictions.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/pkg/failure"
 )
 
 // incarnation identifies one process of an endpoint.
@@ -122,6 +123,18 @@
 	return b
 }
 
+// refusalCause returns why no endpoint accepts a request: failure.CauseLimit if one is only
+// paused or limited, failure.CauseNoEndpoint otherwise.
+func (p *Pool) refusalCause(req *Request, now time.Time) failure.Cause {
+	for _, e := range p.services[req.Service] {
+		isCandidate := !req.Exclude[e.ID] && (req.Version == nil || *req.Version == e.SoftwareVersion)
+		if isCandidate && p.use.allows(e.Domain, req.Regions) && !e.restriction.isLeaving && !p.isAvailable(e, req, now) {
+			return failure.CauseLimit
+		}
+	}
+	return failure.CauseNoEndpoint
+}
+
 // ServingAddresses returns the addresses of the listed endpoints that have not said that they
 // leave.
 func (p *Pool) ServingAddresses() map[string]bool {
