Spread the prompts of hot prefixes over several endpoints

Cause: the prompts of one shared prefix go to one endpoint.

Change: each instance counts the recent prompts of each prefix, takes the others to get as many, and lets as many endpoints share the prefix as keep it below a quarter of the time of each. It is on for services that state the slots of an inference engine.

--- a/bench/placement/main.go
+++ b/bench/placement/main.go
@@ -40,7 +40,7 @@
 	var rows []row
 	for _, workload := range play.Workloads() {
 		for _, policy := range append([]play.NamedPolicy{play.InUse()}, play.Baselines()...) {
-			r := play.Run(workload, func(instance int) play.Policy { return policy.New(instance, len(workload.Engines)) })
+			r := play.Run(workload, func(instance int) play.Policy { return policy.New(instance, workload) })
 			rows = append(rows, row{workload.Name, policy.Name, r.Requests, r.Attainment, r.FirstEventP50.Seconds() * 1000, r.FirstEventP95.Seconds() * 1000, r.RecomputedKTokens})
 		}
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -181,6 +181,7 @@
 		Timing: n.catalogTiming(),
 		OnDocument: func(c *catalog.Catalog) {
 			n.pool.SetColdBounds(coldBounds(c.Services, n.opts.Cold))
+			n.pool.SetSpread(engineServices(c.Services), n.roster.PeakInstances)
 			n.syncer.TriggerRound()
 		},
 		OnEndpoints: func(list catalog.EndpointList) {
@@ -200,6 +201,18 @@
 	return timing
 }
 
+// engineServices returns the names of the services that state how many requests their
+// inference engines run at once.
+func engineServices(services []catalog.Service) map[string]bool {
+	names := map[string]bool{}
+	for _, s := range services {
+		if s.Engine != nil && s.Engine.Slots > 0 {
+			names[s.Name] = true
+		}
+	}
+	return names
+}
+
 // relays returns the addresses of the instances that read the store for this one, in order
 // of preference: in a fleet of more than targetLeaders instances, the leaders of this
 // failure domain that rank before it. The first leader of a domain has no relay; the
--- a/pkg/placement/pool.go
+++ b/pkg/placement/pool.go
@@ -161,6 +161,9 @@
 	restrictions map[incarnation]*restriction
 	versions     map[serviceVersion]time.Time // when it was first listed, zero for those of the first list
 	coldBounds   map[string]ColdBound         // by service
+	spread       map[string]bool              // services whose prefixes may be spread
+	instances    func() int                   // set together with spread
+	prefixLoads  prefixLoads
 }
 
 // serviceVersion is a software version of a service.
@@ -178,7 +181,7 @@
 func New(localDomain string, seed uint64, share Share) *Pool {
 	return &Pool{localDomain: localDomain, share: share, rng: rand.New(rand.NewPCG(seed, seed)), endpoints: map[string]*endpointState{},
 		services: map[string][]*endpointState{}, domains: map[string]*domainState{}, cachedAt: map[cachedPrefix]time.Time{},
-		restrictions: map[incarnation]*restriction{}, versions: map[serviceVersion]time.Time{}}
+		prefixLoads: prefixLoads{}, restrictions: map[incarnation]*restriction{}, versions: map[serviceVersion]time.Time{}}
 }
 
 // Update replaces the list of endpoints at time now. An endpoint whose address or start
@@ -242,8 +245,8 @@
 	// Cost is the estimated cost of the endpoint in ms, with less than 1 ms of
 	// random noise.
 	Cost float64
-	// Rank is 1 or 2 if the endpoint is the first or second in the rendezvous order
-	// for the shared prompt, and 0 otherwise.
+	// Rank is the position of the endpoint in the rendezvous order for the shared prompt, or
+	// 0 if it is none of those that are expected to have it cached.
 	Rank int
 
 	pool              *Pool
@@ -262,7 +265,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	prefixKeys := req.prefixKeys()
-	first, second := p.topTwo(&req, prefixKeys, now)
+	ranked := p.rankEndpoints(&req, prefixKeys, now)
 	var best *endpointState
 	bestCost := math.Inf(1)
 	for _, e := range p.services[req.Service] {
@@ -270,7 +273,8 @@
 			continue
 		}
 		// Less than 1 ms of noise spreads requests over endpoints of equal cost.
-		cost := p.estimateCostMs(e, &req, prefixKeys, e == first, e == second, now) + p.rng.Float64()
+		rank := ranked.rank(e)
+		cost := p.estimateCostMs(e, &req, prefixKeys, ranked.isFirst(rank), ranked.isSecond(rank), now) + p.rng.Float64()
 		if !p.mayBegin(&req, e, now) {
 			cost += newVersionCostMs
 		}
@@ -289,12 +293,7 @@
 		// this instance has not seen cached may need a full prefill, which must not
 		// count as lag of the endpoint.
 		expectedPrefillMs: float64(p.estimateUncachedTokens(best, &req, prefixKeys, false, false, now)) / prefillTokensPerMs}
-	switch best {
-	case first:
-		c.Rank = 1
-	case second:
-		c.Rank = 2
-	}
+	c.Rank = ranked.rank(best)
 	best.restriction.limit.take(now)
 	p.takeCold(best, now)
 	best.inFlight++
@@ -318,26 +317,6 @@
 	return req.MayBegin(e.SoftwareVersion) && now.Sub(p.versions[serviceVersion{e.Service, e.SoftwareVersion}]) >= newVersionDelay
 }
 
-// topTwo returns the two endpoints with the highest rendezvous weight for the
-// longest shared prefix.
-func (p *Pool) topTwo(req *Request, prefixKeys []uint64, now time.Time) (first, second *endpointState) {
-	if len(prefixKeys) == 0 {
-		return nil, nil
-	}
-	key := prefixKeys[len(prefixKeys)-1]
-	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
-	for _, e := range p.services[req.Service] {
-		switch {
-		case !p.isAvailable(e, req, now):
-		case first == nil || weight(e) > weight(first):
-			first, second = e, first
-		case second == nil || weight(e) > weight(second):
-			second = e
-		}
-	}
-	return first, second
-}
-
 // estimateUncachedTokens estimates how many prompt tokens are missing in the cache
 // of an endpoint. The first-ranked endpoint is assumed to have the whole shared
 // prompt cached.
--- a/standins/engine/play/policies.go
+++ b/standins/engine/play/policies.go
@@ -15,24 +15,33 @@
 // NamedPolicy is a kind of policy under its name in the results.
 type NamedPolicy struct {
 	Name string
-	// New returns the policy of one instance for the given number of engines.
-	New func(instance, engines int) Policy
+	// New returns the policy of one instance under a workload.
+	New func(instance int, w Workload) Policy
 }
 
 // InUse returns the policy in use, which is that of placement.Pool.
 func InUse() NamedPolicy {
-	return NamedPolicy{"in use", func(instance, engines int) Policy { return newPoolPolicy(instance, engines, true) }}
+	return NamedPolicy{"in use", func(instance int, w Workload) Policy {
+		p := newPoolPolicy(instance, w, true)
+		p.pool.SetSpread(map[string]bool{"llm": true}, func() int { return w.Instances })
+		return p
+	}}
+}
+
+// WithoutSpread returns the policy in use without placement.Pool.SetSpread.
+func WithoutSpread() NamedPolicy {
+	return NamedPolicy{"in use, a prefix stays at one engine", func(instance int, w Workload) Policy { return newPoolPolicy(instance, w, true) }}
 }
 
 // Baselines returns simpler policies to compare with the one in use.
 func Baselines() []NamedPolicy {
 	return []NamedPolicy{
-		{"in use, blind to shared parts", func(instance, engines int) Policy { return newPoolPolicy(instance, engines, false) }},
-		{"fewest requests of the own instance", func(instance, engines int) Policy {
-			return &fewestRequestsPolicy{inFlight: make([]int, engines), rng: newRand(instance)}
+		{"in use, blind to shared parts", func(instance int, w Workload) Policy { return newPoolPolicy(instance, w, false) }},
+		{"fewest requests of the own instance", func(instance int, w Workload) Policy {
+			return &fewestRequestsPolicy{inFlight: make([]int, len(w.Engines)), rng: newRand(instance)}
 		}},
-		{"always the same engine for a shared part", func(_, engines int) Policy { return hashPolicy(engines) }},
-		{"random", func(instance, engines int) Policy { return &randomPolicy{engines, newRand(instance)} }},
+		{"always the same engine for a shared part", func(_ int, w Workload) Policy { return hashPolicy(len(w.Engines)) }},
+		{"random", func(instance int, w Workload) Policy { return &randomPolicy{len(w.Engines), newRand(instance)} }},
 	}
 }
 
@@ -48,10 +57,10 @@
 	reportsSharedParts bool           // passes the shared parts of prompts to the pool
 }
 
-func newPoolPolicy(instance, engines int, reportsSharedParts bool) *poolPolicy {
+func newPoolPolicy(instance int, w Workload, reportsSharedParts bool) *poolPolicy {
 	p := &poolPolicy{pool: placement.New("z", uint64(instance), nil), engineIndex: map[string]int{}, reportsSharedParts: reportsSharedParts}
 	endpoints := catalog.EndpointList{Revision: 1}
-	for i := range engines {
+	for i := range w.Engines {
 		id := fmt.Sprintf("engine-%02d", i)
 		p.engineIndex[id] = i
 		endpoints.Endpoints = append(endpoints.Endpoints, catalog.Endpoint{ID: id, Service: "llm", Address: id, Domain: "z"})
