--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -67,11 +67,10 @@
 	p.coldBounds = bounds
 }
 
-// AssumeCold treats the endpoints of a failure domain as cold from now, as after a time in
-// which they got no requests, until the endpoint list says that a period has ended.
-func (p *Pool) AssumeCold(domain string, now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// assumeCold treats the endpoints of a failure domain as cold from now, as after a time in
+// which they got no requests, until the endpoint list says that a period has ended. p.mu must
+// be held.
+func (p *Pool) assumeCold(domain string, now time.Time) {
 	for _, e := range p.endpoints {
 		if e.Domain == domain {
 			e.restriction.cold.since, e.restriction.cold.quota = now, quota{}
--- a/pkg/placement/cold_test.go
+++ b/pkg/placement/cold_test.go
@@ -40,7 +40,10 @@
 			list.Endpoints[0].Started = 5
 			p.Update(list, start)
 		}, 3000},
-		"a domain back in use": {func(p *Pool, _ catalog.EndpointList) { p.AssumeCold("z", start) }, 3000},
+		"a domain back in use": {func(p *Pool, _ catalog.EndpointList) {
+			p.SetDomainsOut([]string{"z"}, start)
+			p.SetDomainsOut(nil, start)
+		}, 3000},
 		"a refused connection": {func(p *Pool, _ catalog.EndpointList) {
 			c, _ := p.Choose(Request{Service: "s"}, start)
 			c.Done(Unreachable, start)
--- a/pkg/placement/restrictions.go
+++ b/pkg/placement/restrictions.go
@@ -92,7 +92,7 @@
 	var first time.Time
 	for _, e := range p.services[service] {
 		r := e.restriction
-		if r.isLeaving {
+		if r.isLeaving || p.use.out[e.Domain] {
 			continue
 		}
 		at := r.pausedUntil
--- a/pkg/placement/spread.go
+++ b/pkg/placement/spread.go
@@ -91,28 +91,36 @@
 func (r *ranking) isSecond(rank int) bool { return rank > r.spread }
 
 // rankEndpoints returns the endpoints with the highest rendezvous weights for the longest
-// shared prefix of a request.
+// shared prefix of a request. Those of domains that return rank only if there is no other.
 func (p *Pool) rankEndpoints(req *Request, prefixKeys []uint64, now time.Time) ranking {
 	if len(prefixKeys) == 0 {
 		return ranking{}
 	}
-	key := prefixKeys[len(prefixKeys)-1]
-	r := ranking{spread: 1}
+	key, spread := prefixKeys[len(prefixKeys)-1], 1
 	if p.spread[req.Service] {
-		r.spread = p.prefixLoads.observe(key, float64(req.Parts[len(req.Parts)-1].Tokens), p.instances(), now)
+		spread = p.prefixLoads.observe(key, float64(req.Parts[len(req.Parts)-1].Tokens), p.instances(), now)
 	}
+	if r := p.rankAmong(req, key, spread, now, p.isReturned); len(r.endpoints) > 0 {
+		return r
+	}
+	return p.rankAmong(req, key, spread, now, func(*endpointState, *Request, time.Time) bool { return true })
+}
+
+// rankAmong is rankEndpoints among the endpoints for which mayRank returns true.
+func (p *Pool) rankAmong(req *Request, key uint64, spread int, now time.Time, mayRank func(*endpointState, *Request, time.Time) bool) ranking {
+	r := ranking{spread: spread}
 	weight := func(e *endpointState) uint64 { return rendezvous.Mix(e.hash ^ key) }
 	for _, e := range p.services[req.Service] {
-		if !p.isAvailable(e, req, now) {
+		if !p.accepts(e, req, now) || !mayRank(e, req, now) {
 			continue
 		}
 		i := len(r.endpoints)
 		for i > 0 && weight(e) > weight(r.endpoints[i-1]) {
 			i--
 		}
-		if i <= r.spread {
+		if i <= spread {
 			r.endpoints = slices.Insert(r.endpoints, i, e)
-			r.endpoints = r.endpoints[:min(len(r.endpoints), r.spread+1)]
+			r.endpoints = r.endpoints[:min(len(r.endpoints), spread+1)]
 		}
 	}
 	return r
