--- a/pkg/placement/domains.go
+++ b/pkg/placement/domains.go
@@ -54,6 +54,7 @@
 	for name := range p.use.out {
 		if !out[name] {
 			p.use.backAt[name] = now
+			p.assumeCold(name, now)
 		}
 	}
 	p.use.out, p.use.known = out, true
