Keep bounds of cold endpoints below two requests with two views of the members

Cause: a bound of one to two requests a second got one sender, so that two groups of instances with different members sent two: TestColdBoundHoldsForAllInstances, found by rapid with a bound of 1.75.

Change: such a bound gets no sender; the endpoint gets requests when it is warm.

--- a/pkg/placement/cold.go
+++ b/pkg/placement/cold.go
@@ -21,7 +21,7 @@
 	bound := min(b.PerSecond*b.Overrun+b.Tolerance, maxLimit)
 	perSecond := min(b.PerSecond, bound/4)
 	senders := int(bound/2 - perSecond)
-	if senders == 0 && bound >= 1 {
+	if senders == 0 && bound >= 2 { // each of the two groups has one sender with one request at hand
 		senders = 1
 	}
 	return Allowance{PerSecond: perSecond, Senders: senders}
