Send a second attempt beside a slow first one

The first head is handled; the other attempt ends when the answer is passed on, without blame for its endpoint, or goes on if that answer does not serve the caller. Second attempts draw on the retry budget and may use half of it. Requests without them take the same path as before, without a further goroutine.

--- a/cmd/clementinerack-entry/main.go
+++ b/cmd/clementinerack-entry/main.go
@@ -8,6 +8,7 @@
 
 	"github.com/alecthomas/kong"
 
+	"github.com/clementinerack/clementinerack/pkg/hedge"
 	"github.com/clementinerack/clementinerack/pkg/signals"
 	"github.com/clementinerack/clementinerack/platform"
 )
@@ -20,8 +21,10 @@
 
 // flags are the command line.
 type flags struct {
-	Settings      string `help:"Settings file of the platform." env:"CLEMENTINERACK_BOOT" required:"" type:"existingfile"`
-	CheckSettings bool   `help:"Check the settings and exit with 0 if they are valid, otherwise with 2."`
+	Settings       string             `help:"Settings file of the platform." env:"CLEMENTINERACK_BOOT" required:"" type:"existingfile"`
+	SecondAttempts map[string]float64 `help:"Share of the repeatable requests to a service that may get a second attempt if the first one is slow, as SERVICE=SHARE;..., '*' for all others. Default: none." env:"CLEMENTINERACK_SECOND_ATTEMPTS"`
+
+	CheckSettings bool `help:"Check the settings and exit with 0 if they are valid, otherwise with 2."`
 }
 
 func main() {
@@ -34,11 +37,15 @@
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitSettings)
 	}
+	if err := hedge.Shares(f.SecondAttempts).Validate(); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitSettings)
+	}
 	if f.CheckSettings {
 		fmt.Println("settings are valid")
 		return
 	}
-	if err := platform.Run(s, f.Settings, sig); err != nil {
+	if err := platform.Run(s, f.Settings, hedge.Shares(f.SecondAttempts), sig); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -196,29 +196,67 @@
 	}
 }
 
-// tryEndpoint sends the request to one endpoint, handles the response, and reports
-// the outcome to the pool, the crash guard and the metrics. The returned response
-// is set only with attemptFailed.
+// sending is an attempt under way. Only run may execute in a goroutine of its own.
+type sending struct {
+	choice  *placement.Choice
+	start   time.Time
+	ctx     context.Context
+	cancel  context.CancelFunc
+	request *upstream.Request
+	done    chan struct{} // closed when run has returned
+
+	// The results of run.
+	resp   *upstream.Response
+	err    error
+	notice string // what the endpoint said about itself, for the log
+	headAt time.Time
+}
+
+// newSending begins an attempt. Each one must be run, and then be finished or abandoned. others
+// is the number of attempts under way beside it.
+func (q *request) newSending(ctx context.Context, c *placement.Choice, s *streamState, others int) *sending {
+	now := time.Now()
+	a := &sending{choice: c, start: now, request: q.newUpstreamRequest(c, s, now), done: make(chan struct{})}
+	a.ctx, a.cancel = q.newAttemptContext(ctx, others)
+	a.request.OnHead = func(status int, header http.Header) { a.notice += q.applyNotice(c, status, header, time.Now()) }
+	q.g.opts.CrashGuard.RecordStart(q.fingerprint, c.ID, now)
+	return a
+}
+
+// run sends the request and waits for the head of the response.
+func (a *sending) run(client *upstream.Client) {
+	defer close(a.done)
+	a.resp, a.err = client.Do(a.ctx, a.choice.Address, a.request)
+	a.headAt = time.Now()
+}
+
+// tryEndpoint sends the request to one endpoint, and maybe to a second one if it is slow, and
+// handles the response. The returned response is set only with attemptFailed.
 func (q *request) tryEndpoint(ctx context.Context, c *placement.Choice, s *streamState) (attemptStatus, *bufferedResponse) {
-	start := time.Now()
+	a := q.newSending(ctx, c, s, 0)
+	if q.mayGetSecondAttempt() {
+		return q.race(ctx, a, s)
+	}
+	a.run(q.g.opts.Client)
+	return q.finish(a, s)
+}
+
+// finish handles the response to an attempt that was run, and reports the outcome to the pool,
+// the crash guard and the metrics.
+func (q *request) finish(a *sending, s *streamState) (attemptStatus, *bufferedResponse) {
+	defer a.cancel()
+	ctx, c, resp := a.ctx, a.choice, a.resp
 	s.firstEvent = time.Time{}
-	ctx, cancel := q.newAttemptContext(ctx)
-	defer cancel()
-	q.g.opts.CrashGuard.RecordStart(q.fingerprint, c.ID, start)
-	notice := ""
-	upstreamRequest := q.newUpstreamRequest(c, s, start)
-	upstreamRequest.OnHead = func(status int, header http.Header) { notice += q.applyNotice(c, status, header, time.Now()) }
-	resp, err := q.g.opts.Client.Do(ctx, c.Address, upstreamRequest)
 	var status attemptStatus
 	var errorResponse *bufferedResponse
 	outcome := placement.Failed
 	result := ""
-	if err != nil {
-		status, outcome, result = q.handleSendError(err)
+	if a.err != nil {
+		status, outcome, result = q.handleSendError(a.err)
 	} else {
 		status, outcome, result, errorResponse = q.handleResponse(ctx, c, s, resp)
 		resp.Close()
-		notice += describeConnection(status, resp)
+		a.notice += describeConnection(status, resp)
 		q.g.metrics.foreignResponses.Add(float64(resp.Skipped))
 	}
 	now := time.Now()
@@ -237,17 +275,26 @@
 	if outcome == placement.Unreachable {
 		q.g.opts.Client.CloseIdleConnections(c.Address)
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
+	if outcome == placement.Full {
+		q.g.opts.SecondAttempts.RecordFull(q.service, now)
+	}
+	if errors.Is(a.err, syscall.ECONNREFUSED) {
 		// Only a refused connection shows that the process has ended. A timeout may
 		// also be due to a network partition.
 		q.g.opts.CrashGuard.HandleEndpointDeath(c.ID, now)
 	}
-	c.Done(outcome, now)
-	q.attempts = append(q.attempts, attempt{c.ID, c.SoftwareVersion, c.Rank, c.Cost, result + notice, now.Sub(start)})
+	q.end(a, outcome, result+a.notice, now)
 	q.g.metrics.observeAttempt(result)
 	return status, errorResponse
 }
 
+// end ends an attempt at its endpoint and records it for the log.
+func (q *request) end(a *sending, outcome placement.Outcome, result string, now time.Time) {
+	c := a.choice
+	c.Done(outcome, now)
+	q.attempts = append(q.attempts, attempt{c.ID, c.SoftwareVersion, c.Rank, c.Cost, result, now.Sub(a.start)})
+}
+
 // describeConnection returns how a response that did not serve the request arrived, for the
 // log: an extra response can only arrive on a reused connection.
 func describeConnection(status attemptStatus, resp *upstream.Response) string {
@@ -265,9 +312,10 @@
 // attempt of an idempotent request is abandoned in favor of another endpoint.
 const attemptTimeoutFactor = 2
 
-// newAttemptContext limits the time of one attempt if another one may follow it.
-func (q *request) newAttemptContext(ctx context.Context) (context.Context, context.CancelFunc) {
-	if q.route.Kind == catalog.Idempotent && q.possibleRuns+1 < q.route.MaxAttempts && q.route.Objective > 0 {
+// newAttemptContext limits the time of one attempt if another one may follow it and the others
+// that are under way.
+func (q *request) newAttemptContext(ctx context.Context, others int) (context.Context, context.CancelFunc) {
+	if q.route.Kind == catalog.Idempotent && q.possibleRuns+others+1 < q.route.MaxAttempts && q.route.Objective > 0 {
 		return context.WithTimeout(ctx, attemptTimeoutFactor*q.route.Objective)
 	}
 	return context.WithCancel(ctx)
@@ -301,8 +349,7 @@
 
 // handleSendError evaluates an attempt that ended without a response header.
 func (q *request) handleSendError(err error) (attemptStatus, placement.Outcome, string) {
-	var sendErr *upstream.Error
-	if errors.As(err, &sendErr) && sendErr.Progress == upstream.NotSent {
+	if isNotSent(err) {
 		return attemptNotSent, placement.Unreachable, "unreached"
 	}
 	q.possibleRuns++
@@ -407,6 +454,9 @@
 // writeHeader sends the status and header of an endpoint's response to the caller.
 // length is the length of the body in bytes, negative if it is not known.
 func (q *request) writeHeader(status int, header http.Header, length int) {
+	if q.cancelRival != nil {
+		q.cancelRival() // before a caller that reads slowly holds this answer up
+	}
 	out := q.w.Header()
 	for name, values := range q.g.opts.Codec.FilterResponseHeader(header) {
 		out[name] = values
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
+	"github.com/clementinerack/clementinerack/pkg/hedge"
 	"github.com/clementinerack/clementinerack/pkg/lineage"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/rights"
@@ -41,7 +42,7 @@
 }
 
 // Options are the dependencies of a Gateway. All fields are required except
-// Registerer. Catalog returns nil until the first declarations are known.
+// Registerer and SecondAttempts, without which there are none. Catalog returns nil until the first declarations are known.
 type Options struct {
 	Codec       Codec
 	Catalog     func() *catalog.Catalog
@@ -51,8 +52,10 @@
 	CrashGuard  CrashGuard
 	Lineage     Lineage
 	RetryBudget *RetryBudget
-	Log         logrus.FieldLogger
-	Registerer  prometheus.Registerer
+	// SecondAttempts decides on second attempts of requests whose first one is slow.
+	SecondAttempts *hedge.Decider
+	Log            logrus.FieldLogger
+	Registerer     prometheus.Registerer
 }
 
 // Gateway is an http.Handler that forwards requests to endpoints. It is safe for
@@ -76,6 +79,9 @@
 
 // New returns a gateway that accepts requests.
 func New(opts Options) *Gateway {
+	if opts.SecondAttempts == nil {
+		opts.SecondAttempts = hedge.New(nil, 0)
+	}
 	g := &Gateway{opts: opts, metrics: newMetrics(opts.Registerer, opts.Client)}
 	g.aborted, g.abort = context.WithCancel(context.Background())
 	return g
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -23,6 +23,7 @@
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
+	"github.com/clementinerack/clementinerack/pkg/hedge"
 	"github.com/clementinerack/clementinerack/pkg/lineage"
 	"github.com/clementinerack/clementinerack/pkg/placement"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
@@ -158,6 +159,7 @@
 	doc     *catalog.Document
 	pool    *placement.Pool
 	retries *gateway.RetryBudget
+	second  *hedge.Decider
 	sender  *upstream.Client
 	dial    func(context.Context, string) (net.Conn, error) // nil: the dialer of upstream.New
 	deaths  atomic.Int64
@@ -257,7 +259,7 @@
 	log.SetOutput(io.Discard)
 	index := catalog.Index(g.doc)
 	g.gateway = gateway.New(gateway.Options{Codec: platform.Codec{}, Catalog: func() *catalog.Catalog { return index }, Pool: g.pool, Client: client,
-		Rights: g.rights, CrashGuard: countingGuard{quarantine.New(quarantine.Options{}, nil), &g.deaths, g.traits}, Log: log, RetryBudget: g.retries, Lineage: g.lineage})
+		Rights: g.rights, CrashGuard: countingGuard{quarantine.New(quarantine.Options{}, nil), &g.deaths, g.traits}, Log: log, RetryBudget: g.retries, SecondAttempts: g.second, Lineage: g.lineage})
 	g.server = httptest.NewUnstartedServer(g.gateway)
 	g.server.Config.ConnContext = abort.ConnContext
 	g.server.Start()
--- a/pkg/gateway/metrics.go
+++ b/pkg/gateway/metrics.go
@@ -16,7 +16,8 @@
 	duration  *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
 	// foreignResponses counts responses to other requests, which endpoints sent again.
-	foreignResponses prometheus.Counter
+	foreignResponses                     prometheus.Counter
+	secondAttempts, secondAttemptsDenied *prometheus.CounterVec
 }
 
 func newMetrics(reg prometheus.Registerer, client *upstream.Client) *metrics {
@@ -32,6 +33,10 @@
 			Help: "Duration of requests in seconds, by route kind.", Buckets: prometheus.ExponentialBuckets(0.005, 2, 12)}, []string{"kind"}),
 		attempts: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_attempts_total",
 			Help: "Number of attempts to send a request to an endpoint, by result."}, []string{"result"}),
+		secondAttempts: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_second_attempts_total",
+			Help: "Number of second attempts beside a slow first one: won if they served the caller, lost if the first one did, else failed."}, []string{"result"}),
+		secondAttemptsDenied: f.NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_gateway_second_attempts_denied_total",
+			Help: "Number of requests with a slow first attempt that got no second one, by cause."}, []string{"cause"}),
 		foreignResponses: f.NewCounter(prometheus.CounterOpts{Name: "clementinerack_gateway_foreign_responses_total",
 			Help: "Number of responses to other requests that arrived before the response to a request on its connection."}),
 	}
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -49,6 +49,8 @@
 	reachedAttempts int             // attempts that reached an endpoint
 	possibleRuns    int             // attempts in which an endpoint may have run the request
 	mayHaveRun      bool            // possibleRuns is not 0
+	cancelRival     func()          // ends the attempt beside the one that is being handled, may be nil
+	secondAttempt   string          // how a second attempt beside a slow first one ended, or why there was none
 	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
@@ -289,6 +291,9 @@
 	if len(q.attempts) > 0 {
 		f["attempts"] = q.formatAttempts()
 	}
+	if q.secondAttempt != "" {
+		f["second_attempt"] = q.secondAttempt
+	}
 	if parts := q.formatSharedParts(); q.interrupted && parts != "" {
 		f["parts"] = parts
 	}
--- a/pkg/gateway/retries.go
+++ b/pkg/gateway/retries.go
@@ -71,6 +71,20 @@
 // AllowRetry reports whether a retry for a service is within the budget, and counts
 // it if so.
 func (b *RetryBudget) AllowRetry(service string, now time.Time) bool {
+	return b.allow(service, 1, now)
+}
+
+// secondAttemptShare is the part of the budget that second attempts of requests whose first one
+// is slow may use. The rest is for attempts after failures.
+const secondAttemptShare = 0.5
+
+// AllowSecondAttempt is like AllowRetry for a second attempt beside the first one.
+func (b *RetryBudget) AllowSecondAttempt(service string, now time.Time) bool {
+	return b.allow(service, secondAttemptShare, now)
+}
+
+// allow counts a retry if at most the given share of the budget is used with it.
+func (b *RetryBudget) allow(service string, share float64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	counts := b.currentCounts(service, now)
@@ -79,7 +93,7 @@
 		requests += counts.requests[i]
 		retries += counts.retries[i]
 	}
-	if retries+1 > safetyFactor*(b.ratio*requests+b.extra/float64(max(1, b.instances()))) {
+	if retries+1 > share*safetyFactor*(b.ratio*requests+b.extra/float64(max(1, b.instances()))) {
 		return false
 	}
 	counts.retries[counts.bucket%bucketsPerWindow]++
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -6,6 +6,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
 )
 
 // AllServices is the key of the share of services without their own in Shares.
@@ -15,6 +17,16 @@
 // without a share gets none.
 type Shares map[string]float64
 
+// Validate fails with failure.Invalid if a share is not between 0 and 1.
+func (s Shares) Validate() error {
+	for service, share := range s {
+		if !(share >= 0 && share <= 1) { // also for NaN
+			return failure.New(failure.Invalid, "give a share between 0 and 1", "the share of second attempts of service %q is %v", service, share)
+		}
+	}
+	return nil
+}
+
 // Denial says why a request gets no second attempt.
 type Denial string
 
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -116,3 +117,12 @@
 	check(9*ms, start)
 	check(objective/2, start.Add(maxSampleAge+1))
 }
+
+// Guards against a share that is no part of the requests and disables the limit.
+func TestInvalidShares(t *testing.T) {
+	for share, valid := range map[float64]bool{0: true, 0.05: true, 1: true, -0.1: false, 1.01: false, math.NaN(): false, math.Inf(1): false} {
+		if err := (Shares{"s": share}).Validate(); (err == nil) != valid {
+			t.Errorf("%v: %v", share, err)
+		}
+	}
+}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -22,6 +22,7 @@
 	"github.com/clementinerack/clementinerack/pkg/abort"
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/gateway"
+	"github.com/clementinerack/clementinerack/pkg/hedge"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/lineage"
 	"github.com/clementinerack/clementinerack/pkg/peer"
@@ -33,7 +34,7 @@
 	"github.com/clementinerack/clementinerack/pkg/upstream"
 )
 
-// Options configures a Node. All fields but Listen are required.
+// Options configures a Node. All fields but Listen and SecondAttempts are required.
 type Options struct {
 	// Name and Domain are the name and the failure domain of the instance.
 	Name, Domain string
@@ -47,6 +48,9 @@
 	Source                 catalog.Source
 	Codec                  gateway.Codec
 	Retry                  RetryLimit
+	// SecondAttempts are the shares of requests that may get a second attempt if the first one
+	// is slow; nil means none.
+	SecondAttempts hedge.Shares
 	// WatchTimeout bounds one wait for a change at the source; 0 means the default of
 	// package catalog.
 	WatchTimeout time.Duration
@@ -124,9 +128,10 @@
 	n.gateway = gateway.New(gateway.Options{
 		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
 		Rights: newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier, n.log), CrashGuard: n.crashes,
-		Lineage:     n.lineage,
-		RetryBudget: gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
-		Log:         n.log, Registerer: opts.Registry,
+		Lineage:        n.lineage,
+		RetryBudget:    gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
+		SecondAttempts: hedge.New(opts.SecondAttempts, rand.Float64()),
+		Log:            n.log, Registerer: opts.Registry,
 	})
 	n.idleConns = newIdleConns(n.idleLimit)
 	n.departed = newDepartedCloser(n.pool, n.client, opts.Registry)
