Bound what is learnt for second attempts, and spare crashing requests

Cause: reading the change again: a failure that comes fast counted as a fast answer, the times of routes that are gone were kept, and a second attempt was not checked against the requests that crash endpoints.

Change: only answers and cancelled attempts are learnt from; at most 256 routes with answers in the last 30 s are kept; the crash guard is asked before a second attempt.

--- a/pkg/gateway/secondattempt.go
+++ b/pkg/gateway/secondattempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,13 +33,15 @@
 	decider.RecordRequest(q.service)
 	delay, denial := decider.Delay(target, q.route.Objective, first.start)
 	go first.run(q.g.opts.Client)
-	defer func() { decider.RecordAnswer(target, first.headAt.Sub(first.start), time.Now()) }()
+	defer func() {
+		if took, ok := first.answerTime(); ok {
+			decider.RecordAnswer(target, took, time.Now())
+		}
+	}()
 
 	var second *sending
-	if timer := time.NewTimer(delay); denial == hedge.None && !isDoneBefore(first, timer) {
+	if denial == hedge.None && first.outlasts(delay) {
 		second, denial = q.beginSecond(ctx, first, s)
-	} else if denial != hedge.None {
-		timer.Stop()
 	}
 	if second == nil {
 		<-first.done
@@ -73,17 +76,26 @@
 	return status, errorResponse
 }
 
-// isDoneBefore waits until an attempt has a response or an error, or a timer fires.
-func isDoneBefore(a *sending, timer *time.Timer) bool {
+// outlasts waits until the attempt has a response or an error, or the delay has passed, and
+// reports whether the delay has.
+func (a *sending) outlasts(delay time.Duration) bool {
+	timer := time.NewTimer(delay)
+	defer timer.Stop()
 	select {
 	case <-a.done:
-		timer.Stop()
-		return true
-	case <-timer.C:
 		return false
+	case <-timer.C:
+		return true
 	}
 }
 
+// answerTime returns how long the answer to an attempt that was run took, or how long it had
+// taken when the attempt was cancelled. It reports false for failures, which may be fast.
+func (a *sending) answerTime() (time.Duration, bool) {
+	answered := a.err == nil && a.resp.Status < http.StatusInternalServerError
+	return a.headAt.Sub(a.start), answered || errors.Is(a.err, context.Canceled)
+}
+
 // beginSecond begins a second attempt beside the first one, unless it is denied.
 func (q *request) beginSecond(ctx context.Context, first *sending, s *streamState) (*sending, hedge.Denial) {
 	now := time.Now()
@@ -93,6 +105,9 @@
 	if denial := q.g.opts.SecondAttempts.Check(q.service, now); denial != hedge.None {
 		return nil, denial
 	}
+	if q.g.opts.CrashGuard.Check(q.fingerprint, now) != nil || q.checkTraits(now) != nil {
+		return nil, hedge.Crashes
+	}
 	q.excluded[first.choice.ID] = true
 	choice, err := q.g.opts.Pool.Choose(q.newPlacementRequest(), now)
 	if err != nil {
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -3,6 +3,7 @@
 package hedge
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -38,6 +39,7 @@
 	NoRoom      Denial = "no-room"      // an endpoint lacked room recently
 	RetryBudget Denial = "retry-budget"
 	NoEndpoint  Denial = "no-endpoint"
+	Crashes     Denial = "crashes" // requests such as this one have crashed endpoints
 	Deadline    Denial = "deadline"
 )
 
@@ -51,6 +53,8 @@
 	maxSampleAge = 30 * time.Second
 	// noRoomPause follows a refusal for lack of room.
 	noRoomPause = 2 * time.Second
+	// maxTargets bounds the targets whose answers are kept.
+	maxTargets = 256
 	// maxSaved bounds the second attempts that a quiet time saves up.
 	maxSaved = 5
 )
@@ -123,12 +127,23 @@
 	defer d.mu.Unlock()
 	l := d.latency[target]
 	if l == nil {
+		if len(d.latency) >= maxTargets {
+			d.forgetOld(now)
+		}
+		if len(d.latency) >= maxTargets {
+			return
+		}
 		l = &samples{}
 		d.latency[target] = l
 	}
 	l.add(took, now)
 }
 
+// forgetOld removes the targets without recent answers. d.mu must be held.
+func (d *Decider) forgetOld(now time.Time) {
+	maps.DeleteFunc(d.latency, func(_ Target, l *samples) bool { return now.Sub(l.newest) > maxSampleAge })
+}
+
 // Delay returns how long a first attempt is waited for before the second one. It fails with
 // SlowService if second attempts cannot help.
 func (d *Decider) Delay(target Target, objective time.Duration, now time.Time) (time.Duration, Denial) {
@@ -171,8 +186,9 @@
 
 // samples are the latest times to an answer.
 type samples struct {
-	ring [maxSamples]sample
-	next int
+	ring   [maxSamples]sample
+	next   int
+	newest time.Time
 }
 
 type sample struct {
@@ -183,6 +199,7 @@
 func (s *samples) add(took time.Duration, now time.Time) {
 	s.ring[s.next] = sample{took, now}
 	s.next = (s.next + 1) % maxSamples
+	s.newest = now
 }
 
 // sorted returns the times that are not older than maxSampleAge, shortest first.
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -1,6 +1,7 @@
 package hedge
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -126,3 +127,18 @@
 		}
 	}
 }
+
+// Guards against memory that grows with each route that was ever used, and against new routes that are never learnt.
+func TestTargetsAreBounded(t *testing.T) {
+	d, now := New(Shares{"s": 1}, 0), start
+	for i := range 3 * maxTargets {
+		now = now.Add(maxSampleAge / maxTargets)
+		d.RecordAnswer(Target{fmt.Sprint(i), "s"}, ms, now)
+		if len(d.latency) > maxTargets {
+			t.Fatalf("%d targets", len(d.latency))
+		}
+	}
+	if d.latency[Target{fmt.Sprint(3*maxTargets - 1), "s"}] == nil {
+		t.Error("the latest route is not learnt")
+	}
+}
