--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -50,6 +50,8 @@
 	possibleRuns    int             // attempts in which an endpoint may have run the request
 	mayHaveRun      bool            // possibleRuns is not 0
 	wasRejected     bool            // an endpoint declared that it did not run the request
+	cancelRival     func()          // ends the attempt beside the one that is being handled, may be nil
+	secondAttempt   string          // how a second attempt beside a slow first one ended, or why there was none
 	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
@@ -283,6 +285,9 @@
 	if len(q.attempts) > 0 {
 		f["attempts"] = q.formatAttempts()
 	}
+	if q.secondAttempt != "" {
+		f["second_attempt"] = q.secondAttempt
+	}
 	if parts := q.formatSharedParts(); q.interrupted && parts != "" {
 		f["parts"] = parts
 	}
--- a/pkg/hedge/hedge.go
+++ b/pkg/hedge/hedge.go
@@ -3,9 +3,12 @@
 package hedge
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/failure"
 )
 
 // AllServices is the key of the share of services without their own in Shares.
@@ -15,6 +18,16 @@
 // without a share gets none.
 type Shares map[string]float64
 
+// Validate fails with failure.Invalid if a share is not between 0 and 1.
+func (s Shares) Validate() error {
+	for service, share := range s {
+		if !(share >= 0 && share <= 1) { // also for NaN
+			return failure.New(failure.Invalid, "give a share between 0 and 1", "the share of second attempts of service %q is %v", service, share)
+		}
+	}
+	return nil
+}
+
 // Denial says why a request gets no second attempt.
 type Denial string
 
@@ -26,6 +39,7 @@
 	NoRoom      Denial = "no-room"      // an endpoint lacked room recently
 	RetryBudget Denial = "retry-budget"
 	NoEndpoint  Denial = "no-endpoint"
+	Crashes     Denial = "crashes" // requests such as this one have crashed endpoints
 	Deadline    Denial = "deadline"
 )
 
@@ -39,6 +53,8 @@
 	maxSampleAge = 30 * time.Second
 	// noRoomPause follows a refusal for lack of room.
 	noRoomPause = 2 * time.Second
+	// maxTargets bounds the targets whose answers are kept.
+	maxTargets = 256
 	// maxSaved bounds the second attempts that a quiet time saves up.
 	maxSaved = 5
 )
@@ -111,12 +127,23 @@
 	defer d.mu.Unlock()
 	l := d.latency[target]
 	if l == nil {
+		if len(d.latency) >= maxTargets {
+			d.forgetOld(now)
+		}
+		if len(d.latency) >= maxTargets {
+			return
+		}
 		l = &samples{}
 		d.latency[target] = l
 	}
 	l.add(took, now)
 }
 
+// forgetOld removes the targets without recent answers. d.mu must be held.
+func (d *Decider) forgetOld(now time.Time) {
+	maps.DeleteFunc(d.latency, func(_ Target, l *samples) bool { return now.Sub(l.newest) > maxSampleAge })
+}
+
 // Delay returns how long a first attempt is waited for before the second one. It fails with
 // SlowService if second attempts cannot help.
 func (d *Decider) Delay(target Target, objective time.Duration, now time.Time) (time.Duration, Denial) {
@@ -159,8 +186,9 @@
 
 // samples are the latest times to an answer.
 type samples struct {
-	ring [maxSamples]sample
-	next int
+	ring   [maxSamples]sample
+	next   int
+	newest time.Time
 }
 
 type sample struct {
@@ -171,6 +199,7 @@
 func (s *samples) add(took time.Duration, now time.Time) {
 	s.ring[s.next] = sample{took, now}
 	s.next = (s.next + 1) % maxSamples
+	s.newest = now
 }
 
 // sorted returns the times that are not older than maxSampleAge, shortest first.
--- a/pkg/hedge/hedge_test.go
+++ b/pkg/hedge/hedge_test.go
@@ -1,6 +1,8 @@
 package hedge
 
 import (
+	"fmt"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -116,3 +118,27 @@
 	check(9*ms, start)
 	check(objective/2, start.Add(maxSampleAge+1))
 }
+
+// Guards against a share that is no part of the requests and disables the limit.
+func TestInvalidShares(t *testing.T) {
+	for share, valid := range map[float64]bool{0: true, 0.05: true, 1: true, -0.1: false, 1.01: false, math.NaN(): false, math.Inf(1): false} {
+		if err := (Shares{"s": share}).Validate(); (err == nil) != valid {
+			t.Errorf("%v: %v", share, err)
+		}
+	}
+}
+
+// Guards against memory that grows with each route that was ever used, and against new routes that are never learnt.
+func TestTargetsAreBounded(t *testing.T) {
+	d, now := New(Shares{"s": 1}, 0), start
+	for i := range 3 * maxTargets {
+		now = now.Add(maxSampleAge / maxTargets)
+		d.RecordAnswer(Target{fmt.Sprint(i), "s"}, ms, now)
+		if len(d.latency) > maxTargets {
+			t.Fatalf("%d targets", len(d.latency))
+		}
+	}
+	if d.latency[Target{fmt.Sprint(3*maxTargets - 1), "s"}] == nil {
+		t.Error("the latest route is not learnt")
+	}
+}
