--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -56,9 +56,9 @@
 	if r.ContentLength > limit {
 		return nil, ErrTooLarge
 	}
-	size, largest := int64(minBodyBytes), limit+1
+	size, largest := min(minBodyBytes, limit), limit
 	if r.ContentLength > 0 {
-		largest = r.ContentLength + 1 // one more than the body, to read its end
+		largest = r.ContentLength
 		size = min(largest, firstBodyBytes)
 	}
 	if !c.beginBody(deadline) || !c.take(size) {
@@ -66,7 +66,14 @@
 	}
 	buf, src, yielded := make([]byte, 0, size), http.MaxBytesReader(w, r.Body, limit), c.receivedBytes()
 	for {
-		n, err := src.Read(buf[len(buf):cap(buf)])
+		free := buf[len(buf):cap(buf)]
+		if len(free) == 0 {
+			free = make([]byte, 1) // for the end of a body of the largest size
+		}
+		n, err := src.Read(free)
+		if n > cap(buf)-len(buf) {
+			return nil, ErrTooLarge
+		}
 		buf = buf[:len(buf)+n]
 		if err == io.EOF {
 			break
@@ -77,7 +84,7 @@
 		if err != nil {
 			return nil, c.bodyError(err)
 		}
-		if len(buf) == cap(buf) {
+		if len(buf) == cap(buf) && int64(cap(buf)) < largest {
 			grown := min(2*int64(cap(buf)), largest)
 			if !c.take(grown) {
 				return nil, c.bodyError(ErrNoMemory)
