--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -128,7 +128,7 @@
 	if evicted != nil {
 		evicted.Value <- newQueueFullError(req)
 	}
-	r.book.SetWaiting(req.Workspace, rights.Tokens(l.queue.Units()))
+	r.book.SetWaiting(req.Workspace, tokens.FromFloat(l.queue.Units()))
 	if !l.isServed {
 		l.isServed = true
 		go r.serve(l, req.Workspace)
@@ -160,7 +160,7 @@
 	defer r.mu.Unlock()
 	now := time.Now()
 	if l.queue.Remove(entry) {
-		r.book.SetWaiting(req.Workspace, rights.Tokens(l.queue.Units()))
+		r.book.SetWaiting(req.Workspace, tokens.FromFloat(l.queue.Units()))
 		if l.queue.Len() == 0 {
 			l.wake()
 		}
@@ -246,7 +246,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := time.Now()
-	for next := l.queue.Next(); next != nil && r.book.Reserve(workspace, rights.Tokens(next.Units)); next = l.queue.Next() {
+	for next := l.queue.Next(); next != nil && r.book.Reserve(workspace, tokens.FromFloat(next.Units)); next = l.queue.Next() {
 		l.queue.Serve(next)
 		next.Value <- nil
 		if !l.searchSince.IsZero() {
@@ -254,7 +254,7 @@
 			l.searchSince = now
 		}
 	}
-	r.book.SetWaiting(workspace, rights.Tokens(l.queue.Units()))
+	r.book.SetWaiting(workspace, tokens.FromFloat(l.queue.Units()))
 	if l.queue.Len() == 0 {
 		l.searchSince = time.Time{}
 		return false
@@ -270,7 +270,7 @@
 // would only lack what is moved here.
 func (r *reserver) lacking(workspace string, now time.Time) rights.Tokens {
 	h := r.book.Holding(workspace, now)
-	need := rights.Tokens(r.line(workspace).queue.Units())
+	need := tokens.FromFloat(r.line(workspace).queue.Units())
 	if demand := tokens.FromFloat(h.Rate * reserveHorizon.Seconds()); demand >= h.RequestCost {
 		need = need.Plus(demand)
 	}
@@ -345,7 +345,7 @@
 		}
 		ahead += e.Units
 	}
-	r.book.SetWaiting(workspace, rights.Tokens(l.queue.Units()))
+	r.book.SetWaiting(workspace, tokens.FromFloat(l.queue.Units()))
 }
 
 // errNoSupply ends the wait of a request that is not expected to get rights in time.
