Mend what the reviews of the merged parts found

Cause: three reviews by engineers who did not write the parts. The gravest: a request that was refused before its unfinished body was read kept its connection for ever without an answer; free rights were subtracted twice from what waiting requests lack, so that an instance could return rights that it needed; any settlement ended a search of the store; requests that free rights covered were refused or left waiting; searches outlasted the stop of an instance; a reader of large configurations did not see failure domains taken out of use meanwhile; instances without the setting took the domains out of use from others.

Not mended are listed in docs/design/admission.md and clients-out-of-control.md.

--- a/pkg/admission/decide.go
+++ b/pkg/admission/decide.go
@@ -63,12 +63,17 @@
 // refused then can still be served elsewhere or later.
 const maxWaitShare = 0.5
 
+// minWait is the shortest time for which a request waits: what frees supply for others at the
+// same moment may serve it.
+const minWait = 5 * time.Millisecond
+
 // waitMargin is the multiple of its estimate for which a request waits.
 const waitMargin = 2
 
 // Decide returns until when a request waits whose wait is estimated as wait, or false if it
 // is refused at once because it would not be served in time.
 func Decide(now time.Time, wait time.Duration, p Patience) (until time.Time, ok bool) {
+	wait = max(wait, minWait)
 	latest := now.Add(time.Duration(float64(p.Deadline.Sub(now)) * maxWaitShare))
 	if !p.Objective.IsZero() && p.Objective.Before(latest) {
 		latest = p.Objective
@@ -104,10 +109,14 @@
 
 // Next returns after which delay a refused caller comes back: when it is expected to be served
 // (see Supply.Wait), and not before those that were told to come back earlier. spacing is the
-// time for which it uses the supply then. Next returns fallback if wait is Never.
+// time for which it uses the supply then. Next returns fallback if wait is Never, or 0 although
+// the caller was refused.
 func (r *Returns) Next(now time.Time, wait, spacing, fallback time.Duration) time.Duration {
-	if wait == Never {
+	switch {
+	case wait == 0, wait == Never:
 		return fallback
+	case spacing == Never: // nothing is known about those that come back later
+		return BoundReturn(Jitter(wait))
 	}
 	at := now.Add(min(wait, MaxReturnDelay))
 	if next := r.last.Add(min(spacing, MaxReturnDelay)); r.last.After(now) && next.After(at) {
--- a/pkg/catalog/outage.go
+++ b/pkg/catalog/outage.go
@@ -109,13 +109,13 @@
 		}
 		return
 	}
-	if reply.Domains != nil {
+	if r.opts.TracksDomains && reply.Domains != nil {
 		r.applyDomains(*reply.Domains, address, limits.Millis(reply.AgeMillis), false)
 	}
 	if reply.PassesRegions {
 		r.applyDocument(reply.Document, address)
 	}
-	if reply.Endpoints != nil && reply.PassesSoftwareVersions {
+	if reply.Endpoints != nil && reply.PassesSoftwareVersions && reply.PassesRegions {
 		r.applyList(*reply.Endpoints, time.Now(), secondHand)
 	}
 }
--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -293,7 +293,7 @@
 		r.applyList(list, time.Now(), from)
 		r.confirm(sent.Add(min(reply.Confirmed, time.Since(sent)))) // never later than now
 	}
-	if reply.Domains != nil {
+	if r.opts.TracksDomains && reply.Domains != nil {
 		r.applyDomains(*reply.Domains, address, age, state == relayCurrent)
 	}
 	r.applyDelta(reply, address)
--- a/pkg/catalog/relay_test.go
+++ b/pkg/catalog/relay_test.go
@@ -57,9 +57,9 @@
 	log.SetOutput(io.Discard)
 	link = &cuttableLink{}
 	noMembers := func() []string { return nil }
-	relay := NewReplica(ReplicaOptions{Source: relaySource, Peers: link, Members: noMembers, Log: log})
+	relay := NewReplica(ReplicaOptions{Source: relaySource, Peers: link, Members: noMembers, TracksDomains: relaySource.domains.Revision > 0, Log: log})
 	relay.RegisterPeer(link)
-	r = NewReplica(ReplicaOptions{Source: ownSource, Peers: link, Members: noMembers, Relays: func() []string { return []string{"relay"} }, Log: log})
+	r = NewReplica(ReplicaOptions{Source: ownSource, Peers: link, Members: noMembers, Relays: func() []string { return []string{"relay"} }, TracksDomains: ownSource.domains.Revision > 0, Log: log})
 	ctx, cancel := context.WithCancel(t.Context())
 	var running sync.WaitGroup
 	running.Go(func() { relay.Run(ctx) })
--- a/pkg/configcheck/catalog.go
+++ b/pkg/configcheck/catalog.go
@@ -19,6 +19,7 @@
 	c.checkRoutes()
 	c.checkUnusedServices()
 	c.checkWorkspaces()
+	c.checkRegions()
 	slices.SortFunc(c.findings, compareFindings)
 	return c.findings
 }
@@ -162,6 +163,18 @@
 	}
 }
 
+// checkRegions reports routes that a workspace cannot use because no region is allowed by both.
+func (c *catalogCheck) checkRegions() {
+	for i := range c.doc.Routes {
+		r := &c.doc.Routes[i]
+		for _, w := range c.doc.Workspaces {
+			if !r.Public && !catalog.HaveCommonRegion(r.Regions, w.Regions) {
+				c.add(Error, "route "+r.Name, "allow a region to both", "it has no region in common with workspace %s", w.Name)
+			}
+		}
+	}
+}
+
 func (c *catalogCheck) checkWorkspaces() {
 	var names []string
 	owners := map[string]string{} // workspaces by key
--- a/pkg/configcheck/changes.go
+++ b/pkg/configcheck/changes.go
@@ -32,17 +32,19 @@
 	for _, r := range d.Routes {
 		objects["route "+r.Name] = declare.ObjectValues{"host": r.Host, "prefix": r.Prefix, "kind": r.Kind.String(), "timeout": r.Timeout.String(),
 			"objective": r.Objective.String(), "priority": strconv.Itoa(r.Priority), "services": formatTargets(r.Targets), "max-attempts": strconv.Itoa(r.MaxAttempts),
-			"public": strconv.FormatBool(r.Public), "affinity": strconv.FormatBool(r.Affinity), "resumable": strconv.FormatBool(r.Resumable)}
+			"public": strconv.FormatBool(r.Public), "affinity": strconv.FormatBool(r.Affinity), "resumable": strconv.FormatBool(r.Resumable),
+			"regions": strings.Join(r.Regions, ", ")}
 	}
 	for _, s := range d.Services {
-		values := declare.ObjectValues{"health-path": s.HealthPath, "max-connections": strconv.Itoa(s.MaxConnections)}
+		values := declare.ObjectValues{"health-path": s.HealthPath, "max-connections": strconv.Itoa(s.MaxConnections),
+			"cold-start": s.ColdStart.String(), "cold-per-second": strconv.FormatFloat(s.ColdPerSecond, 'g', -1, 64)}
 		if e := s.Engine; e != nil {
 			values["slots"], values["cache-tokens"], values["tokens-per-event"] = strconv.Itoa(e.Slots), formatTokens(&e.CacheTokens), formatTokens(&e.TokensPerEvent)
 		}
 		objects["service "+s.Name] = values
 	}
 	for _, w := range d.Workspaces {
-		values := declare.ObjectValues{"keys-sha256": hashKeys(w.Keys), "prepaid": formatTokens(w.Prepaid)}
+		values := declare.ObjectValues{"keys-sha256": hashKeys(w.Keys), "prepaid": formatTokens(w.Prepaid), "regions": strings.Join(w.Regions, ", ")}
 		if w.Priority != nil {
 			values["priority"] = strconv.Itoa(*w.Priority)
 		}
--- a/pkg/gateway/secondattempt.go
+++ b/pkg/gateway/secondattempt.go
@@ -21,7 +21,7 @@
 		return false
 	}
 	s := q.catalog.Service(q.service)
-	return (s == nil || s.Engine == nil) && q.g.opts.SecondAttempts.Enabled(q.service)
+	return q.route.Objective > 0 && (s == nil || s.Engine == nil) && q.g.opts.SecondAttempts.Enabled(q.service)
 }
 
 // race runs an attempt and, if it is slow, a second one beside it. It handles the response whose
@@ -34,7 +34,7 @@
 	delay, denial := decider.Delay(target, q.route.Objective, first.start)
 	go first.run(q.g.opts.Client)
 	defer func() {
-		if took, ok := first.answerTime(); ok {
+		if took, ok := first.answerTime(); ok && q.r.Context().Err() == nil {
 			decider.RecordAnswer(target, took, time.Now())
 		}
 	}()
--- a/pkg/ingress/body.go
+++ b/pkg/ingress/body.go
@@ -117,7 +117,13 @@
 
 // endBody is called after the end of a body. It reports false if the guard has ended the
 // connection.
-func (c *Conn) endBody() bool { return c == nil || c.account.move(inBody, running) }
+func (c *Conn) endBody() bool {
+	if c == nil {
+		return true
+	}
+	c.bodyRead = true
+	return c.account.move(inBody, running)
+}
 
 // receivedBytes returns how many bytes have arrived on the connection.
 func (c *Conn) receivedBytes() int64 {
--- a/pkg/ingress/conn.go
+++ b/pkg/ingress/conn.go
@@ -16,6 +16,7 @@
 	account   *Account
 	headBytes int64 // received of the current head
 	headCost  int64 // estimated memory of the current head
+	bodyRead  bool  // the body of the current request was read to its end
 }
 
 // NetConn returns the original connection.
@@ -43,6 +44,7 @@
 	}
 	c.account.received.Add(int64(n))
 	if c.account.move(waiting, inHead) {
+		c.account.heads.Add(1)
 		c.headBytes, c.headCost = 0, 0
 	}
 	switch c.account.currentPhase() {
--- a/pkg/ingress/gate.go
+++ b/pkg/ingress/gate.go
@@ -33,7 +33,7 @@
 	sweepInterval = 500 * time.Millisecond
 	// receiveBufferBytes is the receive buffer of a connection, which holds what a caller sends
 	// and nobody reads.
-	receiveBufferBytes = 128 << 10
+	receiveBufferBytes = 32 << 10
 )
 
 // ForProcess returns the limits for the memory limit of the Go runtime and a number of
@@ -96,6 +96,7 @@
 			if !c.account.move(inHead, running) && !c.account.move(waiting, running) && c.account.currentPhase() == ended {
 				panic(http.ErrAbortHandler)
 			}
+			c.bodyRead = r.ContentLength == 0
 			defer c.finishRequest()
 		}
 		next.ServeHTTP(w, r)
@@ -104,6 +105,10 @@
 
 // finishRequest returns what a request holds.
 func (c *Conn) finishRequest() {
+	if !c.bodyRead && c.account.currentPhase() == running {
+		// net/http waits for a part of the body that was not read before it sends the answer.
+		_ = c.SetReadDeadline(time.Now().Add(lingerTimeout)) // fails only on a closed connection
+	}
 	c.account.deadline.Store(0)
 	c.gate.guard.releaseAll(c.account)
 }
--- a/pkg/ingress/gate_test.go
+++ b/pkg/ingress/gate_test.go
@@ -75,3 +75,28 @@
 	_ = server.Close()
 	background.Wait()
 }
+
+// Guards against a connection that stays open because its request was refused before its unfinished body was read.
+func TestRefusedRequestWithUnfinishedBodyIsAnswered(t *testing.T) {
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	g := NewGate(Limits{Connections: 5, Bytes: 100_000}, func() Rules { return Rules{HeadBytes: 4000, HeadTimeout: time.Minute, IdleTimeout: time.Minute} }, log, prometheus.NewRegistry())
+	server := &http.Server{Handler: http.NotFoundHandler()}
+	g.Attach(server)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(g.Listen(listener)) }() // returns when the server is closed
+	defer func() { _ = server.Close() }()
+	c, err := net.Dial("tcp", listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = c.Close() }()
+	_ = c.SetDeadline(time.Now().Add(20 * time.Second)) // fails only on a closed connection
+	_, _ = io.WriteString(c, "POST /unknown HTTP/1.1\r\nHost: h\r\nContent-Length: 10\r\n\r\nx")
+	if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || resp.StatusCode != http.StatusNotFound {
+		t.Errorf("answer %v, error %v", resp, err)
+	}
+}
--- a/pkg/ingress/guard.go
+++ b/pkg/ingress/guard.go
@@ -73,6 +73,7 @@
 	phase    atomic.Uint32
 	received atomic.Int64
 	sent     atomic.Int64
+	heads    atomic.Int64 // that have begun to arrive
 	writing  atomic.Bool  // an answer is being written
 	deadline atomic.Int64 // of the body, as the time since started, 0 if none
 
@@ -80,6 +81,7 @@
 	head, body int64 // bytes that it holds
 	progress   int64 // received and sent as of the latest sweep
 	seen       phase // as of the latest sweep
+	seenHeads  int64 // as of the latest sweep
 	since      time.Time
 	overdue    bool  // as of the latest sweep
 	cause      Cause // why it was ended, and in which phase
@@ -321,8 +323,8 @@
 	defer g.mu.Unlock()
 	for a := range g.accounts {
 		p := a.currentPhase()
-		if progress := a.received.Load() + a.sent.Load(); p != a.seen || p != inHead && progress != a.progress {
-			a.seen, a.progress, a.since = p, progress, now
+		if progress := a.received.Load() + a.sent.Load(); p != a.seen || a.heads.Load() != a.seenHeads || p != inHead && progress != a.progress {
+			a.seen, a.seenHeads, a.progress, a.since = p, a.heads.Load(), progress, now
 		} else {
 			a.progress = progress
 		}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -98,6 +98,7 @@
 	syncer     *rights.Syncer
 	exchange   *rights.Exchange
 	witnesses  *rights.Witnesses
+	reserver   *reserver
 	crashes    *crashGuard
 	limits     *limitSpreader
 	domains    *domainWatcher
@@ -142,9 +143,10 @@
 		endpoints: func() []catalog.Endpoint { return slices.Clone(n.replica.Endpoints().Endpoints) },
 		refusals:  tracker.Refusals(), survivals: tracker.Survivals(), log: n.log,
 	})}
+	n.reserver = newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier, n.log, opts.Registry)
 	n.gateway = gateway.New(gateway.Options{
 		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
-		Rights: newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier, n.log, opts.Registry), CrashGuard: n.crashes,
+		Rights: n.reserver, CrashGuard: n.crashes,
 		Lineage:        n.lineage,
 		RetryBudget:    gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
 		SecondAttempts: hedge.New(opts.SecondAttempts, rand.Float64()),
--- a/pkg/node/rights.go
+++ b/pkg/node/rights.go
@@ -59,35 +59,57 @@
 	log             logrus.FieldLogger
 	waits           *prometheus.CounterVec
 
+	running  sync.WaitGroup // of serve and search
+	stopping context.Context
+	stop     context.CancelFunc
+
 	mu    sync.Mutex
 	lines map[string]*line // by workspace
 }
 
 // line holds the requests that wait for rights of one workspace.
 type line struct {
-	queue       *admission.Queue[chan error] // receives nil or errNoSupply
+	queue       *admission.Queue[chan error] // receives nil when rights are reserved, or why they are not
 	settled     admission.Rate               // tokens of the reservations that have ended
 	released    admission.Rate               // those of them that were not used
 	supplyDelay admission.Mean               // of successful searches
 	returns     admission.Returns
 	isServed    bool          // a goroutine runs serve
-	emptied     chan struct{} // wakes serve when the queue is empty
+	changed     chan struct{} // wakes serve after a change of the queue
 	searchSince time.Time     // when the first of the searches without success began, or zero
 	failedAt    time.Time     // when the latest search failed of which the store was no part
 }
 
 // newReserver returns a reserver of the rights in book.
 func newReserver(book *rights.Book, syncer *rights.Syncer, exchange *rights.Exchange, isFirstSupplier func(string) bool, log logrus.FieldLogger, reg prometheus.Registerer) *reserver {
-	return &reserver{book: book, syncer: syncer, exchange: exchange, isFirstSupplier: isFirstSupplier, log: log, lines: map[string]*line{},
+	stopping, stop := context.WithCancel(context.Background())
+	return &reserver{book: book, syncer: syncer, exchange: exchange, isFirstSupplier: isFirstSupplier, log: log, stopping: stopping, stop: stop, lines: map[string]*line{},
 		waits: promauto.With(reg).NewCounterVec(prometheus.CounterOpts{Name: "clementinerack_rights_waits_total",
 			Help: "Number of requests that found too few free rights, by result: served after a wait, refused at once, refused after a wait, or left."}, []string{"result"})}
 }
 
+// Stop ends all searches and returns when none changes the book any more.
+func (r *reserver) Stop() {
+	r.mu.Lock()
+	r.stop()
+	r.mu.Unlock()
+	r.running.Wait()
+}
+
+// start has a goroutine serve a line, unless one does or the reserver is stopped. r.mu must be
+// held.
+func (r *reserver) start(l *line, workspace string) {
+	if !l.isServed && r.stopping.Err() == nil {
+		l.isServed = true
+		r.running.Go(func() { r.serve(l, workspace) })
+	}
+}
+
 // line returns the line of a workspace and creates it if necessary. r.mu must be held.
 func (r *reserver) line(workspace string) *line {
 	l := r.lines[workspace]
 	if l == nil {
-		l = &line{queue: admission.NewQueue[chan error](maxWaiting), settled: admission.NewRate(releaseWindow), released: admission.NewRate(releaseWindow), emptied: make(chan struct{}, 1)}
+		l = &line{queue: admission.NewQueue[chan error](maxWaiting), settled: admission.NewRate(releaseWindow), released: admission.NewRate(releaseWindow), changed: make(chan struct{}, 1)}
 		r.lines[workspace] = l
 	}
 	return l
@@ -101,9 +123,8 @@
 	r.mu.Lock()
 	l := r.line(req.Workspace)
 	if l.queue.Len() == 0 && r.book.Reserve(req.Workspace, req.Tokens) {
-		if !l.isServed && now.Sub(l.failedAt) >= searchRetryDelay && r.lacking(req.Workspace, now) > 0 {
-			l.isServed = true
-			go r.serve(l, req.Workspace)
+		if now.Sub(l.failedAt) >= searchRetryDelay && r.lacking(req.Workspace, now) > 0 {
+			r.start(l, req.Workspace)
 		}
 		r.mu.Unlock()
 		return nil, 0
@@ -129,10 +150,8 @@
 		evicted.Value <- newQueueFullError(req)
 	}
 	r.book.SetWaiting(req.Workspace, tokens.FromFloat(l.queue.Units()))
-	if !l.isServed {
-		l.isServed = true
-		go r.serve(l, req.Workspace)
-	}
+	r.start(l, req.Workspace)
+	l.wake()
 	r.mu.Unlock()
 	err, retryAfter := r.await(ctx, l, entry, req, until)
 	return err, retryAfter
@@ -148,6 +167,10 @@
 		case result = <-entry.Value:
 			isWaiting = false
 		case <-timer.C:
+			r.dispatch(l, req.Workspace)
+			if len(entry.Value) > 0 {
+				continue
+			}
 			result = errNoSupply
 			if until, isWaiting = r.extend(l, entry, req); isWaiting {
 				timer.Reset(time.Until(until))
@@ -161,9 +184,7 @@
 	now := time.Now()
 	if l.queue.Remove(entry) {
 		r.book.SetWaiting(req.Workspace, tokens.FromFloat(l.queue.Units()))
-		if l.queue.Len() == 0 {
-			l.wake()
-		}
+		l.wake()
 	} else if len(entry.Value) > 0 {
 		result = <-entry.Value // it was served or refused meanwhile
 	}
@@ -190,13 +211,17 @@
 	now := time.Now()
 	patience := req.Patience
 	patience.Trial = 0
-	return admission.Decide(now, r.supply(l, req.Workspace, now).Wait(l.queue.UnitsBefore(entry), entry.Units), patience)
+	wait := r.supply(l, req.Workspace, now).Wait(l.queue.UnitsBefore(entry), entry.Units)
+	if wait == 0 {
+		return now, false // the free rights cannot be reserved, because the workspace is frozen
+	}
+	return admission.Decide(now, wait, patience)
 }
 
 // wake wakes serve.
 func (l *line) wake() {
 	select {
-	case l.emptied <- struct{}{}:
+	case l.changed <- struct{}{}:
 	default: // it is awake already
 	}
 }
@@ -211,17 +236,19 @@
 		isWaiting := r.dispatch(l, workspace)
 		if !isSearching && (isWaiting || isFirst) {
 			isSearching = true
-			go func() {
+			r.running.Go(func() {
 				r.search(l, workspace)
 				searched <- struct{}{}
-			}()
+			})
 		}
 		if !isSearching && r.endIfEmpty(l) {
 			return
 		}
 		select {
 		case <-changed:
-		case <-l.emptied:
+		case <-l.changed:
+		case <-r.stopping.Done():
+			return
 		case <-searched:
 			isSearching = false
 		}
@@ -267,7 +294,7 @@
 
 // lacking returns how many tokens the free rights lack to cover the requests that wait and the
 // demand of reserveHorizon. A demand of less than one request counts as none: other instances
-// would only lack what is moved here.
+// would only lack what is moved here. r.mu must be held.
 func (r *reserver) lacking(workspace string, now time.Time) rights.Tokens {
 	h := r.book.Holding(workspace, now)
 	need := tokens.FromFloat(r.line(workspace).queue.Units())
@@ -315,20 +342,24 @@
 // search looks for rights in the store and at other instances. If it found too few and the
 // store has none or is unreachable, it refuses the requests whose wait has no foreseeable end.
 func (r *reserver) search(l *line, workspace string) {
-	ctx, cancel := context.WithTimeout(context.Background(), searchTimeout)
+	ctx, cancel := context.WithTimeout(r.stopping, searchTimeout)
 	defer cancel()
-	r.mu.Lock()
-	lacking := r.lacking(workspace, time.Now())
-	r.mu.Unlock()
+	lacking := r.lackingNow(workspace)
 	if lacking > 0 && r.obtain(ctx, workspace, lacking) {
 		return
 	}
-	if r.syncer.IsStoreUnreachable() || r.syncer.Ungranted(workspace) < lacking {
+	if lacking > 0 && (r.syncer.IsStoreUnreachable() || r.syncer.Ungranted(workspace) < lacking) {
 		r.refuseHopeless(l, workspace)
 	}
 	time.Sleep(searchPause)
 }
 
+func (r *reserver) lackingNow(workspace string) rights.Tokens {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.lacking(workspace, time.Now())
+}
+
 // refuseHopeless refuses the requests of a line whose wait has no foreseeable end.
 func (r *reserver) refuseHopeless(l *line, workspace string) {
 	r.mu.Lock()
@@ -382,20 +413,25 @@
 // takeFromStore requests rights from the store and reports whether enough are free within
 // storeTimeout.
 func (r *reserver) takeFromStore(ctx context.Context, workspace string, missing rights.Tokens) bool {
-	changed := r.book.Changed(workspace)
 	r.syncer.ReportShortfall(workspace, missing)
 	if r.syncer.IsStoreUnreachable() {
 		return false
 	}
 	timer := time.NewTimer(storeTimeout)
 	defer timer.Stop()
-	select {
-	case <-changed:
-		return true
-	case <-timer.C:
-	case <-ctx.Done():
+	for {
+		changed := r.book.Changed(workspace)
+		if r.lackingNow(workspace) == 0 {
+			return true
+		}
+		select {
+		case <-changed: // also after a settlement, which may free too little
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
 	}
-	return false
 }
 
 // insufficientError returns the error for a request that finds too few rights, with the
--- a/pkg/node/run.go
+++ b/pkg/node/run.go
@@ -38,7 +38,7 @@
 	}
 	n.log.WithField("instance", n.self.Incarnation).WithField("domain", n.self.Domain).Info("instance started")
 	<-ctx.Done()
-	n.drain(servers, func() { stopRights(); <-rightsStopped })
+	n.drain(servers, func() { stopRights(); <-rightsStopped; n.reserver.Stop() })
 	cancel()
 	n.client.Close()
 	n.log.WithField("instance", n.self.Incarnation).Info("instance stopped")
--- a/pkg/placement/domains.go
+++ b/pkg/placement/domains.go
@@ -122,7 +122,7 @@
 	case !p.use.isKnown():
 		return failure.New(failure.NotReady, "repeat later", "it is not known yet which failure domains are out of use")
 	case p.isOut(req):
-		return failure.New(failure.NoEndpoint, "repeat later", "all endpoints of service %q are in failure domains out of use", req.Service)
+		return failure.New(failure.NoEndpoint, "repeat later", "all endpoints of service %q that may get the request are in failure domains out of use", req.Service)
 	case len(p.services[req.Service]) > 0 && !slices.ContainsFunc(p.services[req.Service], func(e *endpointState) bool { return p.use.isAllowedRegion(e.Domain, req.Regions) }):
 		return failure.New(failure.NoEndpoint, "allow a region in which the service has endpoints", "no endpoint of service %q is in an allowed region", req.Service)
 	case req.Version != nil:
--- a/pkg/placement/spread.go
+++ b/pkg/placement/spread.go
@@ -37,7 +37,7 @@
 
 // observe counts a prompt of the prefix and returns how many endpoints should share the
 // prompts of this prefix that all instances together get. It takes the others to get as many
-// as this one. One recent prompt says nothing about a rate and does not count.
+// as this one. The first two recent prompts say nothing about a rate and do not count.
 func (l prefixLoads) observe(prefix uint64, unshared float64, instances int, now time.Time) int {
 	a := l[prefix].decayed(now)
 	a.count++
@@ -97,7 +97,7 @@
 		return ranking{}
 	}
 	key, spread := prefixKeys[len(prefixKeys)-1], 1
-	if p.spread[req.Service] {
+	if p.spread[req.Service] && len(req.Exclude) == 0 { // a further attempt is no further prompt
 		spread = p.prefixLoads.observe(key, float64(req.Parts[len(req.Parts)-1].Tokens), p.instances(), now)
 	}
 	if r := p.rankAmong(req, key, spread, now, p.isReturned); len(r.endpoints) > 0 {
--- a/pkg/rights/policy.go
+++ b/pkg/rights/policy.go
@@ -71,7 +71,7 @@
 	// NoBuffer reports that this instance is not a buffer holder: it holds rights only
 	// for its own demand, and gets them from a supplier.
 	NoBuffer bool
-	// Shortfall is the number of tokens that waiting requests lack.
+	// Shortfall is the number of tokens that waiting requests lack beyond the free ones.
 	Shortfall Tokens
 }
 
@@ -93,7 +93,11 @@
 		// each instance gets few requests of a workspace, and asks for the rights of each.
 		own = 0
 	}
-	return tokens.FromFloat(max(shared, own)).Plus(in.Shortfall)
+	target := tokens.FromFloat(max(shared, own))
+	if in.Shortfall == 0 {
+		return target
+	}
+	return max(target, in.Holding.Free.Plus(in.Shortfall))
 }
 
 // demandBuffer returns the tokens that all instances together should hold for a
@@ -115,8 +119,8 @@
 	switch {
 	case in.Granted > in.Prepaid:
 		return Tokens(0).Minus(min(free, in.Granted.Excess(in.Prepaid)))
-	case float64(free) > float64(target)*p.ReturnAbove:
-		return target.Minus(free)
+	case float64(free.Excess(in.Holding.Waiting)) > float64(target)*p.ReturnAbove:
+		return target.Minus(free.Excess(in.Holding.Waiting))
 	case in.Shortfall == 0 && float64(free) >= float64(target)*p.RefillBelow:
 		return 0
 	}
