--- a/cmd/clementinerack-entry/main.go
+++ b/cmd/clementinerack-entry/main.go
@@ -23,6 +23,7 @@
 type flags struct {
 	Settings       string             `help:"Settings file of the platform." env:"CLEMENTINERACK_BOOT" required:"" type:"existingfile"`
 	SecondAttempts map[string]float64 `help:"Share of the repeatable requests to a service that may get a second attempt if the first one is slow, as SERVICE=SHARE;..., '*' for all others. Default: none." env:"CLEMENTINERACK_SECOND_ATTEMPTS"`
+	WaitForRights  bool               `help:"Let requests that find too few rights wait in order for those that become free. Default: each one searches for a short time and is refused then." env:"CLEMENTINERACK_WAIT_FOR_RIGHTS"`
 
 	CheckSettings bool `help:"Check the settings and exit with 0 if they are valid, otherwise with 2."`
 }
@@ -45,7 +46,7 @@
 		fmt.Println("settings are valid")
 		return
 	}
-	if err := platform.Run(s, f.Settings, hedge.Shares(f.SecondAttempts), sig); err != nil {
+	if err := platform.Run(s, f.Settings, platform.Features{SecondAttempts: f.SecondAttempts, WaitForRights: f.WaitForRights}, sig); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailed)
 	}
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -50,6 +50,9 @@
 	Codec                  gateway.Codec
 	Retry                  RetryLimit
 	Cold                   ColdLimit
+	// WaitForRights has requests that find too few rights wait in order for those that become
+	// free. Otherwise each one searches for its own for a short time.
+	WaitForRights bool
 	// SecondAttempts are the shares of requests that may get a second attempt if the first one
 	// is slow; nil means none.
 	SecondAttempts hedge.Shares
@@ -144,9 +147,13 @@
 		refusals:  tracker.Refusals(), survivals: tracker.Survivals(), log: n.log,
 	})}
 	n.reserver = newReserver(n.book, n.syncer, n.exchange, n.isFirstSupplier, n.log, opts.Registry)
+	var reservations gateway.Rights = newSearcher(n.reserver)
+	if opts.WaitForRights {
+		reservations = n.reserver
+	}
 	n.gateway = gateway.New(gateway.Options{
 		Codec: opts.Codec, Catalog: n.replica.Current, Pool: n.pool, Client: n.client,
-		Rights: n.reserver, CrashGuard: n.crashes,
+		Rights: reservations, CrashGuard: n.crashes,
 		Lineage:        n.lineage,
 		RetryBudget:    gateway.NewRetryBudget(opts.Retry.Ratio, opts.Retry.Extra, opts.Retry.Window, n.roster.PeakInstances),
 		SecondAttempts: hedge.New(opts.SecondAttempts, rand.Float64()),
