--- a/review/stand2/cases.go
+++ b/review/stand2/cases.go
@@ -49,9 +49,9 @@
 	w.pause = 120 * time.Millisecond
 	time.Sleep(8 * time.Second) // the fleet settles
 	stop := make(chan struct{})
-	wait := w.traffic("/carta/", 40, 40, stop)
+	wait := w.traffic("/carta/", 54, 40, stop)
 	time.Sleep(2 * time.Second)
-	upgraded := []*runner{w.runners[0], w.runners[5], w.runners[10]} // 3 of 18, in different zones
+	upgraded := []*runner{w.runners[0], w.runners[5], w.runners[10], w.runners[14]} // 4 of 18, in different zones
 	if w.trouble {
 		w.rec.log("the store falls silent")
 		w.store.setSilent(true)
@@ -222,3 +222,69 @@
 	w.reportSound(wait())
 	return w.arrivalsAfterFifthCrash(bad) > 3, nil
 }
+
+// silentWatch is the case of an instance whose connection to the store falls silent while a new
+// software version comes, and of a machine beside it that is lost: clients take up its streams at
+// that instance.
+func silentWatch(w *world) (bool, error) {
+	w.pause = 120 * time.Millisecond
+	time.Sleep(10 * time.Second)                    // the fleet settles
+	neighbor, blind := w.machines[7], w.machines[8] // the machines of one zone
+	stop := make(chan struct{})
+	wait := w.traffic("/carta/", 25, 40, stop)
+	var mu sync.Mutex
+	var clients sync.WaitGroup
+	var answers []answer
+	go func() { // the clients of that zone: they retry at the other machine of it
+		ticker := time.NewTicker(time.Second / 25)
+		defer ticker.Stop()
+		for {
+			select {
+			case <-stop:
+				return
+			case <-ticker.C:
+			}
+			clients.Add(1)
+			go func() {
+				defer clients.Done()
+				if neighbor.isDead() {
+					return
+				}
+				parts := []string{promptPart(sharedPart, 800), ownPart()}
+				a := w.send(neighbor, "/carta/", parts, 40)
+				if !a.complete && a.events > 0 {
+					w.resume(&a, blind, "/carta/", parts, 40)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				answers = append(answers, a)
+			}()
+		}
+	}()
+	time.Sleep(3 * time.Second)
+	if w.trouble {
+		silenced, all := blind.proxy.silence("prefix=servers")
+		w.rec.log("%d of %d connections of %s to the store fall silent", silenced, all, blind.name)
+	}
+	for i := range 5 {
+		if _, err := w.newRunner(fmt.Sprintf("i-%08x", rand.Uint32()), zones[i%len(zones)].name, "v2"); err != nil {
+			return false, err
+		}
+	}
+	time.Sleep(3050 * time.Millisecond)
+	w.rec.log("machine %s is killed", neighbor.name)
+	neighbor.kill()
+	time.Sleep(time.Second)
+	close(stop)
+	wait()
+	clients.Wait()
+	mixed := 0
+	for _, a := range answers {
+		if len(a.versions) > 1 {
+			mixed++
+			w.rec.log("%s holds events of two versions over the tries of its client", a.attempt)
+		}
+	}
+	w.rec.log("streams with events of two versions: %d, allowed are 2", mixed)
+	return mixed > 2, nil
+}
--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -16,11 +16,28 @@
 	attempt  string
 	sent     time.Time
 	status   int // 0 without an answer
-	events   int
+	events   int // of all attempts
 	complete bool
 	versions map[string]bool // of the runners that wrote the events
 }
 
+// resumption says which stream an attempt takes up again.
+type resumption struct {
+	resumes string // attempt that brought the first event
+	after   int    // latest event
+}
+
+// resume takes up a stream that is not complete at another machine and adds what comes to the
+// answer.
+func (w *world) resume(a *answer, at *machine, path string, parts []string, events int) {
+	next := w.sendAttempt(at, path, parts, events, &resumption{resumes: a.attempt, after: a.events})
+	for v := range next.versions {
+		a.versions[v] = true
+	}
+	a.events += next.events
+	a.complete = a.events == events
+}
+
 // promptPart formats a part of a prompt.
 func promptPart(id string, tokens int) string { return fmt.Sprintf("%s:%d", id, tokens) }
 
@@ -33,6 +50,10 @@
 // send sends one request for a stream of the given number of events to a machine and reads the
 // answer to its end.
 func (w *world) send(m *machine, path string, parts []string, events int) answer {
+	return w.sendAttempt(m, path, parts, events, nil)
+}
+
+func (w *world) sendAttempt(m *machine, path string, parts []string, events int, r *resumption) answer {
 	w.mu.Lock()
 	w.attempts++
 	a := answer{attempt: fmt.Sprintf("a%05d", w.attempts), sent: time.Now(), versions: map[string]bool{}}
@@ -51,7 +72,13 @@
 	} {
 		req.Header.Set(name, value)
 	}
-	w.rec.log("client sends %s to %s: %s %s", a.attempt, m.name, path, strings.Join(parts, ","))
+	if r != nil {
+		req.Header.Set("Last-Event-Id", fmt.Sprint(r.after))
+		req.Header.Set("Resumes", r.resumes)
+		w.rec.log("client takes up %s after event %d as %s at %s", r.resumes, r.after, a.attempt, m.name)
+	} else {
+		w.rec.log("client sends %s to %s: %s %s", a.attempt, m.name, path, strings.Join(parts, ","))
+	}
 	resp, err := client.Do(req)
 	if err != nil {
 		w.rec.log("client gets no answer to %s: %v", a.attempt, err)
--- a/review/stand2/main.go
+++ b/review/stand2/main.go
@@ -27,6 +27,7 @@
 	"restarted-in-place": restartedInPlace,
 	"most-machines-lost": mostMachinesLost,
 	"parallel-crashes":   parallelCrashes,
+	"silent-watch":       silentWatch,
 }
 
 func main() {
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"strconv"
@@ -89,6 +90,7 @@
 }
 
 func (r *runner) beatLoop() {
+	time.Sleep(rand.N(heartbeat)) // runners do not beat at the same time
 	for range time.Tick(heartbeat) {
 		r.beat()
 	}
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -90,6 +90,7 @@
 	process *exec.Cmd
 	exited  chan struct{}
 	dead    bool
+	proxy   *proxy // to the store
 }
 
 // newWorld starts the store, the runners and the entry processes and waits until all are ready.
@@ -115,6 +116,9 @@
 		for i := range z.machines {
 			m := &machine{w: w, name: fmt.Sprintf("frontend-%s-%d", z.name, i+1), zone: z.name, ip: w.ip(host)}
 			host++
+			if m.proxy, err = newProxy(w.ip(202), w.store.addr); err != nil {
+				return w, err
+			}
 			w.machines = append(w.machines, m)
 			if err := m.start(); err != nil {
 				return w, err
@@ -173,7 +177,7 @@
 		"bounds": map[string]any{"seed_lag_s": 3, "address_reuse_s": 2, "contact_window_ms": contactWindow.Milliseconds(), "acknowledgment_ms": 4000, "catch_up_s": 4, "drain_timeout_ms": 2000, "grace_period_s": 8,
 			"loss_slack_ms": 200, "config_propagation_ms": 2000, "rollback_slack_ms": 250, "outer_bound_ms": 5000, "revocation_strict": false, "revocation_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
 			"retry_budget_extra": 58, "recovery_s": 12, "pass_ms": 120, "reuse_window_s": 10, "settle_ms": 1500},
-		"platform": map[string]any{"address": m.w.store.addr, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "min_ttl_ms": 1000},
+		"platform": map[string]any{"address": m.proxy.addr, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "min_ttl_ms": 1000},
 	}
 	zoneMap := settings["zones"].(map[string]string)
 	for _, z := range zones {
@@ -224,19 +228,28 @@
 
 // kill ends the process of a machine for good.
 func (m *machine) kill() {
-	if m.process == nil || m.dead {
+	if m.process == nil || m.isDead() {
 		return
 	}
+	m.w.mu.Lock()
 	m.dead = true
+	m.w.mu.Unlock()
 	_ = m.process.Process.Kill() // fails if the process has ended
 	<-m.exited
 }
 
+// isDead reports whether the process of a machine was killed.
+func (m *machine) isDead() bool {
+	m.w.mu.Lock()
+	defer m.w.mu.Unlock()
+	return m.dead
+}
+
 // alive returns the machines whose processes run.
 func (w *world) alive() []*machine {
 	var alive []*machine
 	for _, m := range w.machines {
-		if !m.dead {
+		if !m.isDead() {
 			alive = append(alive, m)
 		}
 	}
