Review: the scripts of the second review use the project's stand-ins for the protocol

Change: the store is that of standins/machines behind a handler that adds ends of leases and outages; header fields come from there; the configuration and the settings are data files.

--- a/review/stand2/client.go
+++ b/review/stand2/client.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/clementinerack/clementinerack/standins/machines"
 )
 
 // answer is what a client got for one attempt.
@@ -67,14 +69,14 @@
 	}
 	req.Host = host
 	for name, value := range map[string]string{
-		"X-Attempt-Id": a.attempt, "X-Model-Name": "m", "X-Token-Counts": fmt.Sprintf("1100,%d", events*stride), "X-Prompt-Prefix": strings.Join(parts, ","),
-		"X-Deadline-Remaining": fmt.Sprint(deadline.Milliseconds()), "Authorization": "Token " + apiKey,
+		machines.HeaderRequestID: a.attempt, "X-Model-Name": "m", machines.HeaderTokens: fmt.Sprintf("1100,%d", events*stride), machines.HeaderPrompt: strings.Join(parts, ","),
+		machines.HeaderDeadline: fmt.Sprint(deadline.Milliseconds()), "Authorization": machines.KeyScheme + apiKey,
 	} {
 		req.Header.Set(name, value)
 	}
 	if r != nil {
-		req.Header.Set("Last-Event-Id", fmt.Sprint(r.after))
-		req.Header.Set("Resumes", r.resumes)
+		req.Header.Set(machines.HeaderLastEventID, fmt.Sprint(r.after))
+		req.Header.Set(machines.HeaderResumes, r.resumes)
 		w.rec.log("client takes up %s after event %d as %s at %s", r.resumes, r.after, a.attempt, m.name)
 	} else {
 		w.rec.log("client sends %s to %s: %s %s", a.attempt, m.name, path, strings.Join(parts, ","))
--- a/review/stand2/runner.go
+++ b/review/stand2/runner.go
@@ -11,6 +11,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/clementinerack/clementinerack/standins/machines"
 )
 
 const (
@@ -104,11 +106,11 @@
 		return
 	}
 	r.sequence++
-	key := "servers/" + r.id
+	id := r.id
 	entry := fmt.Sprintf(`{"service":%q,"address":%q,"zone":%q,"version":%q,"slots":%d,"state":"ready","cold_remaining_ms":0,"stage":"prefill_decode","models":[{"name":"m","version":1,"adapters":[]}],"sequence":%d,"born":%d}`,
 		r.service, r.address, r.zone, r.version, r.slots, r.sequence, r.born)
 	r.mu.Unlock()
-	r.w.store.put(key, entry, true)
+	r.w.store.register(id, entry)
 }
 
 func (r *runner) accept(l net.Listener) {
@@ -158,17 +160,17 @@
 	r.mu.Lock()
 	id, version := r.id, r.version
 	r.mu.Unlock()
-	attempt := req.Header.Get("X-Attempt-Id")
+	attempt := req.Header.Get(machines.HeaderRequestID)
 	if req.URL.Path == "/health" {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
 		return err == nil
 	}
-	if expected := req.Header.Get("X-Expected-Instance"); expected != "" && expected != id {
+	if expected := req.Header.Get(machines.HeaderExpectedInstance); expected != "" && expected != id {
 		r.w.rec.log("%s reaches runner %s, which is not %s: 421", attempt, id, expected)
-		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\nX-Attempt-Id: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", attempt, id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nX-Instance-Id: %s\r\nContent-Length: 0\r\n\r\n", machines.HeaderRequestID, attempt, id)
 		return err == nil
 	}
-	r.w.reached(attempt, id, version, req.Header.Get("Last-Event-Id"))
+	r.w.reached(attempt, id, version, req.Header.Get(machines.HeaderLastEventID))
 	time.Sleep(firstEvent)
 	if r.w.crashes(req) {
 		r.w.crashedBy(attempt, id)
@@ -176,12 +178,12 @@
 		return false
 	}
 	first := 1
-	if n, err := strconv.Atoi(req.Header.Get("Last-Event-Id")); err == nil {
+	if n, err := strconv.Atoi(req.Header.Get(machines.HeaderLastEventID)); err == nil {
 		first = n + 1
 	}
-	_, output, _ := strings.Cut(req.Header.Get("X-Token-Counts"), ",")
+	_, output, _ := strings.Cut(req.Header.Get(machines.HeaderTokens), ",")
 	tokens, _ := strconv.Atoi(output)
-	if _, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Response-Seal: seal.%s.%s\r\nX-Weight-Versions: 1\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", attempt, id, attempt); err != nil {
+	if _, err := io.WriteString(c, machines.ResponseHead(req, http.StatusOK, "X-Weight-Versions: 1", "Content-Type: text/event-stream", "Transfer-Encoding: chunked")); err != nil {
 		return false
 	}
 	for n := first; n <= tokens/stride; n++ {
--- a/review/stand2/world.go
+++ b/review/stand2/world.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	_ "embed"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -13,6 +14,18 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/clementinerack/clementinerack/platform"
+	"github.com/clementinerack/clementinerack/standins/machines"
+)
+
+// configuration is what the operator has written. commonSettings are the settings that all
+// machines share, as those of the small deployment.
+var (
+	//go:embed configuration.json
+	configuration string
+	//go:embed settings.json
+	commonSettings []byte
 )
 
 const (
@@ -72,7 +85,6 @@
 	runners  []*runner
 	machines []*machine
 	pause    time.Duration // between two events of a stream
-	version  int           // of the configuration
 
 	mu       sync.Mutex
 	poisoned bool // badPart crashes runners
@@ -103,7 +115,7 @@
 	if w.store, err = newStore(w.ip(201)); err != nil {
 		return w, err
 	}
-	w.putConfig()
+	w.store.inner.Put(machines.ConfigKey, configuration)
 	for _, z := range zones {
 		for range z.runners {
 			if _, err := w.newRunner(fmt.Sprintf("i-%08x", rand.Uint32()), z.name, "v1"); err != nil {
@@ -151,37 +163,18 @@
 	}
 }
 
-// putConfig writes the operator's configuration: one route with streams that may be resumed and
-// one with streams that may not.
-func (w *world) putConfig() {
-	w.version += 3
-	route := func(name, prefix string, attempts int, resumable bool) string {
-		return fmt.Sprintf(`{"name":%q,"hostname":%q,"prefix":%q,"route_kind":"streaming","timeout_ms":10000,"target_latency_ms":1000,"priority":1,"service":%q,"max_attempts":%d,"public":false,"session_affinity":true,"stream_resumption":%t,"gap_aim_ms":500}`,
-			name, host, prefix, modelService, attempts, resumable)
-	}
-	w.store.put("op/config", fmt.Sprintf(`{"version":%d,"routes":[%s,%s],"services":[{"name":%q,"health_path":"/health","max_connections":370,"protocol":"h1","tls_enabled":false,"inference_engine":{"slots":64,"kv_cache_tokens":352457,"kv_token_bytes":18432,"link_mbps":370000.0,"moves":true,"backups":true,"stride":%d,"most":12,"pin_ms":4000.0,"hold_ms":2000.0,"handle_ttl_s":5.0,"models":[{"name":"m"}]}}],"limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},"tenants":[{"name":"tenant-a","api_keys":[%q],"priority":1,"prepaid":500000000}]}`,
-		w.version, route("carta", "/carta/", 2, true), route("resumen", "/resumen/", 1, false), modelService, stride, apiKey), false)
-}
-
 // start starts the process of a machine.
 func (m *machine) start() error {
-	settings := map[string]any{
-		"node_name": m.name, "role": "entry", "machine_class": "frontend", "served_roles": []string{"frontend"},
-		"ip_address": m.ip, "zone": m.zone, "region": "centro-sur", "zones": map[string]string{},
-		"listen_addresses":    map[string]string{"frontend": m.ip + ":8227", "ready": m.ip + ":8220"},
-		"internal_port_range": []int{7340, 7355}, "seed_nodes": []string{}, "bootstrap": true, "counts_as_loss": false,
-		"limits":         map[string]any{"cpu_fraction": 0.4, "cpu_cores": 1, "memory_mb": 134, "file_descriptors": 4100, "link_mbps": 1000.0, "disk_mb": 0},
-		"data_directory": nil, "discovery_source": "platform", "entry_kind": "virtual_ip", "heartbeat_interval_ms": heartbeat.Milliseconds(),
-		"contracts":       []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "tenants", "platform"},
-		"fault_tolerance": map[string]int{"machine_count": 1, "zones": 1, "region_count": 0},
-		"bounds": map[string]any{"seed_lag_s": 3, "address_reuse_s": 2, "contact_window_ms": contactWindow.Milliseconds(), "acknowledgment_ms": 4000, "catch_up_s": 4, "drain_timeout_ms": 2000, "grace_period_s": 8,
-			"loss_slack_ms": 200, "config_propagation_ms": 2000, "rollback_slack_ms": 250, "outer_bound_ms": 5000, "revocation_strict": false, "revocation_ms": 5000, "retry_budget_ratio": 0.2, "budget_window_s": 10,
-			"retry_budget_extra": 58, "recovery_s": 12, "pass_ms": 120, "reuse_window_s": 10, "settle_ms": 1500},
-		"platform": map[string]any{"address": m.proxy.addr, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "min_ttl_ms": 1000},
+	settings := map[string]any{}
+	if err := json.Unmarshal(commonSettings, &settings); err != nil {
+		return err
 	}
-	zoneMap := settings["zones"].(map[string]string)
-	for _, z := range zones {
-		zoneMap[z.name] = "centro-sur"
+	for name, value := range map[string]any{
+		"node_name": m.name, "zone": m.zone, "ip_address": m.ip,
+		"listen_addresses": map[string]string{"frontend": m.ip + ":8227", "ready": m.ip + ":8220"},
+		"platform":         map[string]any{"address": m.proxy.addr, "form": "kv", "writes_per_s": 400, "reads_per_s": 2000, "history_s": 20, "value_bytes": 1048576, "min_ttl_ms": 1000},
+	} {
+		settings[name] = value
 	}
 	data, err := json.Marshal(settings)
 	if err != nil {
@@ -196,7 +189,7 @@
 		return err
 	}
 	cmd := exec.Command(m.w.binary)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "CLEMENTINERACK_BOOT=" + path}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), platform.SettingsVariable + "=" + path}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -260,7 +253,7 @@
 func (w *world) crashes(req *http.Request) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	parts := strings.Split(req.Header.Get("X-Prompt-Prefix"), ",")
+	parts := strings.Split(req.Header.Get(machines.HeaderPrompt), ",")
 	for _, part := range parts[:len(parts)-1] {
 		if strings.HasPrefix(strings.TrimSpace(part), badPart+":") {
 			return w.poisoned
