Confirm the endpoint list only by calls that return its changes

Cause: a probe of the store that succeeded confirmed the list of endpoints while the watch that brings its changes was silent on another connection. The list was up to 3.4 s old and counted as 1 s old, longer than new versions are held back, so that a new version's streams went on at the old one.

Change: a probe asks for the changes of the list since the known revision (Source.Recheck); only calls that return the list or its changes confirm it, also towards followers of a relay. A late answer of the watch does not undo what a recheck has found. The part of TestConfirmationCountsFromTheCall about the removed rule gave way to a stricter test: no probe confirms a list that lacks a change.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -49,6 +49,7 @@
 	unavailable bool // all calls fail
 	silent      bool // calls get no answer
 	loseWatches bool // watches get no answer and fail at their timeout
+	answerDelay time.Duration
 	// docReads and listReads count the calls.
 	docReads, listReads atomic.Int64
 	returned            EndpointList // by the latest call of Endpoints
@@ -127,6 +128,18 @@
 	return list, nil
 }
 
+func (s *fakeSource) Recheck(ctx context.Context) (EndpointList, error) {
+	if err := s.await(ctx, 0, func() bool { return true }); err != nil {
+		return EndpointList{}, err
+	}
+	delay := s.answerDelay
+	s.mu.Unlock()
+	wait.Sleep(ctx, delay)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return EndpointList{s.list.Revision, slices.Clone(s.list.Endpoints)}, nil
+}
+
 func (s *fakeSource) Domains() DomainSet {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/pkg/catalog/confirmed.go
+++ b/pkg/catalog/confirmed.go
@@ -8,10 +8,10 @@
 const MaxConfirmationGap = 1900 * time.Millisecond
 
 // confirmations are the times at which the endpoint list is known to have been that of the
-// source: the starts of reads and watches that have returned, and of probes throughout which a
-// watch waited. They are lower bounds, so that a pause of this process or a slow answer makes
-// no list look newer than it is. An answer to a watch that is lost alone, while probes are
-// answered, goes unnoticed until Timing.WatchTimeout. Contrast Replica.lastListAt.
+// source: the starts of the calls that have returned the list or its changes. They are lower
+// bounds, so that a pause of this process or a slow answer makes no list look newer than it
+// is. A call that returns neither says nothing, because the watch that should bring a change
+// may be silent alone. Contrast Replica.lastListAt.
 type confirmations struct {
 	latest time.Time
 	since  time.Time // start of the latest series without a gap
@@ -34,26 +34,6 @@
 	c.latest = at
 }
 
-// setWatching records when the list call that session s waits for was sent; zero means that
-// none is running.
-func (r *Replica) setWatching(s *readingSession, at time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	s.watchingSince = at
-}
-
-// confirmWatched confirms the endpoint list as of the start of a probe that has succeeded, and
-// reports false if changes were not watched throughout the probe.
-func (r *Replica) confirmWatched(s *readingSession, start time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s == nil || s != r.session || !s.listed || s.watchingSince.IsZero() || s.watchingSince.After(start) {
-		return false
-	}
-	r.confirmed.add(start)
-	return true
-}
-
 // Confirmed returns the latest time at which the endpoint list is known to have been that of
 // the source, and the time since when it has been confirmed with gaps of at most
 // MaxConfirmationGap. Both are zero if there is no list yet. OnEndpoints has been called for
--- a/pkg/catalog/confirmed_test.go
+++ b/pkg/catalog/confirmed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -84,24 +85,52 @@
 	}
 }
 
-// Guards against a pause of the process that makes an old list look recent, and against a probe that confirms a list although no watch waits.
+// Guards against a pause of the process that makes an old list look recent.
 func TestConfirmationCountsFromTheCall(t *testing.T) {
 	s := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
 	testReplica(t, s, &fakePeer{}, func(r *Replica) {
 		time.Sleep(3100 * time.Millisecond)
-		session, sent := r.currentSession(), time.Now()
 		before, _ := r.Confirmed()
 		r.confirm(before.Add(-time.Second))
 		if latest, _ := r.Confirmed(); !latest.Equal(before) {
 			t.Errorf("confirmed at %s, before %s", latest, before)
 		}
-		r.setWatching(session, sent.Add(time.Millisecond))
-		if r.confirmWatched(session, sent) {
-			t.Error("a probe confirms the list although the watch began after it")
+		s.set(func(s *fakeSource) { s.answerDelay = 400 * time.Millisecond })
+		confirmations := 0
+		for range 300 {
+			time.Sleep(10 * time.Millisecond)
+			if latest, _ := r.Confirmed(); latest.After(before) {
+				confirmations++
+				if age := time.Since(latest); age < s.answerDelay {
+					t.Fatalf("confirmed %s ago, although answers take %s", age, s.answerDelay)
+				}
+				before = latest
+			}
+		}
+		if confirmations < 2 {
+			t.Errorf("%d confirmations", confirmations)
 		}
-		r.setWatching(session, time.Time{})
-		if r.confirmWatched(session, sent) {
-			t.Error("a probe confirms the list although no watch waits")
+	})
+}
+
+// Guards against a watch that has fallen silent while other calls are answered: a list that lacks an endpoint counts as recent.
+func TestListIsNotConfirmedBeyondChangesThatASilentWatchMisses(t *testing.T) {
+	s := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
+	testReplica(t, s, &fakePeer{}, func(r *Replica) {
+		for i, silence := range []time.Duration{0, 400 * time.Millisecond, 1300 * time.Millisecond} {
+			s.set(func(s *fakeSource) { s.loseWatches = false })
+			time.Sleep(5 * time.Second)
+			s.set(func(s *fakeSource) { s.loseWatches = true })
+			time.Sleep(silence)
+			changedAt := time.Now()
+			s.set(func(s *fakeSource) { s.list = endpointList(20+uint64(i), "e1", fmt.Sprint("new", i)) })
+			for time.Since(changedAt) < 4*time.Second {
+				time.Sleep(10 * time.Millisecond)
+				latest, _ := r.Confirmed()
+				if known := sortedIDs(r.Endpoints()); latest.After(changedAt) && !slices.Contains(known, fmt.Sprint("new", i)) {
+					t.Fatalf("%s after a change, endpoints %v are confirmed as of %s after it", time.Since(changedAt), known, latest.Sub(changedAt))
+				}
+			}
 		}
 	})
 }
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -25,6 +25,9 @@
 	// otherwise it waits until the list has changed since the previous call, for at most
 	// wait.
 	Endpoints(ctx context.Context, wait time.Duration) (EndpointList, error)
+	// Recheck returns the list with the changes that were made before the call. It does not
+	// wait, so that it finds changes that a silent call of Endpoints misses.
+	Recheck(ctx context.Context) (EndpointList, error)
 	// Probe makes a cheap call that fails if the source cannot be reached.
 	Probe(ctx context.Context) error
 	// Domains returns the failure domains out of use as of the latest call of Document, which
@@ -107,9 +110,10 @@
 	// WatchDelay is the delay before the next watch after a change, so that changes
 	// arrive in batches.
 	WatchDelay time.Duration
-	// ProbeInterval is the delay between two probes of the source, which detect its loss
-	// while watches wait. A lost source must be detected well within the time in which a
-	// change must be in force.
+	// ProbeInterval is the delay between two probes of the source, which detect its loss and
+	// changes of the endpoint list that a silent watch misses. A lost source must be detected
+	// well within the time in which a change must be in force. It is shorter than
+	// MaxConfirmationGap.
 	ProbeInterval time.Duration
 	// ProbeTimeout bounds one probe, and one read of the endpoint list that does not wait.
 	ProbeTimeout time.Duration
@@ -223,8 +227,6 @@
 	ctx    context.Context
 	cancel context.CancelFunc
 	listed bool // the endpoint list has been read in this session
-	// watchingSince is when the call that waits for changes of the list was sent, or zero.
-	watchingSince time.Time
 }
 
 // NewReplica returns an empty replica. It reads nothing until Run.
@@ -326,7 +328,6 @@
 	for s := r.awaitSession(ctx); s != nil; s = r.awaitSession(ctx) {
 		for s.ctx.Err() == nil {
 			start := time.Now()
-			r.setWatching(s, start)
 			list, err := r.readEndpoints(s)
 			if err != nil {
 				r.failSession(ctx, s, err)
@@ -335,7 +336,6 @@
 			changed := r.applyList(list, time.Now(), fromSource)
 			r.confirm(start)
 			if changed {
-				r.setWatching(s, time.Time{})
 				wait.Sleep(s.ctx, r.opts.Timing.WatchDelay)
 			}
 		}
--- a/pkg/catalog/session.go
+++ b/pkg/catalog/session.go
@@ -28,42 +28,36 @@
 		if r.followsRelay() {
 			continue
 		}
-		confirmed, err := r.probe(ctx)
-		switch {
-		case err == nil && !confirmed:
-			delay = min(delay, r.opts.Timing.WatchDelay)
-		case err != nil && len(r.opts.Relays()) == 0:
+		if err := r.probe(ctx); err != nil && len(r.opts.Relays()) == 0 {
 			// Instances with relays learn from them that the source has returned.
 			delay = r.opts.Timing.RetryDelay
 		}
 	}
 }
 
-// probe probes the source once. It reports whether that confirms the endpoint list.
-func (r *Replica) probe(ctx context.Context) (confirmed bool, err error) {
+// probe probes the source once. In a session that has read the endpoint list it asks for the
+// changes of the list, which confirms it.
+func (r *Replica) probe(ctx context.Context) error {
 	session, start := r.currentSession(), time.Now()
 	callCtx, cancel := context.WithTimeout(ctx, r.opts.Timing.ProbeTimeout)
 	defer cancel()
-	if err := r.opts.Source.Probe(callCtx); err != nil {
-		r.setSourceFailed(err)
+	var err error
+	if session != nil && r.isListed(session) {
+		var list EndpointList
+		if list, err = r.opts.Source.Recheck(callCtx); err == nil {
+			r.applyList(list, time.Now(), fromSource)
+			r.confirm(start)
+		}
+	} else {
+		err = r.opts.Source.Probe(callCtx)
+	}
+	r.setSourceFailed(err)
+	if err != nil {
 		r.endSession(session)
-		return false, err
+		return err
 	}
-	r.setSourceFailed(nil)
-	r.confirmList(session, time.Now())
-	confirmed = r.confirmWatched(session, start)
 	r.startSession(ctx)
-	return confirmed, nil
-}
-
-// confirmList records that the endpoint list is current, which it is if its changes were
-// watched throughout the probe.
-func (r *Replica) confirmList(s *readingSession, now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if s != nil && s == r.session && s.listed {
-		r.recordCurrentList(now)
-	}
+	return nil
 }
 
 // currentSession returns the current session, or nil.
