Refuse what crashes endpoints also after the loss of most instances

Cause: the list of instances is up to 13 s old. The collectors of deaths were chosen from it whether they answered or not, and a review in which fewer than half of the listed instances answered never decided.

Change: quarantine.Collectors passes over instances that do not answer. Without half of the listed instances it takes five deaths in place of three, and the store is read for what others refuse. The choice of collectors and the evidence that is needed move from pkg/node to pkg/quarantine.

--- a/pkg/node/culprit_refusals.go
+++ b/pkg/node/culprit_refusals.go
@@ -77,7 +77,7 @@
 	if len(f.adopted) == 0 {
 		return
 	}
-	if _, rank := f.collectors(); rank < 0 {
+	if _, rank := f.rankCollectors(now); rank < 0 && !f.decided {
 		return
 	}
 	f.tellOthers(ctx)
@@ -156,7 +156,7 @@
 		if now.Before(a.until) {
 			continue
 		}
-		if _, rank := f.collectors(); rank == 0 {
+		if _, rank := f.rankCollectors(now); rank == 0 {
 			f.commit(ctx, kvstore.Transaction{Remove: []string{culpritKey(a.Combination)}}, func(error) {}) // a key that stays is refused again only after the next start of the fleet
 		}
 	}
@@ -173,7 +173,7 @@
 	if f.synced || f.syncing || listedAt.IsZero() || now.Sub(listedAt) > maxMissedLists {
 		return
 	}
-	ranked, rank := f.collectors()
+	ranked, rank := f.rankCollectors(now)
 	if rank >= 0 {
 		if f.roster.IsSettled() {
 			f.syncing = true
@@ -190,6 +190,15 @@
 	})
 }
 
+// learnFromStore adopts what the store holds, unless it has just been read.
+func (f *culpritFinder) learnFromStore(ctx context.Context, now time.Time) {
+	if f.syncing || now.Sub(f.learnedAt) < storeReadInterval {
+		return
+	}
+	f.syncing, f.learnedAt = true, now
+	f.readStore(ctx)
+}
+
 // readStore adopts what the store holds.
 func (f *culpritFinder) readStore(ctx context.Context) {
 	go func() {
--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"math/rand/v2"
@@ -13,16 +12,13 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
+	"github.com/clementinerack/clementinerack/pkg/failure"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
-	"github.com/clementinerack/clementinerack/pkg/rendezvous"
 )
 
 const (
-	// collectorCount is the number of instances that collect the deaths of the fleet. Each
-	// decides by itself, so that the others go on when one ends.
-	collectorCount = 3
 	// gatherDelay is the time in which interruptions by the death of an endpoint arrive.
 	gatherDelay = 20 * time.Millisecond
 	// reviewDelay is the time between the report of a death and the review of all deaths:
@@ -33,6 +29,9 @@
 	culpritCallTimeout = 500 * time.Millisecond
 	// culpritInterval is the delay between rounds that repeat failed calls.
 	culpritInterval = 500 * time.Millisecond
+	// storeReadInterval is the minimum delay between two reads of what the other instances
+	// refuse while too few of them answer.
+	storeReadInterval = time.Second
 	// refusalTTL is how long requests are refused.
 	refusalTTL = 10 * time.Minute
 	// reportTTL is how long a report is kept for collectors that take the place of others.
@@ -93,6 +92,9 @@
 
 	gathering   map[string]*gathering // by endpoint
 	attribution quarantine.Attribution
+	collectors  *quarantine.Collectors
+	decided     bool // this instance has refused a culprit by itself
+	undecided   bool // the latest review lacked answers
 	reviewing   bool // a review is due or running
 	reviewAgain bool // deaths were reported during the review
 	reports     []*ownReport
@@ -102,6 +104,7 @@
 	telling     map[string]bool // by incarnation: a call is running
 	synced      bool            // what the fleet refuses is known
 	syncing     bool
+	learnedAt   time.Time // when learnFromStore last read the store
 }
 
 // gathering collects the traits of requests that an endpoint interrupted.
@@ -121,7 +124,7 @@
 func newCulpritFinder(options culpritOptions) *culpritFinder {
 	return &culpritFinder{
 		culpritOptions: options, events: make(chan func(context.Context), maxCulpritEvents),
-		gathering: map[string]*gathering{}, told: map[string]int{}, telling: map[string]bool{},
+		collectors: quarantine.NewCollectors(), gathering: map[string]*gathering{}, told: map[string]int{}, telling: map[string]bool{},
 	}
 }
 
@@ -263,15 +266,10 @@
 	return f.prober.TryConnect(ctx, address)
 }
 
-// collectors returns the collectors in order of their rank, and the rank of this instance
-// or -1. Instances that list the same members agree.
-func (f *culpritFinder) collectors() (ranked []peer.Identity, rank int) {
-	ranked = append(f.roster.Others(), f.self)
-	slices.SortFunc(ranked, func(a, b peer.Identity) int {
-		return cmp.Or(cmp.Compare(rendezvous.Hash(a.Incarnation), rendezvous.Hash(b.Incarnation)), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
-	ranked = ranked[:min(collectorCount, len(ranked))]
-	return ranked, slices.IndexFunc(ranked, func(id peer.Identity) bool { return id.Incarnation == f.self.Incarnation })
+// rankCollectors returns the collectors in order of their rank, and the rank of this instance
+// or -1.
+func (f *culpritFinder) rankCollectors(now time.Time) (ranked []peer.Identity, rank int) {
+	return f.collectors.Rank(append(f.roster.Others(), f.self), f.self.Incarnation, now)
 }
 
 // sendReports sends the reports to the collectors that do not have them.
@@ -280,10 +278,10 @@
 	if len(f.reports) == 0 {
 		return
 	}
-	ranked, _ := f.collectors()
+	listed := append(f.roster.Others(), f.self)
 	for _, r := range f.reports {
-		for _, collector := range ranked {
-			if r.received[collector.Incarnation] || r.sending[collector.Incarnation] {
+		for _, collector := range f.collectors.Recipients(listed, f.self.Incarnation, func(to string) bool { return r.received[to] }, now) {
+			if r.sending[collector.Incarnation] {
 				continue
 			}
 			if collector.Incarnation == f.self.Incarnation {
@@ -294,9 +292,11 @@
 			r.sending[collector.Incarnation] = true
 			report := r.deathReport
 			report.Age = now.Sub(r.at)
-			f.call(ctx, collector, deathMethod, report, nil, func(_ context.Context, err error) {
+			f.call(ctx, collector, deathMethod, report, nil, func(ctx context.Context, err error) {
 				delete(r.sending, collector.Incarnation)
-				r.received[collector.Incarnation] = err == nil
+				if r.received[collector.Incarnation] = err == nil; err != nil {
+					f.sendReports(ctx, time.Now()) // to the instances of the next ranks
+				}
 			})
 		}
 	}
@@ -308,7 +308,10 @@
 		callCtx, cancel := context.WithTimeout(ctx, culpritCallTimeout)
 		defer cancel()
 		err := f.peers.Call(callCtx, to.Address, method, req, resp)
-		f.post(ctx, func(ctx context.Context) { done(ctx, err) })
+		f.post(ctx, func(ctx context.Context) {
+			f.collectors.RecordCall(to.Incarnation, err == nil || failure.Is(err, failure.NotReady), time.Now())
+			done(ctx, err)
+		})
 	}()
 }
 
@@ -324,21 +327,23 @@
 
 func (f *culpritFinder) scheduleReview(ctx context.Context) {
 	f.reviewing, f.reviewAgain = true, false
-	_, rank := f.collectors()
+	_, rank := f.rankCollectors(time.Now())
 	f.postAfter(ctx, reviewDelay+time.Duration(max(0, rank))*rankDelay, f.review)
 }
 
 // review asks all instances which suspects survived if there may be a new culprit.
 func (f *culpritFinder) review(ctx context.Context) {
-	if len(f.newCulprits(time.Now())) == 0 {
+	now := time.Now()
+	if len(f.notRefused(f.attribution.Culprits(), now)) == 0 {
 		f.endReview(ctx)
 		return
 	}
-	now := time.Now()
 	suspects, others := f.attribution.Suspects(), f.roster.Others()
 	f.applySurvivals(suspects, f.survivalAges(suspects, now), now)
+	listed := len(others) + 1
+	others = slices.DeleteFunc(others, func(id peer.Identity) bool { return f.collectors.IsSilent(id.Incarnation, now) })
 	if len(others) == 0 {
-		f.decide(ctx, 1, 1)
+		f.decide(ctx, 1, listed)
 		return
 	}
 	waiting, answered := len(others), 1
@@ -350,26 +355,33 @@
 				f.applySurvivals(suspects, reply.Ages, time.Now())
 			}
 			if waiting--; waiting == 0 {
-				f.decide(ctx, answered, len(others)+1)
+				f.decide(ctx, answered, listed)
 			}
 		})
 	}
 }
 
-// decide ends a review in which some of the instances have answered: it refuses the new
+// decide ends a review in which some of the listed instances have answered: it refuses the new
 // culprits and tells the other instances.
-func (f *culpritFinder) decide(ctx context.Context, answered, instances int) {
+func (f *culpritFinder) decide(ctx context.Context, answered, listed int) {
 	now := time.Now()
-	if 2*answered < instances {
-		f.reviewAgain = true // to a minority, endpoints behind a partition look dead
-	} else {
-		for _, c := range f.newCulprits(now) {
-			if f.adopt(c.Traits, c.LastDeath, now, false) {
-				f.log.WithField("refused", c.Traits.String()).WithField("deaths", c.Deaths).Warn("requests that crash endpoints are refused")
-			}
+	for _, c := range f.notRefused(f.attribution.CulpritsHeard(answered, listed), now) {
+		if f.adopt(c.Traits, c.LastDeath, now, false) {
+			f.decided = true
+			f.log.WithField("refused", c.Traits.String()).WithField("deaths", c.Deaths).WithField("answered", answered).WithField("listed", listed).
+				Warn("requests that crash endpoints are refused")
+		}
+	}
+	isUndecided := len(f.notRefused(f.attribution.Culprits(), now)) > 0
+	if isUndecided {
+		if !f.undecided {
+			f.log.WithField("answered", answered).WithField("listed", listed).Info("too few instances have told what survived to refuse requests after a few deaths")
 		}
-		f.round(ctx, now)
+		f.learnFromStore(ctx, now) // the other instances may have decided
+		f.reviewAgain = true
 	}
+	f.undecided = isUndecided
+	f.round(ctx, now)
 	f.endReview(ctx)
 }
 
@@ -402,10 +414,10 @@
 	}
 }
 
-// newCulprits returns the culprits that are not refused.
-func (f *culpritFinder) newCulprits(now time.Time) []quarantine.Culprit {
+// notRefused returns the culprits that are not refused.
+func (f *culpritFinder) notRefused(culprits []quarantine.Culprit, now time.Time) []quarantine.Culprit {
 	active := f.refusals.Active(now)
-	return slices.DeleteFunc(f.attribution.Culprits(), func(c quarantine.Culprit) bool {
+	return slices.DeleteFunc(culprits, func(c quarantine.Culprit) bool {
 		return slices.ContainsFunc(active, func(a quarantine.Combination) bool { return slices.Equal(a, c.Traits) })
 	})
 }
--- a/pkg/quarantine/attribution.go
+++ b/pkg/quarantine/attribution.go
@@ -139,13 +139,26 @@
 
 // Culprits returns the combinations that crash endpoints, those with the most deaths
 // first.
-func (a *Attribution) Culprits() []Culprit {
+func (a *Attribution) Culprits() []Culprit { return a.culpritsFrom(minOccasions) }
+
+// CulpritsHeard is like Culprits if some of the listed instances have told their survivals.
+// Without half of them, which may be lost or behind a partition, a trait could have survived
+// unnoticed, and it takes certainOccasions to make it a culprit.
+func (a *Attribution) CulpritsHeard(answered, listed int) []Culprit {
+	if 2*answered < listed {
+		return a.culpritsFrom(certainOccasions)
+	}
+	return a.Culprits()
+}
+
+// culpritsFrom returns the culprits with at least the given number of occasions.
+func (a *Attribution) culpritsFrom(least int) []Culprit {
 	var culprits []Culprit
 	for unexplained := a.deaths; ; {
 		byTrait := deathsByTrait(unexplained)
 		best := bestTrait(byTrait)
 		explained := byTrait[best]
-		if occasions(explained) < minOccasions {
+		if occasions(explained) < least {
 			return culprits
 		}
 		if occasions(explained) >= certainOccasions || !hasRival(byTrait, explained) {
