Count the death of an endpoint however its address answers

Change: an interruption carries how its connection ended. After an end by the endpoint's side, an attempt to connect that gets no answer shows the death as well as a refused one. Witnesses are chosen among instances that answer.

Measured: four cases of TestDeathsAreCountedHoweverTheAddressAnswers failed with the former rule and pass.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -250,7 +250,7 @@
 func (q *request) finish(a *sending, s *streamState) (attemptStatus, *bufferedResponse) {
 	defer a.cancel()
 	ctx, c, resp := a.ctx, a.choice, a.resp
-	s.firstEvent = time.Time{}
+	s.firstEvent, q.interruptedBy = time.Time{}, a.err
 	var status attemptStatus
 	var errorResponse *bufferedResponse
 	outcome := placement.Failed
@@ -404,6 +404,7 @@
 		err = errEmptyBody
 	}
 	if err != nil {
+		q.interruptedBy = err
 		return attemptLost, placement.Failed, "broke off: " + err.Error(), nil
 	}
 	now := time.Now()
@@ -536,8 +537,10 @@
 			q.w.Complete()
 			return attemptDone, placement.Served, "streamed" + streamEnd(resp, events), nil
 		case err != nil && !s.started:
+			q.interruptedBy = err
 			return attemptLost, placement.Failed, "broke off: " + err.Error() + streamEnd(resp, events), nil
 		case err != nil:
+			q.interruptedBy = err
 			return attemptBroken, placement.Failed, "broke off: " + err.Error() + streamEnd(resp, events), nil
 		}
 	}
--- a/pkg/gateway/crashes.go
+++ b/pkg/gateway/crashes.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/clementinerack/clementinerack/pkg/catalog"
 	"github.com/clementinerack/clementinerack/pkg/quarantine"
 )
@@ -24,8 +26,8 @@
 	// they have crashed endpoints.
 	CheckTraits(traits []quarantine.Trait, now time.Time) error
 	// RecordInterruption records that the connection to an endpoint failed while it may
-	// have begun to respond to a request with the given traits.
-	RecordInterruption(endpoint catalog.Endpoint, traits []quarantine.Trait)
+	// have begun to respond to a request with the given traits. ending says how it failed.
+	RecordInterruption(endpoint catalog.Endpoint, traits []quarantine.Trait, ending quarantine.Ending)
 	// RecordSurvival records that an endpoint survived a request with the given traits.
 	RecordSurvival(traits []quarantine.Trait, now time.Time)
 	// HandleEndpointDeath counts a crash against the requests that the endpoint ran.
@@ -66,7 +68,15 @@
 	if !firstEvent.IsZero() && now.Sub(firstEvent) > crashDelay {
 		return
 	}
-	q.g.opts.CrashGuard.RecordInterruption(endpoint, q.identifyingTraits())
+	q.g.opts.CrashGuard.RecordInterruption(endpoint, q.identifyingTraits(), endingOf(q.interruptedBy))
+}
+
+// endingOf returns how the connection of an attempt ended that failed with err, which may be nil.
+func endingOf(err error) quarantine.Ending {
+	if errors.Is(err, errEmptyBody) || errors.Is(err, errIncompleteEvent) {
+		return quarantine.Closed
+	}
+	return quarantine.EndingOf(err)
 }
 
 // recordSurvival reports that an endpoint survived the request.
--- a/pkg/gateway/crashes_test.go
+++ b/pkg/gateway/crashes_test.go
@@ -29,10 +29,18 @@
 	}{
 		{"whole", "/once/1", whole, whole, promptHeader, []string{"survived a1 b2"}},
 		{"no shared parts", "/once/1", whole, whole, machines.HeaderPrompt + ": c3:10", []string{"survived"}},
-		{"no prompt", "/look/1", machines.Cut, machines.Answer(200, "x"), "X-None: 1", []string{"interrupted", "survived"}},
-		{"broken off before the first event", "/once/1", headOnly, whole, promptHeader, []string{"interrupted a1 b2"}},
-		{"broken off and resumed", "/chat/1", headOnly, whole, promptHeader, []string{"interrupted a1 b2", "survived a1 b2"}},
-		{"closed without a response", "/chat/1", machines.Cut, whole, promptHeader, []string{"interrupted a1 b2", "survived a1 b2"}},
+		{"no prompt", "/look/1", machines.Cut, machines.Answer(200, "x"), "X-None: 1", []string{"closed", "survived"}},
+		{"broken off before the first event", "/once/1", headOnly, whole, promptHeader, []string{"closed a1 b2"}},
+		{"broken off and resumed", "/chat/1", headOnly, whole, promptHeader, []string{"closed a1 b2", "survived a1 b2"}},
+		{"closed without a response", "/chat/1", machines.Cut, whole, promptHeader, []string{"closed a1 b2", "survived a1 b2"}},
+		{"reset", "/once/1", func(_ *http.Request, _ []byte, c net.Conn) bool {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return false
+		}, whole, promptHeader, []string{"reset a1 b2"}},
+		{"answered by a foreign program", "/once/1", func(_ *http.Request, _ []byte, c net.Conn) bool {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			return true
+		}, whole, promptHeader, []string{"interrupted a1 b2"}},
 		{"broken off long after the first event", "/once/1", func(q *http.Request, b []byte, c net.Conn) bool {
 			_, framed := framings["chunks"](machines.Event(1))
 			_, _ = io.WriteString(c, streamHead(q)+framed[:len(framed)-len("0\r\n\r\n")])
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -104,8 +104,8 @@
 	return g.traits.check(traits, now)
 }
 
-func (g countingGuard) RecordInterruption(_ catalog.Endpoint, traits []quarantine.Trait) {
-	g.traits.record("interrupted", traits)
+func (g countingGuard) RecordInterruption(_ catalog.Endpoint, traits []quarantine.Trait, ending quarantine.Ending) {
+	g.traits.record([]string{"interrupted", "reset", "closed"}[ending], traits)
 }
 
 func (g countingGuard) RecordSurvival(traits []quarantine.Trait, _ time.Time) {
--- a/pkg/gateway/request.go
+++ b/pkg/gateway/request.go
@@ -52,6 +52,7 @@
 	wasRejected     bool            // an endpoint declared that it did not run the request
 	cancelRival     func()          // ends the attempt beside the one that is being handled, may be nil
 	secondAttempt   string          // how a second attempt beside a slow first one ended, or why there was none
+	interruptedBy   error           // that ended the connection of the latest attempt, may be nil
 	interrupted     bool            // an endpoint began or may have begun to respond and did not finish
 
 	status     int            // sent to the caller, 0 if none
--- a/pkg/node/culprit_refusals.go
+++ b/pkg/node/culprit_refusals.go
@@ -71,6 +71,7 @@
 
 // round repeats what has not succeeded yet.
 func (f *culpritFinder) round(ctx context.Context, now time.Time) {
+	f.explainInterruptions(ctx, now)
 	f.sendReports(ctx, now)
 	f.expire(ctx, now)
 	f.sync(ctx, now)
--- a/pkg/node/culprits.go
+++ b/pkg/node/culprits.go
@@ -5,10 +5,8 @@
 	"maps"
 	"math/rand/v2"
 	"slices"
-	"syscall"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sirupsen/logrus"
 
 	"github.com/clementinerack/clementinerack/pkg/catalog"
@@ -93,6 +91,7 @@
 	gathering   map[string]*gathering // by endpoint
 	attribution quarantine.Attribution
 	collectors  *quarantine.Collectors
+	unexplained quarantine.Interruptions
 	decided     bool // this instance has refused a culprit by itself
 	undecided   bool // the latest review lacked answers
 	reviewing   bool // a review is due or running
@@ -110,7 +109,9 @@
 // gathering collects the traits of requests that an endpoint interrupted.
 type gathering struct {
 	endpoint catalog.Endpoint
+	at       time.Time
 	traits   map[quarantine.Trait]bool
+	ending   quarantine.Ending // the strongest evidence
 }
 
 // ownReport is a report of this instance with the collectors that have it.
@@ -144,8 +145,8 @@
 
 // RecordInterruption implements gateway.CrashGuard. It does not block; an interruption is
 // dropped if too many wait.
-func (f *culpritFinder) RecordInterruption(endpoint catalog.Endpoint, traits []quarantine.Trait) {
-	f.tryPost(func(ctx context.Context) { f.gather(ctx, endpoint, traits) })
+func (f *culpritFinder) RecordInterruption(endpoint catalog.Endpoint, traits []quarantine.Trait, ending quarantine.Ending) {
+	f.tryPost(func(ctx context.Context) { f.gather(ctx, endpoint, traits, ending) })
 }
 
 // post has the control goroutine run an event. It waits for room until ctx ends.
@@ -187,56 +188,87 @@
 
 // gather adds an interruption. The first one of an endpoint starts the check whether the
 // endpoint has died.
-func (f *culpritFinder) gather(ctx context.Context, endpoint catalog.Endpoint, traits []quarantine.Trait) {
+func (f *culpritFinder) gather(ctx context.Context, endpoint catalog.Endpoint, traits []quarantine.Trait, ending quarantine.Ending) {
 	g := f.gathering[endpoint.ID]
 	if g == nil {
-		g = &gathering{endpoint: endpoint, traits: map[quarantine.Trait]bool{}}
+		g = &gathering{endpoint: endpoint, at: time.Now(), traits: map[quarantine.Trait]bool{}}
 		f.gathering[endpoint.ID] = g
 		f.postAfter(ctx, gatherDelay, func(ctx context.Context) { f.checkEndpoint(ctx, endpoint.ID) })
 	}
 	for _, t := range traits {
 		g.traits[t] = true
 	}
+	g.ending = max(g.ending, ending)
 }
 
-// checkEndpoint reports the gathered interruptions of an endpoint if it has died.
+// checkEndpoint reports the gathered interruptions of an endpoint if it has died. If that
+// cannot be shown, the list of endpoints may show it later.
 func (f *culpritFinder) checkEndpoint(ctx context.Context, id string) {
 	g := f.gathering[id]
 	delete(f.gathering, id)
+	interruption := quarantine.Interruption{Endpoint: g.endpoint, Traits: slices.Sorted(maps.Keys(g.traits)), At: g.at}
+	witnesses, listed := f.witnesses(g.endpoint, time.Now()), f.endpoints()
 	go func() {
-		if !f.isDead(ctx, g.endpoint) {
-			return
-		}
+		isDead := f.isDead(ctx, g, witnesses)
 		f.post(ctx, func(ctx context.Context) {
-			report := deathReport{Endpoint: id, Traits: slices.Sorted(maps.Keys(g.traits))}
-			f.log.WithField("endpoint", id).WithField("traits", len(report.Traits)).Info("death of an endpoint is reported to the collectors")
-			f.reports = append(f.reports, &ownReport{deathReport: report, at: time.Now(), received: map[string]bool{}, sending: map[string]bool{}})
-			f.sendReports(ctx, time.Now())
+			switch {
+			case isDead:
+				f.reportDeath(ctx, interruption, "connection")
+			case g.ending != quarantine.EndedHere:
+				f.unexplained.Add(interruption, listed)
+			}
 		})
 	}()
 }
 
-// isDead reports whether an endpoint has died by itself: it refuses connections, and one of
-// its witnesses, if there are any, accepts them. A timeout may be due to a network partition,
-// and so may refusals by all of them.
-func (f *culpritFinder) isDead(ctx context.Context, endpoint catalog.Endpoint) bool {
-	if !errors.Is(f.tryConnect(ctx, endpoint.Address), syscall.ECONNREFUSED) {
-		return false
+// explainInterruptions reports the endpoints that have left the list soon after they
+// interrupted requests.
+func (f *culpritFinder) explainInterruptions(ctx context.Context, now time.Time) {
+	if f.unexplained.Len() == 0 {
+		return
 	}
-	var instances []quarantine.Place
-	for _, other := range f.roster.Others() {
-		instances = append(instances, quarantine.Place{Address: other.Address, Domain: other.Domain})
+	for _, interruption := range f.unexplained.Explain(f.endpoints(), now) {
+		f.reportDeath(ctx, interruption, "list")
+	}
+}
+
+// reportDeath reports a death to the collectors. evidence says in the log what has shown it.
+func (f *culpritFinder) reportDeath(ctx context.Context, i quarantine.Interruption, evidence string) {
+	f.log.WithField("endpoint", i.Endpoint.ID).WithField("traits", len(i.Traits)).WithField("evidence", evidence).
+		WithField("age_ms", time.Since(i.At).Milliseconds()).Info("death of an endpoint is reported to the collectors")
+	f.reports = append(f.reports, &ownReport{deathReport: deathReport{Endpoint: i.Endpoint.ID, Traits: i.Traits}, at: i.At, received: map[string]bool{}, sending: map[string]bool{}})
+	f.sendReports(ctx, time.Now())
+}
+
+// isDead reports whether an endpoint has died by itself: it accepts no connections, and one of
+// its witnesses, if there are any, accepts them. A partition would cut off all of them.
+func (f *culpritFinder) isDead(ctx context.Context, g *gathering, witnesses []quarantine.Place) bool {
+	connectErr := f.tryConnect(ctx, g.endpoint.Address)
+	log := f.log.WithField("endpoint", g.endpoint.ID)
+	if !g.ending.ShowsDeath(connectErr) {
+		log.WithField("ending", g.ending).WithField("connect_error", connectErr).Debug("endpoint interrupted requests and is not known to be dead")
+		return false
 	}
-	endpoints := f.endpoints()
-	witnesses := chooseWitnesses(quarantine.Witnesses(endpoint, f.self.Domain, nil, instances))
-	witnesses = append(witnesses, chooseWitnesses(quarantine.Witnesses(endpoint, f.self.Domain, endpoints, nil))...)
 	if len(witnesses) == 0 || f.anyAccepts(ctx, witnesses) {
 		return true
 	}
-	f.log.WithField("endpoint", endpoint.ID).WithField("witnesses", len(witnesses)).Info("endpoint is unreachable with its failure domain")
+	log.WithField("witnesses", len(witnesses)).Info("endpoint is unreachable with its failure domain")
 	return false
 }
 
+// witnesses returns the places that can tell the death of an endpoint from a partition. Silent
+// instances are left out, which may be lost.
+func (f *culpritFinder) witnesses(endpoint catalog.Endpoint, now time.Time) []quarantine.Place {
+	var instances []quarantine.Place
+	for _, other := range f.roster.Others() {
+		if !f.collectors.IsSilent(other.Incarnation, now) {
+			instances = append(instances, quarantine.Place{Address: other.Address, Domain: other.Domain})
+		}
+	}
+	return append(chooseWitnesses(quarantine.Witnesses(endpoint, f.self.Domain, nil, instances)),
+		chooseWitnesses(quarantine.Witnesses(endpoint, f.self.Domain, f.endpoints(), nil))...)
+}
+
 // chooseWitnesses returns up to maxWitnesses of the places at random.
 func chooseWitnesses(places []quarantine.Place) []quarantine.Place {
 	rand.Shuffle(len(places), func(i, j int) { places[i], places[j] = places[j], places[i] })
--- a/pkg/node/culprits_test.go
+++ b/pkg/node/culprits_test.go
@@ -43,6 +43,10 @@
 	// lostAreSilent is set.
 	lost          map[*testFinder]bool
 	lostAreSilent bool
+	// deadAddress is what an attempt to connect to a dead endpoint returns.
+	deadAddress error
+	// listedEndpoints are listed beside those that are always listed.
+	listedEndpoints []catalog.Endpoint
 }
 
 // testFinder is the culprit finder of one instance. It implements peer.Caller, peer.Registrar,
@@ -61,7 +65,7 @@
 }
 
 func newFinderFleet(t *testing.T, instances int) *finderFleet {
-	f := &finderFleet{t: t, store: &memoryStore{values: map[string][]byte{}}, lost: map[*testFinder]bool{}}
+	f := &finderFleet{t: t, store: &memoryStore{values: map[string][]byte{}}, lost: map[*testFinder]bool{}, deadAddress: syscall.ECONNREFUSED}
 	for range instances {
 		f.start()
 	}
@@ -94,7 +98,16 @@
 // endpoints returns two endpoints of each failure domain, of which one accepts connections in
 // domain d and none in cutDomain.
 func (f *finderFleet) endpoints() []catalog.Endpoint {
-	return []catalog.Endpoint{{ID: "n1", Domain: "d"}, {ID: "n2", Domain: "d", Address: accepting}, {ID: "n3", Domain: cutDomain}, {ID: "n4", Domain: cutDomain}}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return append([]catalog.Endpoint{{ID: "n1", Domain: "d"}, {ID: "n2", Domain: "d", Address: accepting}, {ID: "n3", Domain: cutDomain}, {ID: "n4", Domain: cutDomain}}, f.listedEndpoints...)
+}
+
+// setListed replaces the further endpoints that are listed.
+func (f *finderFleet) setListed(listed ...catalog.Endpoint) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listedEndpoints = listed
 }
 
 // accepting is the address of an endpoint that accepts connections; all others refuse them.
@@ -150,7 +163,7 @@
 // long enough to make it an occasion of its own.
 func (f *finderFleet) crash(x *testFinder, traits ...quarantine.Trait) {
 	f.deaths++
-	x.RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", f.deaths), Domain: "d"}, traits)
+	x.RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", f.deaths), Domain: "d"}, traits, quarantine.EndedHere)
 	time.Sleep(150 * time.Millisecond)
 }
 
@@ -248,7 +261,7 @@
 	}) {
 		return nil
 	}
-	return syscall.ECONNREFUSED
+	return x.fleet.deadAddress
 }
 
 // memoryStore implements culpritStore for writes and ranges.
@@ -398,7 +411,7 @@
 		f := newFinderFleet(t, 4)
 		for e := range 8 {
 			for _, x := range f.finders {
-				x.RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("together", e), Domain: "d"}, []quarantine.Trait{shared})
+				x.RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("together", e), Domain: "d"}, []quarantine.Trait{shared}, quarantine.EndedHere)
 			}
 		}
 		time.Sleep(contactWindow)
@@ -408,7 +421,7 @@
 		t.Parallel()
 		f := newFinderFleet(t, 4)
 		for i := range 5 {
-			f.finders[i%4].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("cut", i), Domain: cutDomain}, []quarantine.Trait{shared})
+			f.finders[i%4].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("cut", i), Domain: cutDomain}, []quarantine.Trait{shared}, quarantine.EndedHere)
 			time.Sleep(150 * time.Millisecond)
 		}
 		time.Sleep(contactWindow)
@@ -452,7 +465,7 @@
 				}
 			}
 			for i := range 3 {
-				f.finders[0].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", i), Domain: cutDomain}, []quarantine.Trait{crashing})
+				f.finders[0].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", i), Domain: cutDomain}, []quarantine.Trait{crashing}, quarantine.EndedHere)
 				time.Sleep(150 * time.Millisecond)
 			}
 			if tc.refused {
@@ -465,6 +478,51 @@
 	}
 }
 
+// Guards against requests that crash endpoints and are never refused because dead addresses do not refuse connections.
+func TestDeathsAreCountedHoweverTheAddressAnswers(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		desc    string
+		address error
+		ending  quarantine.Ending
+		leaves  bool // the registrations end after a while
+		refused bool
+	}{
+		{"refused", syscall.ECONNREFUSED, quarantine.Closed, false, true},
+		{"no answer", context.DeadlineExceeded, quarantine.Closed, false, true},
+		{"no route", syscall.EHOSTUNREACH, quarantine.Closed, false, true},
+		{"a proxy accepts", nil, quarantine.Closed, true, true},
+		{"a proxy resets", syscall.ECONNRESET, quarantine.Reset, true, true},
+		{"the endpoint lives and breaks off", nil, quarantine.Closed, false, false},
+		{"cut off", context.DeadlineExceeded, quarantine.EndedHere, true, false},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			t.Parallel()
+			f := newFinderFleet(t, 3)
+			f.deadAddress = tc.address
+			var listed []catalog.Endpoint
+			for i := range 3 {
+				listed = append(listed, catalog.Endpoint{ID: fmt.Sprint("e", i), Domain: "d", Started: 5})
+			}
+			f.setListed(listed...)
+			for i, e := range listed {
+				f.finders[i].RecordInterruption(e, []quarantine.Trait{crashing}, tc.ending)
+				time.Sleep(150 * time.Millisecond)
+			}
+			if tc.leaves {
+				time.Sleep(time.Second)
+				f.setListed()
+			}
+			if tc.refused {
+				f.waitUntilRefused(contactWindow, crashing)
+				return
+			}
+			time.Sleep(contactWindow)
+			f.checkAllowed(crashing)
+		})
+	}
+}
+
 // Guards against a minority that takes endpoints behind a partition for dead, and against one that never refuses what crashes endpoints.
 func TestMinorityNeedsMoreEvidence(t *testing.T) {
 	t.Parallel()
@@ -490,7 +548,7 @@
 				if tc.survives {
 					f.finders[5+(i+1)%2].RecordSurvival([]quarantine.Trait{shared}, time.Now())
 				}
-				f.finders[5+i%2].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", i), Domain: tc.domain}, []quarantine.Trait{shared})
+				f.finders[5+i%2].RecordInterruption(catalog.Endpoint{ID: fmt.Sprint("e", i), Domain: tc.domain}, []quarantine.Trait{shared}, quarantine.EndedHere)
 				time.Sleep(150 * time.Millisecond)
 			}
 			time.Sleep(contactWindow)
