Ask for the list of endpoints before an unknown stream goes on

Reported by other operators: a machine that was out of step for a few seconds during a release took streams up that had begun at a new software version and sent them on to another one. It can happen here: an instance took the only version that it knew for the one that began an unknown stream while its list was at most 1.9 s old.

Cause: the age of the list was compared with the 2 s for which other instances hold new versions back. They do not if no other endpoint accepts work, or if they have just started, and a suspended machine does not count the time.

Change: an instance that would decide by the only version it knows first reads the changes of the list, in a call that begins after the stream was taken up and that take-ups at the same time share. Without an answer the record in the store decides; without that the stream is refused as not run.

Measured: the three cases of TestInstanceOutOfStepDoesNotGuess resolved to the wrong version before ('resolved to {s v1}') and pass. The tests of pkg/lineage, pkg/catalog and platform pass.

--- a/pkg/catalog/confirmed_test.go
+++ b/pkg/catalog/confirmed_test.go
@@ -135,6 +135,32 @@
 	})
 }
 
+// Guards against a recheck that does not reach an instance which follows a relay that is behind.
+func TestRecheckBringsAFollowerUpToDate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		relaySource, ownSource := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}, &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
+		_, r, stop := startRelayedReplica(t, relaySource, ownSource)
+		time.Sleep(settleDelay)
+		ownSource.set(func(s *fakeSource) { s.list = endpointList(11, "e1", "e2") })
+		asked := time.Now()
+		if err := r.Recheck(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if latest, _ := r.Confirmed(); latest.Before(asked) || len(r.Endpoints().Endpoints) != 2 || !r.followsRelay() {
+			t.Errorf("confirmed %s before the call, endpoints %v", asked.Sub(latest), sortedIDs(r.Endpoints()))
+		}
+		ownSource.set(func(s *fakeSource) { s.unavailable = true })
+		asked = time.Now()
+		if err := r.Recheck(t.Context()); err == nil {
+			t.Error("a recheck without an answer succeeds")
+		}
+		if latest, _ := r.Confirmed(); latest.After(asked) {
+			t.Error("a recheck without an answer confirms the list")
+		}
+		stop()
+	})
+}
+
 // Guards against a relay of an older release whose lists lack the software versions.
 func TestListWithoutSoftwareVersionsIsNotUsed(t *testing.T) {
 	log := logrus.New()
--- a/pkg/catalog/session.go
+++ b/pkg/catalog/session.go
@@ -35,19 +35,28 @@
 	}
 }
 
+// Recheck brings the endpoint list up to date with the source, whether this instance follows a
+// relay or not.
+func (r *Replica) Recheck(ctx context.Context) error {
+	start := time.Now()
+	list, err := r.opts.Source.Recheck(ctx)
+	if err != nil {
+		return err
+	}
+	r.applyList(list, time.Now(), fromSource)
+	r.confirm(start)
+	return nil
+}
+
 // probe probes the source once. In a session that has read the endpoint list it asks for the
 // changes of the list, which confirms it.
 func (r *Replica) probe(ctx context.Context) error {
-	session, start := r.currentSession(), time.Now()
+	session := r.currentSession()
 	callCtx, cancel := context.WithTimeout(ctx, r.opts.Timing.ProbeTimeout)
 	defer cancel()
 	var err error
 	if session != nil && r.isListed(session) {
-		var list EndpointList
-		if list, err = r.opts.Source.Recheck(callCtx); err == nil {
-			r.applyList(list, time.Now(), fromSource)
-			r.confirm(start)
-		}
+		err = r.Recheck(callCtx)
 	} else {
 		err = r.opts.Source.Probe(callCtx)
 	}
--- a/pkg/lineage/fakes_test.go
+++ b/pkg/lineage/fakes_test.go
@@ -176,6 +176,9 @@
 	since time.Time
 	cutAt time.Time // when the list stopped being confirmed, or zero
 	rank  int
+	// recheck brings the list of an instance that is cut off up to date. Without it, it cannot be
+	// read.
+	recheck func()
 }
 
 // inWorld runs a test in virtual time, with instances that are stopped at its end.
@@ -194,7 +197,7 @@
 		log := logrus.New()
 		log.SetOutput(io.Discard)
 		x := &instance{since: time.Now(), rank: len(w.instances)}
-		x.Tracker = New(Options{Incarnation: fmt.Sprint("i", w.started), Store: w.store, StoreEra: w.store.currentEra, ListConfirmed: x.confirmed,
+		x.Tracker = New(Options{Incarnation: fmt.Sprint("i", w.started), Store: w.store, StoreEra: w.store.currentEra, ListConfirmed: x.confirmed, RecheckList: x.recheckList,
 			Rank: func() int { return x.rank }, Peers: w, Collectors: func() ([]string, bool) { return w.collectorsFor(x) }, Log: log, Registerer: prometheus.NewRegistry()})
 		x.RegisterPeer(x)
 		w.started++
@@ -281,6 +284,30 @@
 	}
 }
 
+// setRecheck sets what brings the list of an instance up to date that is cut off.
+func (x *instance) setRecheck(recheck func()) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.recheck = recheck
+}
+
+// recheckList is Options.RecheckList.
+func (x *instance) recheckList(context.Context) error {
+	start := time.Now()
+	time.Sleep(callDelay)
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch {
+	case x.cutAt.IsZero():
+	case x.recheck == nil:
+		return failure.New(failure.Unavailable, "", "cut off")
+	default:
+		x.recheck()
+		x.cutAt = start
+	}
+	return nil
+}
+
 func (x *instance) confirmed() (latest, since time.Time) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
--- a/pkg/lineage/origins.go
+++ b/pkg/lineage/origins.go
@@ -7,6 +7,7 @@
 	"maps"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/clementinerack/clementinerack/pkg/failure"
@@ -81,35 +82,57 @@
 	}
 }
 
-// readStore waits for a read of the origins and the durable record that begins after the call.
-func (t *Tracker) readStore(ctx context.Context) error {
-	t.mu.Lock()
-	if t.read == nil {
-		t.read = &storeCall{done: make(chan struct{})}
-		t.reads <- struct{}{} // has room: the former one was taken out before read became nil
+// sharedCall makes a call of the store for all callers that wait for one which begins after
+// their request.
+type sharedCall struct {
+	call  func(ctx context.Context) error
+	delay time.Duration // minimum between two calls
+	wake  chan struct{}
+
+	mu   sync.Mutex
+	next *storeCall // nil if nobody waits for one
+}
+
+func newSharedCall(delay time.Duration, call func(ctx context.Context) error) *sharedCall {
+	return &sharedCall{call: call, delay: delay, wake: make(chan struct{}, 1)}
+}
+
+// do waits for a call that begins after do was called.
+func (s *sharedCall) do(ctx context.Context) error {
+	s.mu.Lock()
+	if s.next == nil {
+		s.next = &storeCall{done: make(chan struct{})}
+		s.wake <- struct{}{} // has room: the former one was taken out before next became nil
 	}
-	read := t.read
-	t.mu.Unlock()
-	return read.wait(ctx)
+	next := s.next
+	s.mu.Unlock()
+	return next.wait(ctx)
 }
 
-// runReads makes the reads that readStore requests until ctx ends.
-func (t *Tracker) runReads(ctx context.Context) {
+// run makes the calls until ctx ends.
+func (s *sharedCall) run(ctx context.Context) {
 	for {
 		select {
-		case <-t.reads:
+		case <-s.wake:
 		case <-ctx.Done():
 			return
 		}
-		t.mu.Lock()
-		read := t.read
-		t.read = nil
-		t.mu.Unlock()
-		read.end(t.readOrigins(ctx))
-		wait.Sleep(ctx, t.opts.Timing.ReadDelay)
+		s.mu.Lock()
+		next := s.next
+		s.next = nil
+		s.mu.Unlock()
+		next.end(s.call(ctx))
+		wait.Sleep(ctx, s.delay)
 	}
 }
 
+// recheckList reads the changes of the list of endpoints.
+func (t *Tracker) recheckList(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, t.opts.Timing.CallTimeout)
+	defer cancel()
+	return t.opts.RecheckList(ctx)
+}
+
 // readOrigins reads the origins of all instances and the durable record.
 func (t *Tracker) readOrigins(ctx context.Context) error {
 	start := time.Now()
--- a/pkg/lineage/run.go
+++ b/pkg/lineage/run.go
@@ -16,7 +16,8 @@
 // Run reads and writes the store until ctx ends.
 func (t *Tracker) Run(ctx context.Context) {
 	var readers sync.WaitGroup
-	readers.Go(func() { t.runReads(ctx) })
+	readers.Go(func() { t.reads.run(ctx) })
+	readers.Go(func() { t.rechecks.run(ctx) })
 	defer readers.Wait()
 	defer t.transfers.Wait()
 	keep, p, c := &keeper{}, newPublisher(), &cleaner{keys: map[string]leftKey{}, due: time.Now().Add(t.opts.Timing.Retention)}
--- a/pkg/lineage/tracker.go
+++ b/pkg/lineage/tracker.go
@@ -35,8 +35,9 @@
 	Store       Store
 	// StoreEra returns the latest known era of the store; see kvstore.EraOf.
 	StoreEra func() uint64
-	// ListConfirmed is catalog.Replica.Confirmed.
+	// ListConfirmed is catalog.Replica.Confirmed, and RecheckList is catalog.Replica.Recheck.
 	ListConfirmed func() (latest, since time.Time)
+	RecheckList   func(ctx context.Context) error
 	// Rank returns the rank of this instance among those that keep the durable record: 0 for
 	// the first one. Instances may share a rank.
 	Rank func() int
@@ -100,7 +101,9 @@
 	metrics *metrics
 	health  *eventlog.Dependency
 	wake    chan struct{} // makes Run check the versions at once
-	reads   chan struct{} // makes Run read the origins
+	reads   *sharedCall   // of readOrigins
+	// rechecks are those of the list of endpoints.
+	rechecks *sharedCall
 
 	transfers sync.WaitGroup // of origins to collectors
 
@@ -115,7 +118,6 @@
 	// some over.
 	collectUntil time.Time
 	write        *storeCall // the next write; nil if nobody waits for one
-	read         *storeCall // the next read; nil if nobody waits for one
 	failures     int        // reads that have failed in a row
 	failedAt     time.Time  // the latest one of them
 }
@@ -141,11 +143,13 @@
 	if opts.Timing == (Timing{}) {
 		opts.Timing = DefaultTiming()
 	}
-	return &Tracker{
+	t := &Tracker{
 		opts: opts, metrics: newMetrics(opts.Registerer), health: eventlog.NewDependency(opts.Log, "store", "origins of streams"),
-		wake: make(chan struct{}, 1), reads: make(chan struct{}, 1),
+		wake:    make(chan struct{}, 1),
 		streams: map[streamID][]recordedOrigin{}, services: map[string]map[string]*versionState{},
 	}
+	t.reads, t.rechecks = newSharedCall(opts.Timing.ReadDelay, t.readOrigins), newSharedCall(opts.Timing.ReadDelay, t.recheckList)
+	return t
 }
 
 // Record records that an endpoint of the given service and software version sends events of
@@ -183,7 +187,12 @@
 func (t *Tracker) Resolve(ctx context.Context, stream string, services []string) (Origin, *failure.Error) {
 	arrival := time.Now()
 	origin, result := t.resolveFromMemory(stream, services, arrival)
-	if result == unknown && stream != "" {
+	if result == unconfirmed {
+		// A stream begins after its version was listed, so that a list as of the arrival has it.
+		_ = t.rechecks.do(ctx) // without a list the store decides
+		origin, result = t.resolveFromMemory(stream, services, arrival)
+	}
+	if result == unconfirmed || result == unknown && stream != "" {
 		origin, result = t.resolveFromStore(ctx, stream, services, arrival)
 	}
 	t.metrics.resolutions.WithLabelValues(string(result)).Inc()
@@ -209,6 +218,9 @@
 	singleVersion resolution = "single_version"
 	unknown       resolution = "unknown"
 	unreachable   resolution = "unreachable"
+	// unconfirmed means that there was one version when the list was last read, which was
+	// before the stream was taken up.
+	unconfirmed resolution = "unconfirmed"
 )
 
 // resolveFromStore reads the store, and reads it once more after an instance that has just
@@ -221,17 +233,17 @@
 	if t.isUnreachable(arrival) {
 		return Origin{}, unreachable
 	}
-	err := t.readStore(ctx)
-	if origin, result := t.resolveFromMemory(stream, services, arrival); result != unknown {
+	err := t.reads.do(ctx)
+	if origin, result := t.resolveFromMemory(stream, services, arrival); result != unknown && result != unconfirmed {
 		return origin, result
 	}
 	if err != nil && t.isUnreachable(time.Now()) {
 		return Origin{}, unreachable
 	}
 	wait.Sleep(ctx, time.Until(flushed))
-	err = t.readStore(ctx)
+	err = t.reads.do(ctx)
 	origin, result := t.resolveFromMemory(stream, services, arrival)
-	if result == unknown && err != nil {
+	if (result == unknown || result == unconfirmed) && err != nil {
 		result = unreachable
 	}
 	return origin, result
@@ -259,9 +271,14 @@
 		}
 	}
 	k := t.knowledge(latest, since, now)
-	if !k.certain && !t.record.isCertainAt(arrival) {
+	isCurrent := k.certain && !latest.Before(arrival)
+	isRecorded := t.record.isCertainAt(arrival)
+	if !k.certain && !isRecorded {
 		return Origin{}, unknown
 	}
+	if !isCurrent && isRecorded {
+		k = knowledge{} // the record counts, and not the list
+	}
 	var only []Origin
 	for _, service := range services {
 		versions := t.possible(service, k, now)
@@ -272,10 +289,12 @@
 			only = append(only, Origin{service, version})
 		}
 	}
-	switch len(only) {
-	case 0:
+	switch {
+	case len(only) == 0:
 		return Origin{}, unknown
-	case 1:
+	case !isCurrent && !isRecorded:
+		return Origin{}, unconfirmed
+	case len(only) == 1:
 		return only[0], singleVersion
 	}
 	return Origin{}, singleVersion
--- a/pkg/lineage/tracker_test.go
+++ b/pkg/lineage/tracker_test.go
@@ -170,6 +170,49 @@
 	})
 }
 
+// Guards against an instance that is out of step for a moment and takes the only version that it knows for the one that began a stream elsewhere.
+func TestInstanceOutOfStepDoesNotGuess(t *testing.T) {
+	for _, tc := range []struct {
+		desc     string
+		answers  bool // the source of the list answers a recheck
+		recorded bool // the new version, when its first stream begins
+		known    bool // the stream goes on
+	}{
+		{"the list is behind", true, true, true},
+		{"the list is behind and cannot be read", false, true, true},
+		{"the new version is not recorded yet", true, false, false},
+	} {
+		t.Run(tc.desc, func(t *testing.T) {
+			inWorld(t, func(t *testing.T, w *world) {
+				w.list(v1)
+				x := w.start(2)
+				time.Sleep(retired)
+				x[1].setCut(true)
+				if tc.answers {
+					x[1].setRecheck(func() { x[1].UpdateEndpoints(endpointsOf(w.listed), time.Now()) })
+				}
+				if !tc.recorded {
+					w.store.set(func(s *memoryStore) { s.unavailable = true })
+				}
+				w.list(v1, v2)
+				time.Sleep(DefaultTiming().MaxListAge / 2)
+				if begins := x[0].MayBegin("s", "v2", time.Now()); begins != tc.recorded {
+					t.Fatalf("streams may begin at the new version: %t", begins)
+				}
+				x[0].Record("a", v2, time.Now()) // also if no endpoint of the other version accepts work
+				w.store.set(func(s *memoryStore) { s.unavailable = false })
+				if !tc.known {
+					x[0].stop() // before it writes the origin
+				}
+				origin, err := x[1].Resolve(t.Context(), "a", []string{"s"})
+				if err == nil && origin != v2 || (err == nil) != tc.known {
+					t.Errorf("resolved to %v, %v", origin, err)
+				}
+			})
+		})
+	}
+}
+
 // Guards against a version that appears and leaves unnoticed while an instance does not follow the list.
 func TestVersionThatCameAndLeftUnnoticedCounts(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
--- a/pkg/node/lineage_test.go
+++ b/pkg/node/lineage_test.go
@@ -47,7 +47,7 @@
 		var era atomic.Uint64
 		era.Store(2)
 		tracker := lineage.New(lineage.Options{Incarnation: name, Store: store, StoreEra: era.Load, Rank: func() int { return rank },
-			ListConfirmed: func() (latest, _ time.Time) { return time.Now(), since }, Log: log, Registerer: prometheus.NewRegistry()})
+			ListConfirmed: func() (latest, _ time.Time) { return time.Now(), since }, RecheckList: func(context.Context) error { return nil }, Log: log, Registerer: prometheus.NewRegistry()})
 		ctx, cancel := context.WithCancel(context.Background())
 		var running sync.WaitGroup
 		running.Go(func() { tracker.Run(ctx) })
--- a/pkg/node/node.go
+++ b/pkg/node/node.go
@@ -139,7 +139,7 @@
 	n.buildRights()
 	n.buildCatalog()
 	n.lineage = lineage.New(lineage.Options{Incarnation: n.self.Incarnation, Store: opts.Store, StoreEra: n.storeEra,
-		ListConfirmed: n.replica.Confirmed, Rank: n.leaderRank, Peers: n.peers, Collectors: n.originCollectors, Log: n.log, Registerer: opts.Registry})
+		ListConfirmed: n.replica.Confirmed, RecheckList: n.replica.Recheck, Rank: n.leaderRank, Peers: n.peers, Collectors: n.originCollectors, Log: n.log, Registerer: opts.Registry})
 	tracker := quarantine.New(quarantine.Options{}, opts.Registry)
 	n.crashes = &crashGuard{Tracker: tracker, culpritFinder: newCulpritFinder(culpritOptions{
 		self: n.self, peers: n.peers, roster: n.roster, store: opts.Store, prober: n.client, storeEra: n.storeEra,
