Count a suspension as a gap in the confirmations of the list

A machine that is suspended for seconds takes streams up that have begun at a software version which came and left meanwhile, and sends them on to another (reported by other operators as a machine that stood still).

Cause: the steady clock does not count the time of a suspension, so that the endpoint list looked followed without a gap and the record of versions in the store did not count.

Change: pkg/suspension reads how long the machine was suspended (CLOCK_BOOTTIME against CLOCK_MONOTONIC); confirmations add it to the time between two of them.

Measured: TestSuspensionIsAGapInTheConfirmations fails without the addition ('after a suspension of 5s, the gap in the confirmations is later by 0s') and passes.

--- a/pkg/catalog/catalog_test.go
+++ b/pkg/catalog/catalog_test.go
@@ -202,11 +202,15 @@
 }
 
 // testReplica runs test on a replica of a source, with a fake clock.
-func testReplica(t *testing.T, s *fakeSource, p *fakePeer, test func(r *Replica)) {
+func testReplica(t *testing.T, s *fakeSource, p *fakePeer, test func(r *Replica), options ...func(*ReplicaOptions)) {
 	synctest.Test(t, func(t *testing.T) {
 		log := logrus.New()
 		log.SetOutput(io.Discard)
-		r := NewReplica(ReplicaOptions{Source: s, Peers: p, Members: func() []string { return []string{"a"} }, Log: log})
+		opts := ReplicaOptions{Source: s, Peers: p, Members: func() []string { return []string{"a"} }, Log: log}
+		for _, option := range options {
+			option(&opts)
+		}
+		r := NewReplica(opts)
 		ctx, cancel := context.WithCancel(t.Context())
 		done := make(chan struct{})
 		go func() { r.Run(ctx); close(done) }()
--- a/pkg/catalog/confirmed.go
+++ b/pkg/catalog/confirmed.go
@@ -1,6 +1,10 @@
 package catalog
 
-import "time"
+import (
+	"time"
+
+	"github.com/clementinerack/clementinerack/pkg/suspension"
+)
 
 // MaxConfirmationGap is the longest time between two confirmations of the endpoint list in
 // which no change was missed that lasted. It is shorter than the time after which endpoints of
@@ -15,23 +19,34 @@
 type confirmations struct {
 	latest time.Time
 	since  time.Time // start of the latest series without a gap
+	// suspended is how long the machine had been suspended until latest.
+	suspended time.Duration
+}
+
+// instant is a time together with how long the machine had been suspended until then.
+type instant struct {
+	time.Time
+	suspended time.Duration
 }
 
-// confirm records that the endpoint list contains all changes until time at.
-func (r *Replica) confirm(at time.Time) {
+// now returns the current instant.
+func (r *Replica) now() instant { return instant{time.Now(), r.opts.Suspended()} }
+
+// confirm records that the endpoint list contains all changes until at.
+func (r *Replica) confirm(at instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.confirmed.add(at)
 }
 
-func (c *confirmations) add(at time.Time) {
+func (c *confirmations) add(at instant) {
 	if !at.After(c.latest) {
 		return
 	}
-	if at.Sub(c.latest) > MaxConfirmationGap {
-		c.since = at
+	if at.Sub(c.latest)+suspension.Between(c.suspended, at.suspended) > MaxConfirmationGap {
+		c.since = at.Time
 	}
-	c.latest = at
+	c.latest, c.suspended = at.Time, at.suspended
 }
 
 // Confirmed returns the latest time at which the endpoint list is known to have been that of
--- a/pkg/catalog/confirmed_test.go
+++ b/pkg/catalog/confirmed_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,7 +92,7 @@
 	testReplica(t, s, &fakePeer{}, func(r *Replica) {
 		time.Sleep(3100 * time.Millisecond)
 		before, _ := r.Confirmed()
-		r.confirm(before.Add(-time.Second))
+		r.confirm(instant{Time: before.Add(-time.Second)})
 		if latest, _ := r.Confirmed(); !latest.Equal(before) {
 			t.Errorf("confirmed at %s, before %s", latest, before)
 		}
@@ -113,6 +114,23 @@
 	})
 }
 
+// Guards against versions that appear and leave unnoticed while the machine is suspended and its steady clock stops.
+func TestSuspensionIsAGapInTheConfirmations(t *testing.T) {
+	s := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
+	for _, suspension := range []time.Duration{0, 200 * time.Millisecond, 5 * time.Second} {
+		var suspended atomic.Int64
+		testReplica(t, s, &fakePeer{}, func(r *Replica) {
+			time.Sleep(3 * time.Second)
+			_, since := r.Confirmed()
+			suspended.Add(int64(suspension))
+			time.Sleep(3 * time.Second)
+			if _, sinceThen := r.Confirmed(); sinceThen.After(since) != (suspension > MaxConfirmationGap) {
+				t.Errorf("after a suspension of %s, the gap in the confirmations is later by %s", suspension, sinceThen.Sub(since))
+			}
+		}, func(o *ReplicaOptions) { o.Suspended = func() time.Duration { return time.Duration(suspended.Load()) } })
+	}
+}
+
 // Guards against a watch that has fallen silent while other calls are answered: a list that lacks an endpoint counts as recent.
 func TestListIsNotConfirmedBeyondChangesThatASilentWatchMisses(t *testing.T) {
 	s := &fakeSource{doc: &Document{Version: 5}, list: endpointList(10, "e1")}
--- a/pkg/catalog/relay.go
+++ b/pkg/catalog/relay.go
@@ -268,7 +268,7 @@
 	r.mu.Lock()
 	req := PullRequest{Version: r.version(), Announced: r.announced, Revision: r.listed.Revision, Digest: r.digest, WaitMillis: timeout.Milliseconds(), Domains: r.domains.inForce.digest()}
 	r.mu.Unlock()
-	sent := time.Now()
+	sent := r.now()
 	reply, err := r.callPull(ctx, address, req, timeout+r.opts.Timing.RelayReplyTimeout)
 	if err != nil {
 		return relayUnavailable, err
@@ -291,7 +291,8 @@
 	}
 	if list, ok := r.listFromReply(reply, req); ok {
 		r.applyList(list, time.Now(), from)
-		r.confirm(sent.Add(min(reply.Confirmed, time.Since(sent)))) // never later than now
+		sent.Time = sent.Add(min(reply.Confirmed, time.Since(sent.Time))) // never later than now
+		r.confirm(sent)
 	}
 	if r.opts.TracksDomains && reply.Domains != nil {
 		r.applyDomains(*reply.Domains, address, age, state == relayCurrent)
--- a/pkg/catalog/replica.go
+++ b/pkg/catalog/replica.go
@@ -11,6 +11,7 @@
 	"github.com/clementinerack/clementinerack/pkg/eventlog"
 	"github.com/clementinerack/clementinerack/pkg/kvstore"
 	"github.com/clementinerack/clementinerack/pkg/peer"
+	"github.com/clementinerack/clementinerack/pkg/suspension"
 	"github.com/clementinerack/clementinerack/pkg/wait"
 )
 
@@ -164,8 +165,8 @@
 	}
 }
 
-// ReplicaOptions configures a Replica. Relays, Timing, OnDocument and OnEndpoints are
-// optional.
+// ReplicaOptions configures a Replica. Relays, Timing, OnDocument, OnEndpoints and Suspended
+// are optional.
 type ReplicaOptions struct {
 	Source Source
 	// Peers calls other instances. Members returns the addresses of all other instances;
@@ -185,6 +186,9 @@
 	// endpoints in use.
 	OnDocument  func(*Catalog)
 	OnEndpoints func(EndpointList)
+	// Suspended returns for how long the machine has been suspended since it started. It is
+	// suspension.Total if it is nil.
+	Suspended func() time.Duration
 	// OnDomains is called like them when the failure domains out of use become known and
 	// after each change. It is optional.
 	OnDomains func(DomainSet)
@@ -237,6 +241,9 @@
 	if opts.Relays == nil {
 		opts.Relays = func() []string { return nil }
 	}
+	if opts.Suspended == nil {
+		opts.Suspended = suspension.Total
+	}
 	return &Replica{opts: opts, changed: make(chan struct{}), wake: make(chan struct{}, 1), fetch: make(chan string, 1),
 		source: eventlog.NewDependency(opts.Log, "store", "catalog")}
 }
@@ -327,7 +334,7 @@
 func (r *Replica) watchEndpoints(ctx context.Context) {
 	for s := r.awaitSession(ctx); s != nil; s = r.awaitSession(ctx) {
 		for s.ctx.Err() == nil {
-			start := time.Now()
+			start := r.now()
 			list, err := r.readEndpoints(s)
 			if err != nil {
 				r.failSession(ctx, s, err)
--- a/pkg/catalog/session.go
+++ b/pkg/catalog/session.go
@@ -38,7 +38,7 @@
 // Recheck brings the endpoint list up to date with the source, whether this instance follows a
 // relay or not.
 func (r *Replica) Recheck(ctx context.Context) error {
-	start := time.Now()
+	start := r.now()
 	list, err := r.opts.Source.Recheck(ctx)
 	if err != nil {
 		return err
