Reset the connection of an attempt that is given up

Cause: an attempt that was given up closed its connection without a reset, so that bytes which a partition held up were delivered when it ended.

Change: the connection of an exchange whose response is not complete is reset.

Measured: TestGivenUpRequestIsNotDeliveredLate failed before (the endpoint read the whole request) and passes.

--- a/pkg/upstream/answer.go
+++ b/pkg/upstream/answer.go
@@ -105,7 +105,11 @@
 		reuse = reuse && len(x.conn.refused) < maxRefusedRequests
 	}
 	x.conn.reusableUntil = time.Now().Add(timeout)
-	x.finish(reuse)
+	if reuse {
+		x.finish(reusable)
+	} else {
+		x.finish(completed)
+	}
 }
 
 // initialBodyBytes is the first size of the buffer for a body of unknown length.
@@ -149,9 +153,9 @@
 func (r *Response) KeepMemory() { r.memory = nil }
 
 // Close ends the exchange and returns Memory. If the body was not read to its end, the
-// connection is closed.
+// connection is reset.
 func (r *Response) Close() {
-	r.exchange.finish(false)
+	r.exchange.finish(abandoned)
 	r.memory.Close()
 }
 
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -279,7 +279,7 @@
 	x.stopCancel = context.AfterFunc(ctx, func() { _ = cn.SetDeadline(time.Unix(1, 0)) })
 	resp, err := x.roundTrip()
 	if err != nil {
-		x.finish(false)
+		x.finish(abandoned)
 		cn.memory.Close()
 		if cause := context.Cause(ctx); cause != nil {
 			err = cause
@@ -499,19 +499,39 @@
 	return b.Bytes()
 }
 
-// finish ends the exchange. It keeps the connection if reuse is true and the request
-// was written completely, no further data has arrived and the context has not ended.
-// Otherwise it closes the connection. Only the first call has an effect.
-func (x *exchange) finish(reuse bool) {
+// exchangeEnd says how an exchange ends.
+type exchangeEnd int
+
+const (
+	// reusable means that the response is complete and the connection can be kept.
+	reusable exchangeEnd = iota
+	// completed means that the response is complete and the connection cannot be kept.
+	completed
+	// abandoned means that the response is not complete.
+	abandoned
+)
+
+// finish ends the exchange. It keeps a reusable connection if the request was written
+// completely, no further data has arrived and the context has not ended. Otherwise it closes
+// the connection. Only the first call has an effect.
+//
+// The connection of an abandoned exchange is reset: what a partition holds up of the request
+// would otherwise reach the endpoint when it ends, although the request was given up or sent
+// to another endpoint.
+func (x *exchange) finish(end exchangeEnd) {
 	x.finishOnce.Do(func() {
 		stopped := x.stopCancel()
+		keep := end == reusable
 		select {
 		case <-x.writeDone:
-			reuse = reuse && x.writeErr == nil
+			keep = keep && x.writeErr == nil
 		default:
-			reuse = false // the request is not yet written completely
+			keep = false // the request is not yet written completely
 		}
-		if !reuse || !stopped || x.conn.reader.Buffered() > 0 {
+		if !keep || !stopped || x.conn.reader.Buffered() > 0 {
+			if tcp, ok := x.conn.Conn.(interface{ SetLinger(seconds int) error }); ok && end == abandoned {
+				_ = tcp.SetLinger(0) // fails only on a closed connection
+			}
 			_ = x.conn.Close()
 			return
 		}
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -150,6 +151,40 @@
 	}
 }
 
+// Guards against a request that reaches an endpoint after it was given up, when what held its bytes up has ended.
+func TestGivenUpRequestIsNotDeliveredLate(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	for _, tc := range []struct {
+		desc, head string // of the response that has arrived when the request is given up
+	}{{"no response", ""}, {"response has begun", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\npart"}} {
+		t.Run(tc.desc, func(t *testing.T) {
+			accepted := make(chan net.Conn, 1)
+			go func() {
+				c, err := l.Accept()
+				if err == nil {
+					_, _ = io.WriteString(c, tc.head)
+					accepted <- c
+				}
+			}()
+			ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+			defer cancel()
+			if a, err := newClient(t).Do(ctx, l.Addr().String(), newRequest("1", "x")); err == nil {
+				_, _ = a.ReadAll(1 << 20) // ends with ctx
+				a.Close()
+			}
+			c := <-accepted
+			defer func() { _ = c.Close() }()
+			if got, err := io.ReadAll(c); !errors.Is(err, syscall.ECONNRESET) {
+				t.Errorf("the endpoint reads %q, %v after the request was given up", got, err)
+			}
+		})
+	}
+}
+
 // Guards against a broken response that is taken as complete, and against an error
 // that does not say that the endpoint may have read the request.
 func TestBrokenAnswers(t *testing.T) {
