Send no request on an idle connection to a silent failure domain

Cause: the request went out on an idle connection that the cut had made dead. The system ended that connection a little later, which is no reset, and what the cut held up was delivered when it ended.

Change: if nothing has arrived from a failure domain for a second, a request goes out on a new connection.

--- a/pkg/gateway/attempt.go
+++ b/pkg/gateway/attempt.go
@@ -340,7 +340,7 @@
 	}
 	id := q.envelope.ID
 	return &upstream.Request{
-		ID: id, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body,
+		ID: id, Method: q.r.Method, Target: q.r.RequestURI, Host: q.r.Host, Body: q.body, Domain: c.Domain,
 		Header:        q.g.opts.Codec.EncodeHeader(q.r.Header, meta),
 		IsOwnResponse: func(h http.Header, reused bool) bool { return q.g.opts.Codec.IsResponseTo(h, id, reused) },
 	}
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -67,6 +67,10 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Domain is the failure domain of the endpoint, or empty. If nothing has arrived from it for a
+	// second, the request is sent on a new connection: on an idle one that a partition has made
+	// dead it would be lost, or arrive when the partition ends.
+	Domain string
 	// IsOwnResponse reports whether a response with the given header belongs to this
 	// request. reused is set if the connection has carried an earlier request, of which
 	// another response may arrive. If IsOwnResponse is nil, every response belongs to it.
@@ -119,6 +123,7 @@
 	// not be changed after the first request.
 	OnDial func()
 	seed   maphash.Seed // of hashID
+	sounds domainSounds
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, most recently used last
@@ -158,7 +163,8 @@
 	net.Conn
 	address       string
 	reader        *bufio.Reader
-	reused        bool      // an earlier request has used it
+	reused        bool // an earlier request has used it
+	sound         *domainSound
 	reusableUntil time.Time // when the endpoint may close it
 	// refused holds the hashes of the IDs of the requests that were refused or answered with
 	// an error on this connection.
@@ -266,7 +272,7 @@
 // response is no longer needed. Errors are of type *Error and wrap the cause of the
 // end of ctx, if it has ended.
 func (c *Client) Do(ctx context.Context, address string, req *Request) (*Response, error) {
-	cn, err := c.connect(ctx, address, req.ID)
+	cn, err := c.connect(ctx, address, req)
 	if err != nil {
 		return nil, &Error{NotSent, err}
 	}
@@ -289,16 +295,25 @@
 	return resp, nil
 }
 
-// connect returns an idle connection that can carry the request with the given ID, or opens a
-// new one.
-func (c *Client) connect(ctx context.Context, address, id string) (*conn, error) {
+// connect returns an idle connection that can carry the request, or opens a new one.
+func (c *Client) connect(ctx context.Context, address string, req *Request) (*conn, error) {
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	if cn := c.takeIdle(address, id, time.Now()); cn != nil {
-		return cn, nil
+	sound := c.sounds.of(req.Domain)
+	var cn *conn
+	if !sound.isSilent() {
+		cn = c.takeIdle(address, req.ID, time.Now())
 	}
-	return c.open(ctx, address)
+	if cn == nil {
+		var err error
+		if cn, err = c.open(ctx, address); err != nil {
+			return nil, err
+		}
+		sound.hear()
+	}
+	cn.sound = sound
+	return cn, nil
 }
 
 // open opens a new connection.
@@ -428,12 +443,15 @@
 // Read implements io.Reader for the reader of the connection.
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headBytesLeft == unlimited {
-		return c.Conn.Read(p)
+		n, err := c.Conn.Read(p)
+		c.heard(n)
+		return n, err
 	}
 	if c.headBytesLeft <= 0 {
 		return 0, ErrHeadTooLarge
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
+	c.heard(n)
 	if !c.head.Receive(p[:n], c.memory) {
 		return 0, ErrNoMemory
 	}
@@ -442,6 +460,13 @@
 	return n, err
 }
 
+// heard records that n bytes have arrived.
+func (c *conn) heard(n int) {
+	if n > 0 {
+		c.sound.hear()
+	}
+}
+
 // writeRequest writes the head and the body of the request.
 func (x *exchange) writeRequest() {
 	defer close(x.writeDone)
--- a/pkg/upstream/client_test.go
+++ b/pkg/upstream/client_test.go
@@ -185,6 +185,30 @@
 	}
 }
 
+// Guards against a request on an idle connection that a partition has made dead, which may deliver it when it ends.
+func TestIdleConnectionIsNotUsedAfterSilence(t *testing.T) {
+	t.Parallel()
+	r := startRunner(t, machines.Answer(200, "x"))
+	c := newClient(t)
+	dials := 0
+	c.OnDial = func() { dials++ }
+	for _, tc := range []struct {
+		domain string
+		pause  time.Duration
+		dials  int // so far
+	}{{"d", 0, 1}, {"d", 0, 1}, {"d", 700 * time.Millisecond, 1}, {"", 1200 * time.Millisecond, 1}, {"other", 0, 2}, {"d", 1200 * time.Millisecond, 3}, {"d", 0, 3}} {
+		time.Sleep(tc.pause)
+		req := newRequest("", "")
+		req.Domain = tc.domain
+		if got, err := doAndRead(c, r.Address(), req); err != nil || got != "x" {
+			t.Fatalf("response %q, %v", got, err)
+		}
+		if dials != tc.dials {
+			t.Errorf("%d connections were opened after a pause of %s, domain %q, want %d", dials, tc.pause, tc.domain, tc.dials)
+		}
+	}
+}
+
 // Guards against a broken response that is taken as complete, and against an error
 // that does not say that the endpoint may have read the request.
 func TestBrokenAnswers(t *testing.T) {
