Count endpoints that die at once one by one if they share a part

Cause: deaths within 100 ms counted as one occasion, because endpoints that die together were taken to have another common cause.

Change: from five on, deaths at one moment count one by one, if no endpoint died without the part and no request with it ended well in the 10 s before.

--- a/pkg/quarantine/attribution.go
+++ b/pkg/quarantine/attribution.go
@@ -48,9 +48,12 @@
 	// certainOccasions is the number from which a trait is a culprit even if another
 	// one explains as many deaths.
 	certainOccasions = 5
-	// occasionGap separates occasions. Endpoints that die together have a common cause
-	// other than a request, which runs on one endpoint at a time.
+	// occasionGap separates occasions. Endpoints that die together may have a common cause
+	// other than their requests.
 	occasionGap = 100 * time.Millisecond
+	// jointLookback is how long before endpoints die together a run that ended well shows that
+	// their common trait is not the cause.
+	jointLookback = 10 * time.Second
 	// deathReportWindow is the time within which reports of an endpoint are about the
 	// same death. An endpoint needs seconds to start again.
 	deathReportWindow = 2 * time.Second
@@ -70,9 +73,14 @@
 // most deaths; those do not count against other traits. Traits that explain the same
 // deaths cannot be told apart, and only requests with all of them are refused.
 //
+// Deaths are counted by occasions. Only if all endpoints that died together ran requests with a
+// trait that has not survived for a while, each of these deaths counts, from certainOccasions
+// of them on: several requests with a part that crashes endpoints may come at the same time.
+//
 // It is not safe for concurrent use.
 type Attribution struct {
-	deaths []*attributedDeath // oldest first
+	deaths   []*attributedDeath  // oldest first
+	survived map[Trait]time.Time // latest survivals of suspects
 }
 
 // attributedDeath is a death of an endpoint with the traits that may have caused it.
@@ -117,6 +125,7 @@
 
 // RecordSurvival records that an endpoint survived a request with the given trait.
 func (a *Attribution) RecordSurvival(t Trait, at time.Time) {
+	a.rememberSurvival(t, at)
 	for _, d := range a.deaths {
 		if d.at.Before(at.Add(survivalLookback)) {
 			delete(d.suspects, t)
@@ -124,12 +133,25 @@
 	}
 }
 
+// rememberSurvival records the latest survival of a trait for later deaths.
+func (a *Attribution) rememberSurvival(t Trait, at time.Time) {
+	if a.survived == nil {
+		a.survived = map[Trait]time.Time{}
+	}
+	if len(a.survived) >= maxSurvivals {
+		maps.DeleteFunc(a.survived, func(_ Trait, other time.Time) bool { return at.Sub(other) >= jointLookback })
+	}
+	if at.After(a.survived[t]) && len(a.survived) < maxSurvivals {
+		a.survived[t] = at
+	}
+}
+
 // Suspects returns the traits that would be culprits if they explained all of the
 // deaths under them. The survivals of their requests decide about them.
 func (a *Attribution) Suspects() []Trait {
 	var suspects []Trait
 	for t, deaths := range deathsByTrait(a.deaths) {
-		if occasions(deaths) >= minOccasions {
+		if a.evidence(t, deaths) >= minOccasions {
 			suspects = append(suspects, t)
 		}
 	}
@@ -139,30 +161,58 @@
 
 // Culprits returns the combinations that crash endpoints, those with the most deaths
 // first.
-func (a *Attribution) Culprits() []Culprit { return a.culpritsFrom(minOccasions) }
+func (a *Attribution) Culprits() []Culprit { return a.culpritsFrom(minOccasions, a.evidence) }
 
 // CulpritsHeard is like Culprits if some of the listed instances have told their survivals.
 // Without half of them, which may be lost or behind a partition, a trait could have survived
 // unnoticed, and it takes certainOccasions to make it a culprit.
 func (a *Attribution) CulpritsHeard(answered, listed int) []Culprit {
 	if 2*answered < listed {
-		return a.culpritsFrom(certainOccasions)
+		return a.culpritsFrom(certainOccasions, func(_ Trait, deaths []*attributedDeath) int { return occasions(deaths) })
 	}
 	return a.Culprits()
 }
 
-// culpritsFrom returns the culprits with at least the given number of occasions.
-func (a *Attribution) culpritsFrom(least int) []Culprit {
+// weighing returns how much the deaths under a trait speak against it.
+type weighing func(t Trait, deaths []*attributedDeath) int
+
+// evidence is the number of occasions or, if that is more, of deaths that count one by one.
+func (a *Attribution) evidence(t Trait, deaths []*attributedDeath) int {
+	if joint := a.jointDeaths(t, deaths); joint >= certainOccasions {
+		return joint
+	}
+	return occasions(deaths)
+}
+
+// jointDeaths returns how many of the deaths under a trait were on occasions on which no
+// endpoint died without it, and which it had not survived for jointLookback.
+func (a *Attribution) jointDeaths(t Trait, deaths []*attributedDeath) int {
+	n := 0
+	for _, d := range deaths {
+		survivedAt, hasSurvived := a.survived[t]
+		isExplained := !slices.ContainsFunc(a.deaths, func(other *attributedDeath) bool {
+			return other.at.Sub(d.at).Abs() < occasionGap && !other.suspects[t]
+		})
+		if isExplained && !(hasSurvived && d.at.Sub(survivedAt) < jointLookback) {
+			n++
+		}
+	}
+	return n
+}
+
+// culpritsFrom returns the culprits with at least the given evidence.
+func (a *Attribution) culpritsFrom(least int, weigh weighing) []Culprit {
 	var culprits []Culprit
 	for unexplained := a.deaths; ; {
 		byTrait := deathsByTrait(unexplained)
-		best := bestTrait(byTrait)
+		best := bestTrait(byTrait, weigh)
 		explained := byTrait[best]
-		if occasions(explained) < least {
+		weight := weigh(best, explained)
+		if weight < least {
 			return culprits
 		}
-		if occasions(explained) >= certainOccasions || !hasRival(byTrait, explained) {
-			culprits = append(culprits, newCulprit(byTrait, explained))
+		if weight >= certainOccasions || !hasRival(byTrait, explained, weight, weigh) {
+			culprits = append(culprits, newCulprit(byTrait, explained, weight, weigh))
 		}
 		unexplained = slices.DeleteFunc(slices.Clone(unexplained), func(d *attributedDeath) bool { return slices.Contains(explained, d) })
 	}
@@ -179,24 +229,25 @@
 	return byTrait
 }
 
-// bestTrait returns the trait with the most occasions, among equals that with the most
-// deaths and then the lowest one.
-func bestTrait(byTrait map[Trait][]*attributedDeath) Trait {
+// bestTrait returns the trait with the most evidence, among equals that with the most deaths
+// and then the lowest one.
+func bestTrait(byTrait map[Trait][]*attributedDeath, weigh weighing) Trait {
 	var best Trait
+	most := 0
 	for _, t := range slices.Sorted(maps.Keys(byTrait)) {
-		n, most := occasions(byTrait[t]), occasions(byTrait[best])
+		n := weigh(t, byTrait[t])
 		if n > most || n == most && len(byTrait[t]) > len(byTrait[best]) {
-			best = t
+			best, most = t, n
 		}
 	}
 	return best
 }
 
-// hasRival reports whether another trait explains as many occasions by deaths that are
+// hasRival reports whether as much evidence speaks against another trait by deaths that are
 // partly others.
-func hasRival(byTrait map[Trait][]*attributedDeath, explained []*attributedDeath) bool {
-	for _, deaths := range byTrait {
-		if occasions(deaths) < occasions(explained) || slices.Equal(deaths, explained) {
+func hasRival(byTrait map[Trait][]*attributedDeath, explained []*attributedDeath, weight int, weigh weighing) bool {
+	for t, deaths := range byTrait {
+		if weigh(t, deaths) < weight || slices.Equal(deaths, explained) {
 			continue
 		}
 		if slices.ContainsFunc(deaths, func(d *attributedDeath) bool { return slices.Contains(explained, d) }) {
@@ -206,10 +257,12 @@
 	return false
 }
 
-func newCulprit(byTrait map[Trait][]*attributedDeath, explained []*attributedDeath) Culprit {
+// newCulprit returns the combination of the traits that explain the same deaths and against
+// which as much evidence speaks.
+func newCulprit(byTrait map[Trait][]*attributedDeath, explained []*attributedDeath, weight int, weigh weighing) Culprit {
 	c := Culprit{Deaths: len(explained), LastDeath: explained[len(explained)-1].at}
 	for t, deaths := range byTrait {
-		if slices.Equal(deaths, explained) {
+		if slices.Equal(deaths, explained) && weigh(t, deaths) >= weight {
 			c.Traits = append(c.Traits, t)
 		}
 	}
--- a/pkg/quarantine/attribution_test.go
+++ b/pkg/quarantine/attribution_test.go
@@ -23,6 +23,12 @@
 		ms     int
 		traits []Trait
 	}
+	together := func(ms, count int, traits ...Trait) (deaths []death) {
+		for i := range count {
+			deaths = append(deaths, death{ms + i, append([]Trait{Trait(1000 + ms + i)}, traits...)})
+		}
+		return deaths
+	}
 	survived := func(ms int, traits ...Trait) func(*Attribution) {
 		return func(a *Attribution) {
 			for _, trait := range traits {
@@ -39,6 +45,14 @@
 		{desc: "two deaths", deaths: []death{{0, []Trait{bad}}, {500, []Trait{bad}}}},
 		{desc: "three deaths", deaths: []death{{0, []Trait{bad, other1}}, {500, []Trait{bad}}, {900, []Trait{bad, other2}}}, want: []Combination{{bad}}},
 		{desc: "three deaths at once have a common cause", deaths: []death{{0, []Trait{bad}}, {10, []Trait{bad}}, {20, []Trait{bad}}, {30, []Trait{bad}}}},
+		{desc: "five deaths at once, all under the part", deaths: together(0, 5, bad), want: []Combination{{bad}}},
+		{desc: "three deaths at once, twice", deaths: append(together(0, 3, bad), together(4000, 3, bad)...), want: []Combination{{bad}}},
+		{desc: "deaths at once beside sound parts", deaths: append(together(0, 3, bad, other1), together(4, 3, bad, other2)...), want: []Combination{{bad}}},
+		{desc: "many deaths at once, some without the part", deaths: append(together(0, 9, bad), together(20, 1, other1)...)},
+		{desc: "many deaths at once under a part that survived before", deaths: together(9000, 9, bad), then: survived(0, bad)},
+		{desc: "many deaths at once under a part that survived long before", deaths: together(11000, 9, bad), then: survived(0, bad), want: []Combination{{bad}}},
+		{desc: "many deaths at once under a part that survives later", deaths: together(0, 9, bad), then: survived(3000, bad)},
+		{desc: "many deaths at once and a survival of the shared part", deaths: together(5000, 9, bad, first), then: survived(0, first), want: []Combination{{bad}}},
 		{desc: "reported out of order", deaths: []death{{900, []Trait{bad}}, {0, []Trait{bad}}, {500, []Trait{bad}}}, want: []Combination{{bad}}},
 		{desc: "always beside a shared part", deaths: []death{{0, []Trait{bad, first}}, {500, []Trait{bad, first}}, {900, []Trait{bad, first}}}, want: []Combination{{first, bad}}},
 		{desc: "the shared part survives elsewhere", deaths: []death{{0, []Trait{bad, first}}, {500, []Trait{bad, first}}, {900, []Trait{bad, first}}},
