Refuse a stream while neither the list nor the record is certain

Cause: the result 'unconfirmed' of the second read of the store was not handled as unknown.

Change: it is. The activity of failure domains in pkg/upstream gets clearer names.

Measured: TestIncompleteRecordIsNoKnowledge resolved the stream to { } before and passes.

--- a/pkg/lineage/fakes_test.go
+++ b/pkg/lineage/fakes_test.go
@@ -33,6 +33,7 @@
 	revision    uint64
 	era         uint64
 	unavailable bool // all calls fail
+	readOnly    bool // commits fail
 	loseAnswers int  // commits that take effect and return failure.Uncertain
 	calls       map[string]int
 }
@@ -100,6 +101,9 @@
 		return 0, nil, err
 	}
 	defer s.mu.Unlock()
+	if s.readOnly {
+		return 0, nil, failure.New(failure.Unavailable, "", "read-only")
+	}
 	var items []kvstore.Item
 	conflict := false
 	for _, e := range t.Expect {
--- a/pkg/lineage/tracker.go
+++ b/pkg/lineage/tracker.go
@@ -195,6 +195,9 @@
 	if result == unconfirmed || result == unknown && stream != "" {
 		origin, result = t.resolveFromStore(ctx, stream, services, arrival)
 	}
+	if result == unconfirmed {
+		result = unknown
+	}
 	t.metrics.resolutions.WithLabelValues(string(result)).Inc()
 	switch result {
 	case unknown:
--- a/pkg/lineage/tracker_test.go
+++ b/pkg/lineage/tracker_test.go
@@ -213,6 +213,22 @@
 	}
 }
 
+// Guards against an instance that cannot read the list and takes a record of an older copy of the store for knowledge.
+func TestIncompleteRecordIsNoKnowledge(t *testing.T) {
+	inWorld(t, func(t *testing.T, w *world) {
+		w.list(v1)
+		x := w.start(1)[0]
+		time.Sleep(retired)
+		w.store.set(func(s *memoryStore) { s.readOnly = true }) // so that x cannot complete it
+		x.setCut(true)
+		w.store.restore(w.store.copy())
+		time.Sleep(callDelay)
+		w.checkRefused(x, "unheard of", maxWait)
+		w.checkRefused(x, "unheard of too", maxWait)
+		w.checkRefused(x, "", maxWait)
+	})
+}
+
 // Guards against a version that appears and leaves unnoticed while an instance does not follow the list.
 func TestVersionThatCameAndLeftUnnoticedCounts(t *testing.T) {
 	inWorld(t, func(t *testing.T, w *world) {
--- a/pkg/upstream/client.go
+++ b/pkg/upstream/client.go
@@ -121,9 +121,9 @@
 	budget *membudget.Budget // of the responses, by address
 	// OnDial is called before each new connection is opened. It may be nil and must
 	// not be changed after the first request.
-	OnDial func()
-	seed   maphash.Seed // of hashID
-	sounds domainSounds
+	OnDial     func()
+	seed       maphash.Seed // of hashID
+	activities activities
 
 	mu     sync.Mutex
 	idle   map[string][]*conn // by address, most recently used last
@@ -163,8 +163,8 @@
 	net.Conn
 	address       string
 	reader        *bufio.Reader
-	reused        bool // an earlier request has used it
-	sound         *domainSound
+	reused        bool      // an earlier request has used it
+	activity      *activity // of the failure domain, may be nil
 	reusableUntil time.Time // when the endpoint may close it
 	// refused holds the hashes of the IDs of the requests that were refused or answered with
 	// an error on this connection.
@@ -300,9 +300,9 @@
 	if err := ctx.Err(); err != nil {
 		return nil, err
 	}
-	sound := c.sounds.of(req.Domain)
+	activity := c.activities.of(req.Domain)
 	var cn *conn
-	if !sound.isSilent() {
+	if !activity.isSilent() {
 		cn = c.takeIdle(address, req.ID, time.Now())
 	}
 	if cn == nil {
@@ -310,9 +310,9 @@
 		if cn, err = c.open(ctx, address); err != nil {
 			return nil, err
 		}
-		sound.hear()
+		activity.record()
 	}
-	cn.sound = sound
+	cn.activity = activity
 	return cn, nil
 }
 
@@ -444,14 +444,14 @@
 func (c *conn) Read(p []byte) (int, error) {
 	if c.headBytesLeft == unlimited {
 		n, err := c.Conn.Read(p)
-		c.heard(n)
+		c.recordArrival(n)
 		return n, err
 	}
 	if c.headBytesLeft <= 0 {
 		return 0, ErrHeadTooLarge
 	}
 	n, err := c.Conn.Read(p[:min(len(p), c.headBytesLeft)])
-	c.heard(n)
+	c.recordArrival(n)
 	if !c.head.Receive(p[:n], c.memory) {
 		return 0, ErrNoMemory
 	}
@@ -460,10 +460,10 @@
 	return n, err
 }
 
-// heard records that n bytes have arrived.
-func (c *conn) heard(n int) {
+// recordArrival records that n bytes have arrived.
+func (c *conn) recordArrival(n int) {
 	if n > 0 {
-		c.sound.hear()
+		c.activity.record()
 	}
 }
 
--- a/pkg/upstream/silence.go
+++ b/pkg/upstream/silence.go
@@ -10,45 +10,46 @@
 // its endpoints may be dead. The system then sends the first keep-alive probe on them.
 const maxSilence = keepAliveIdleInterval
 
-// domainSounds records when something last arrived from each failure domain. It is safe for
-// concurrent use.
-type domainSounds struct {
+// activities holds the activity of each failure domain. It is safe for concurrent use.
+type activities struct {
 	mu     sync.Mutex
-	latest map[string]*domainSound
+	latest map[string]*activity
 }
 
-// domainSound is when something last arrived from a failure domain, in nanoseconds since start.
-type domainSound struct {
-	start time.Time
-	at    atomic.Int64
+// activity records when something last arrived from a failure domain. A new one is silent. Its
+// methods may be called on nil, which is never silent.
+type activity struct {
+	created   time.Time
+	arrivedAt atomic.Int64 // nanoseconds from created, or before for a new one
 }
 
-// of returns the sound of a failure domain, nil if it has no name.
-func (d *domainSounds) of(domain string) *domainSound {
+// of returns the activity of a failure domain, nil if domain is empty.
+func (d *activities) of(domain string) *activity {
 	if domain == "" {
 		return nil
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	s := d.latest[domain]
-	if s == nil {
+	a := d.latest[domain]
+	if a == nil {
 		if d.latest == nil {
-			d.latest = map[string]*domainSound{}
+			d.latest = map[string]*activity{}
 		}
-		s = &domainSound{start: time.Now().Add(-2 * maxSilence)}
-		d.latest[domain] = s
+		a = &activity{created: time.Now()}
+		a.arrivedAt.Store(int64(-2 * maxSilence))
+		d.latest[domain] = a
 	}
-	return s
+	return a
 }
 
-// hear records that something has arrived. The sound may be nil.
-func (s *domainSound) hear() {
-	if s != nil {
-		s.at.Store(int64(time.Since(s.start)))
+// record records that something has arrived.
+func (a *activity) record() {
+	if a != nil {
+		a.arrivedAt.Store(int64(time.Since(a.created)))
 	}
 }
 
-// isSilent reports whether nothing has arrived for maxSilence. A nil sound is never silent.
-func (s *domainSound) isSilent() bool {
-	return s != nil && time.Since(s.start)-time.Duration(s.at.Load()) > maxSilence
+// isSilent reports whether nothing has arrived for maxSilence.
+func (a *activity) isSilent() bool {
+	return a != nil && time.Since(a.created)-time.Duration(a.arrivedAt.Load()) > maxSilence
 }
