Wait for the origin of a stream if the list cannot be read

Cause: the record of versions decided alone, at its first read after the take-up. It lacks a version whose streams began before it was recorded, which they do if no other endpoint accepts work.

Change: unless the list was read after the take-up too, such an answer waits for the second read, by which the origins of just begun streams are written.

Measured: the fourth case of TestInstanceOutOfStepDoesNotGuess resolved to the wrong version before and passes.

--- a/pkg/lineage/tracker.go
+++ b/pkg/lineage/tracker.go
@@ -237,7 +237,12 @@
 		return Origin{}, unreachable
 	}
 	err := t.reads.do(ctx)
-	if origin, result := t.resolveFromMemory(stream, services, arrival); result != unknown && result != unconfirmed {
+	switch origin, result := t.resolveFromMemory(stream, services, arrival); {
+	case result == unknown || result == unconfirmed:
+	case result == singleVersion && t.listIsOlderThan(arrival):
+		// Without another endpoint that accepts work, streams begin at a version before the record
+		// has it. Their origins are written by the time of the next read.
+	default:
 		return origin, result
 	}
 	if err != nil && t.isUnreachable(time.Now()) {
@@ -252,6 +257,12 @@
 	return origin, result
 }
 
+// listIsOlderThan reports whether the list of endpoints was last confirmed before a time.
+func (t *Tracker) listIsOlderThan(at time.Time) bool {
+	latest, _ := t.opts.ListConfirmed()
+	return latest.Before(at)
+}
+
 // isUnreachable reports whether the store is known to be out of reach: reads have just failed,
 // and the list of endpoints is old or several reads failed.
 func (t *Tracker) isUnreachable(now time.Time) bool {
--- a/pkg/lineage/tracker_test.go
+++ b/pkg/lineage/tracker_test.go
@@ -181,6 +181,7 @@
 		{"the list is behind", true, true, true},
 		{"the list is behind and cannot be read", false, true, true},
 		{"the new version is not recorded yet", true, false, false},
+		{"the new version is not recorded yet and the list cannot be read", false, false, true},
 	} {
 		t.Run(tc.desc, func(t *testing.T) {
 			inWorld(t, func(t *testing.T, w *world) {
