--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -44,6 +44,7 @@
 // fleet is a set of instances with the stand-ins of the store and the runners.
 type fleet struct {
 	*record
+	folder               string // of the case
 	entry, dir, settings string // program, folder of temporary files, text of the settings file
 	store                *machines.Store
 	server               *http.Server
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -19,6 +19,7 @@
 
 // cases are the scripts by name. Each reports whether the rule held.
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
+	"budget":     playBudget,
 	"resumption": playResumption,
 }
 
@@ -64,6 +65,7 @@
 	if err != nil {
 		return fail(err)
 	}
+	f.folder = *folder
 	defer f.close()
 	rec.note("case %s, disruption: %t", *name, *trouble)
 	held, err := play(f, *trouble)
