--- a/review/stand3/fleet.go
+++ b/review/stand3/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -52,6 +53,8 @@
 	instances            []*instance
 	runners              []*machines.Runner
 	down                 gate
+	config               string // of the operator
+	version              int    // number of changes of the configuration
 }
 
 // gate holds calls of the store back while the store is away.
@@ -76,6 +79,7 @@
 type instance struct {
 	fleet          *fleet
 	name, zone, ip string
+	storeAddress   string // of the store or of a proxy
 	process        *exec.Cmd
 	exited         chan struct{}
 }
@@ -86,7 +90,7 @@
 	if err != nil {
 		return nil, err
 	}
-	f := &fleet{record: rec, entry: entry, dir: dir, settings: settings, store: store}
+	f := &fleet{record: rec, entry: entry, dir: dir, settings: settings, store: store, config: config}
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
@@ -126,7 +130,7 @@
 // start starts a process for the instance.
 func (n *instance) start() error {
 	f := n.fleet
-	text := strings.NewReplacer("@NAME@", n.name, "@ZONE@", n.zone, "@IP@", n.ip, "@STORE@", f.storeAddress).Replace(f.settings)
+	text := strings.NewReplacer("@NAME@", n.name, "@ZONE@", n.zone, "@IP@", n.ip, "@STORE@", cmp.Or(n.storeAddress, f.storeAddress)).Replace(f.settings)
 	path := filepath.Join(f.dir, n.name+".json")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return err
--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -21,6 +21,7 @@
 var cases = map[string]func(f *fleet, trouble bool) (held bool, err error){
 	"budget":     playBudget,
 	"resumption": playResumption,
+	"silence":    playSilence,
 }
 
 func main() { os.Exit(run()) }
